Do not hand out a connection that is closing

Cause: a closed connection stays in the table until its tasks have ended. `connect` returned it, so `_redial` called `connect` again without a pause and the event loop never ran the tasks that remove it. Change: `connect` ignores a connection that is not open and dials. Conclusion: a lost connection no longer stops the process.

--- a/packages/peridotyard-daemon/src/peridotyard_daemon/connection/peers.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/connection/peers.py
@@ -308,8 +308,10 @@
         """
         key = str(address)
         while True:
+            # A connection that is closing stays in the table until its tasks
+            # end; returning it would make `_redial` loop without a pause.
             connection = self._connections.get(key)
-            if connection is not None:
+            if connection is not None and connection.is_open:
                 return connection
             dial = self._dials.get(key)
             if dial is None:
--- a/tests/unit/test_peers.py
+++ b/tests/unit/test_peers.py
@@ -152,6 +152,20 @@
     virtual.run(check)
 
 
+def test_closing_connection_is_not_handed_out():
+    """Guards against a redial that loops until the connection has ended."""
+
+    async def check():
+        async with trio.open_nursery() as nursery:
+            _, _, (near, _) = await start_pair(nursery)
+            connection = await near.connect(B)
+            connection.close("test")
+            assert await near.connect(B) is not connection
+            nursery.cancel_scope.cancel()
+
+    virtual.run(check)
+
+
 @pytest.mark.parametrize(
     "payload", [b"", b"\xff" * 40, b"\x1c\x18\xff\xff\xff\xff\x0f"]
 )
