--- /dev/null
+++ b/packages/peridotyard-core/src/peridotyard_core/admission.py
@@ -0,0 +1,148 @@
+"""Admission: strict priorities, fair queues, bounded wait."""
+
+import dataclasses
+import heapq
+import itertools
+import typing
+
+from peridotyard_core import verdicts
+
+PRIORITIES = ("high", "normal", "low")
+# Weight of the newest interval in the mean time between two starts.
+SMOOTHING = 0.1
+DEFAULT_LIMIT = 1000
+
+
+@dataclasses.dataclass(frozen=True, eq=False)
+class Ticket:
+    """One request that waits.
+
+    Attributes:
+        workspace: Name of the workspace.
+        priority: Index in `PRIORITIES`.
+        weight: Share of the workspace among those of its priority.
+        deadline: When the start is of no use any more, seconds.
+        cost: Work of the request relative to others.
+        item: What the owner attached.
+    """
+
+    workspace: str
+    priority: int
+    weight: float
+    deadline: float
+    cost: float = 1.0
+    item: typing.Any = None
+
+
+class _FairQueue:
+    """Weighted fair queue of one priority, by virtual finish times."""
+
+    def __init__(self):
+        self._heap = []
+        self._finish = {}
+        self._now = 0.0
+        self._order = itertools.count()
+        self._removed = set()
+        self.size = 0
+
+    def add(self, ticket: Ticket) -> None:
+        start = max(self._now, self._finish.get(ticket.workspace, 0.0))
+        finish = start + ticket.cost / max(ticket.weight, 1e-9)
+        self._finish[ticket.workspace] = finish
+        entry = (finish, next(self._order), start, ticket)
+        heapq.heappush(self._heap, entry)
+        self.size += 1
+
+    def remove(self, ticket: Ticket) -> None:
+        self._removed.add(id(ticket))
+        self.size -= 1
+        self._trim()
+
+    def peek(self) -> Ticket | None:
+        return self._heap[0][3] if self._heap else None
+
+    def take(self) -> Ticket:
+        _, _, start, ticket = heapq.heappop(self._heap)
+        self._now = max(self._now, start)
+        self.size -= 1
+        self._trim()
+        return ticket
+
+    def _trim(self) -> None:
+        while self._heap and id(self._heap[0][3]) in self._removed:
+            self._removed.discard(id(heapq.heappop(self._heap)[3]))
+        if not self._heap:
+            # An idle queue owes nobody; keeps the table of workspaces small.
+            self._finish.clear()
+            self._now = 0.0
+
+
+class Queue:
+    """The requests that wait for one model, owned by the entry."""
+
+    def __init__(self, limit: int = DEFAULT_LIMIT):
+        self._limit = limit
+        self._classes = [_FairQueue() for _ in PRIORITIES]
+        self._waiting: set[Ticket] = set()
+        self._interval_s: float | None = None
+        self._taken_at: float | None = None
+
+    def __len__(self) -> int:
+        return len(self._waiting)
+
+    def add(self, ticket: Ticket, now: float) -> verdicts.Failure | None:
+        """Queues a ticket, or returns why it is rejected as not-run."""
+        wait_s = self.estimate_wait(ticket.priority)
+        if len(self._waiting) >= self._limit:
+            return verdicts.refuse(
+                "overloaded",
+                f"{self._limit} requests wait already.",
+                max(1.0, wait_s),
+            )
+        if now + wait_s > ticket.deadline:
+            return verdicts.refuse(
+                "overloaded",
+                f"The expected wait of {wait_s:.1f} s exceeds the deadline.",
+                max(1.0, wait_s),
+            )
+        self._classes[ticket.priority].add(ticket)
+        self._waiting.add(ticket)
+        return None
+
+    def estimate_wait(self, priority: int) -> float:
+        """Returns the expected seconds until a new ticket is taken."""
+        ahead = sum(queue.size for queue in self._classes[: priority + 1])
+        return ahead * (self._interval_s or 0.0)
+
+    def peek(self) -> Ticket | None:
+        """Returns the ticket that is next, None if nobody waits."""
+        for queue in self._classes:
+            if queue.size:
+                return queue.peek()
+        return None
+
+    def take(self, now: float) -> Ticket:
+        """Removes and returns the next ticket."""
+        queue = next(queue for queue in self._classes if queue.size)
+        ticket = queue.take()
+        self._waiting.discard(ticket)
+        self._measure(now)
+        return ticket
+
+    def remove(self, ticket: Ticket) -> None:
+        """Removes a ticket whose caller or deadline is gone."""
+        if ticket in self._waiting:
+            self._waiting.discard(ticket)
+            self._classes[ticket.priority].remove(ticket)
+
+    def _measure(self, now: float) -> None:
+        # The time to the previous start counts only while others wait: an
+        # idle time says nothing about the capacity.
+        if self._taken_at is not None:
+            interval_s = now - self._taken_at
+            if self._interval_s is None:
+                self._interval_s = interval_s
+            else:
+                change = interval_s - self._interval_s
+                self._interval_s += SMOOTHING * change
+        self._taken_at = now if self._waiting else None
--- /dev/null
+++ b/packages/peridotyard-core/src/peridotyard_core/pipelines.py
@@ -0,0 +1,178 @@
+"""Offers of stages, search of chains and their selection."""
+
+import collections.abc
+import dataclasses
+import heapq
+import random as random_module
+
+# Large enough to order chains of equal load at random, and far smaller than
+# the cost of one stream on any server.
+TIE_SHARE = 1e-6
+
+
+@dataclasses.dataclass(frozen=True)
+class StageOffer:
+    """What one sidecar's engine holds and how loaded it is.
+
+    Attributes:
+        instance: Name of the sidecar's instance.
+        address: Where the sidecar listens, as text.
+        model: Name of the model.
+        version: Version of the model.
+        first_layer: First layer that the engine holds.
+        end_layer: Layer after the last one.
+        adapters: Names of the loaded adapters.
+        zone: Availability zone.
+        load: Expected streams in flight, from all entries.
+        limit: Most streams in flight; 0 if unknown.
+        tokens_per_s: Measured rate; 0 if unknown.
+        epoch: Changes whenever the server becomes available again.
+    """
+
+    instance: str
+    address: str
+    model: str
+    version: str
+    first_layer: int
+    end_layer: int
+    adapters: tuple[str, ...] = ()
+    zone: str = ""
+    load: int = 0
+    limit: int = 0
+    tokens_per_s: float = 0.0
+    epoch: int = 0
+
+    @property
+    def is_full(self) -> bool:
+        """Whether the limit is reached."""
+        return bool(self.limit) and self.load >= self.limit
+
+
+@dataclasses.dataclass(frozen=True)
+class ChainStage:
+    """One stage of a chain; it may run less than its engine holds."""
+
+    offer: StageOffer
+    first_layer: int
+    end_layer: int
+
+
+Chain = tuple[ChainStage, ...]
+Offers = collections.abc.Sequence[StageOffer]
+
+
+def search_chain(
+    offers: Offers, first_layer: int, end_layer: int, price
+) -> Chain | None:
+    """Returns the cheapest chain that covers a range of layers.
+
+    Each stage runs from the end of the one before to the end of what its
+    engine holds, so overlapping ranges are joined with the fewest stages.
+
+    Args:
+        offers: Candidates; each is used at most once.
+        first_layer: First layer of the range.
+        end_layer: Layer after the range.
+        price: Function from an offer and a count of layers to its cost, above
+            zero.
+    """
+    best = {first_layer: 0.0}
+    came_from = {}
+    queue = [(0.0, first_layer)]
+    while queue:
+        cost, layer = heapq.heappop(queue)
+        if layer == end_layer:
+            return _trace(came_from, first_layer, end_layer)
+        if cost > best[layer]:
+            continue
+        for offer in offers:
+            if not offer.first_layer <= layer < offer.end_layer:
+                continue
+            end = min(offer.end_layer, end_layer)
+            total = cost + price(offer, end - layer)
+            if total < best.get(end, float("inf")):
+                best[end] = total
+                came_from[end] = ChainStage(offer, layer, end)
+                heapq.heappush(queue, (total, end))
+    return None
+
+
+def _trace(came_from, first_layer: int, end_layer: int) -> Chain:
+    stages = []
+    layer = end_layer
+    while layer != first_layer:
+        stage = came_from[layer]
+        stages.append(stage)
+        layer = stage.first_layer
+    return tuple(reversed(stages))
+
+
+class LeastLoad:
+    """Selects the chain with the least expected load, owned by the entry.
+
+    The cost of a stage is its expected streams, with the new one, divided by
+    its rate and multiplied by the share of its layers that it runs.
+    """
+
+    def __init__(self, random: random_module.Random):
+        self._random = random
+
+    def select(self, offers: Offers, layers: int) -> Chain | None:
+        """Returns a chain over all layers, or None if there is none."""
+        free = [offer for offer in offers if not offer.is_full]
+        return search_chain(free, 0, layers, self._make_price(free))
+
+    def replace_stage(
+        self, chain: Chain, index: int, offers: Offers
+    ) -> Chain | None:
+        """Returns the chain with another server for one stage.
+
+        The other stages are kept. If no other server holds the layers, a
+        neighbouring stage takes them over, if its engine holds them.
+
+        Args:
+            chain: The chain with the failed stage.
+            index: Index of the failed stage.
+            offers: Usable servers, without the failed one.
+        """
+        failed = chain[index]
+        kept = {stage.offer.instance for stage in chain}
+        free = [
+            offer
+            for offer in offers
+            if offer.instance not in kept and not offer.is_full
+        ]
+        part = search_chain(
+            free, failed.first_layer, failed.end_layer, self._make_price(free)
+        )
+        if part is not None:
+            return chain[:index] + part + chain[index + 1 :]
+        return _extend_neighbour(chain, index)
+
+    def _make_price(self, offers: Offers):
+        # Rates and limits are not comparable, so the rates count only if all
+        # candidates have one.
+        rated = all(offer.tokens_per_s > 0 for offer in offers)
+
+        def price(offer: StageOffer, layers: int) -> float:
+            rate = offer.tokens_per_s if rated else offer.limit or 1
+            share = layers / (offer.end_layer - offer.first_layer)
+            tie = 1 + TIE_SHARE * self._random.random()
+            return (offer.load + 1) / rate * share * tie
+
+        return price
+
+
+def _extend_neighbour(chain: Chain, index: int) -> Chain | None:
+    failed = chain[index]
+    if index > 0:
+        before = chain[index - 1]
+        if before.offer.end_layer >= failed.end_layer:
+            longer = dataclasses.replace(before, end_layer=failed.end_layer)
+            return chain[: index - 1] + (longer,) + chain[index + 1 :]
+    if index + 1 < len(chain):
+        after = chain[index + 1]
+        if after.offer.first_layer <= failed.first_layer:
+            longer = dataclasses.replace(after, first_layer=failed.first_layer)
+            return chain[:index] + (longer,) + chain[index + 2 :]
+    return None
--- /dev/null
+++ b/packages/peridotyard-core/src/peridotyard_core/streams.py
@@ -0,0 +1,130 @@
+"""State of one streamed response at the entry."""
+
+import dataclasses
+
+from peridotyard_core import pipelines
+
+# Tokens ahead of a gap are kept until StreamAttach has filled it. A sidecar
+# that sends more is asked for them again rather than trusted with the memory.
+HELD_LIMIT = 4096
+
+
+@dataclasses.dataclass(frozen=True)
+class Position:
+    """What remains known of one generated token."""
+
+    token: int
+    finish: str
+
+
+class Stream:
+    """The tokens and the generation of one response, owned by its request.
+
+    Positions count from the first token of the prompt, so the first generated
+    token has the position `prompt_count`. Only tokens of the current
+    generation are accepted, and each position once.
+
+    Attributes:
+        accepted: The generated tokens so far.
+        finish: Empty until the last token, then "stop" or "length".
+        generation: Current generation, 0 before the first chain.
+        chain: Stages of the current generation.
+    """
+
+    def __init__(self, prompt_count: int, max_tokens: int):
+        self.accepted: list[int] = []
+        self.finish = ""
+        self.generation = 0
+        self.chain: pipelines.Chain = ()
+        self._prompt_count = prompt_count
+        self._max_tokens = max_tokens
+        self._opened: set[int] = set()
+        self._held: dict[int, Position] = {}
+        self._start = prompt_count
+
+    @property
+    def next_position(self) -> int:
+        """Position of the next token."""
+        return self._prompt_count + len(self.accepted)
+
+    @property
+    def is_open(self) -> bool:
+        """Whether all stages of the generation have accepted."""
+        return bool(self.chain) and len(self._opened) == len(self.chain)
+
+    @property
+    def has_token(self) -> bool:
+        """Whether the generation has produced an accepted token."""
+        return self.next_position > self._start
+
+    @property
+    def has_gap(self) -> bool:
+        """Whether a later token has arrived before the next one."""
+        return bool(self._held)
+
+    @property
+    def missing(self) -> list[int]:
+        """Indices of the stages that have not accepted the generation."""
+        return [i for i in range(len(self.chain)) if i not in self._opened]
+
+    def begin(self, chain: pipelines.Chain) -> int:
+        """Starts the next generation on a chain and returns its number."""
+        self.generation += 1
+        self.chain = chain
+        self._opened.clear()
+        # Tokens of an older generation, even unread ones, may differ in the
+        # steps that produced them.
+        self._held.clear()
+        self._start = self.next_position
+        return self.generation
+
+    def record_opened(self, generation: int, index: int) -> bool:
+        """Records that a stage has accepted.
+
+        Returns:
+            True once for each generation: when the last stage accepts.
+        """
+        if generation != self.generation or index not in self.missing:
+            return False
+        self._opened.add(index)
+        return self.is_open
+
+    def is_opened(self, index: int) -> bool:
+        """Returns whether a stage has accepted the generation."""
+        return index in self._opened
+
+    def accept(
+        self, generation: int, position: int, token: int, finish: str
+    ) -> list[int]:
+        """Takes a token and returns those that are now in order.
+
+        Tokens of another generation, repeated ones and those after the end are
+        dropped. A token after a gap is kept until the gap is filled.
+        """
+        ahead = position - self.next_position
+        if (
+            generation != self.generation
+            or not self.is_open
+            or self.finish
+            or not 0 <= ahead < HELD_LIMIT
+        ):
+            return []
+        self._held.setdefault(position, Position(token, finish))
+        ready = []
+        while not self.finish and self.next_position in self._held:
+            held = self._held.pop(self.next_position)
+            ready.append(held.token)
+            self.accepted.append(held.token)
+            self.finish = held.finish
+            # An engine that runs past the limit must not lengthen the answer.
+            if not self.finish and len(self.accepted) >= self._max_tokens:
+                self.finish = "length"
+        if self.finish:
+            self._held.clear()
+        return ready
+
+    def find_failed(self, generation: int, index: int) -> int | None:
+        """Returns the stage to replace, None if the report is outdated."""
+        if generation != self.generation or self.finish:
+            return None
+        return index if 0 <= index < len(self.chain) else None
--- /dev/null
+++ b/packages/peridotyard-core/src/peridotyard_core/tokens.py
@@ -0,0 +1,77 @@
+"""The byte tokenizer, incremental decoding and stop sequences."""
+
+import codecs
+import collections.abc
+
+# Ids at or above this one are control tokens without text.
+BYTE_COUNT = 256
+
+
+def encode(text: str) -> list[int]:
+    """Returns one token for each byte of the text in UTF-8."""
+    return list(text.encode("utf-8", errors="replace"))
+
+
+class Decoder:
+    """Turns the tokens of one response into text, owned by its request.
+
+    A character whose bytes arrive in several batches is returned once it is
+    complete. Bytes that are not UTF-8 become U+FFFD.
+    """
+
+    def __init__(self):
+        self._decoder = codecs.getincrementaldecoder("utf-8")("replace")
+
+    def feed(self, tokens: collections.abc.Iterable[int]) -> str:
+        """Returns the complete characters so far."""
+        data = bytes(token for token in tokens if 0 <= token < BYTE_COUNT)
+        return self._decoder.decode(data)
+
+    def finish(self) -> str:
+        """Returns what remains of an incomplete character."""
+        return self._decoder.decode(b"", final=True)
+
+
+class StopScanner:
+    """Ends the text of one response before a stop sequence.
+
+    Text that may be the beginning of a stop sequence is held back until it is
+    known not to be one.
+    """
+
+    def __init__(self, stops: collections.abc.Sequence[str]):
+        self._stops = tuple(stops)
+        self._held = ""
+        self.stopped = False
+
+    def feed(self, text: str) -> str:
+        """Returns the text that may be sent."""
+        if self.stopped:
+            return ""
+        self._held += text
+        found = [
+            place
+            for place in (self._held.find(stop) for stop in self._stops)
+            if place >= 0
+        ]
+        if found:
+            self.stopped = True
+            ready, self._held = self._held[: min(found)], ""
+            return ready
+        keep = self._count_held()
+        ready = self._held[: len(self._held) - keep]
+        self._held = self._held[len(ready) :]
+        return ready
+
+    def finish(self) -> str:
+        """Returns what was held back at the end of the response."""
+        ready, self._held = self._held, ""
+        return ready
+
+    def _count_held(self) -> int:
+        longest = max((len(stop) for stop in self._stops), default=1) - 1
+        for size in range(min(longest, len(self._held)), 0, -1):
+            tail = self._held[-size:]
+            if any(stop.startswith(tail) for stop in self._stops):
+                return size
+        return 0
