--- a/packages/peridotyard-core/src/peridotyard_core/tokens.py
+++ b/packages/peridotyard-core/src/peridotyard_core/tokens.py
@@ -49,14 +49,15 @@
         if self.stopped:
             return ""
         self._held += text
-        found = [
-            place
-            for place in (self._held.find(stop) for stop in self._stops)
-            if place >= 0
-        ]
+        found = []
+        for stop in self._stops:
+            start = self._held.find(stop)
+            if start >= 0:
+                found.append((start + len(stop), start))
         if found:
+            # The first one to be complete, whatever arrived together with it.
             self.stopped = True
-            ready, self._held = self._held[: min(found)], ""
+            ready, self._held = self._held[: min(found)[1]], ""
             return ready
         keep = self._count_held()
         ready = self._held[: len(self._held) - keep]
--- /dev/null
+++ b/tests/unit/test_admission.py
@@ -0,0 +1,87 @@
+"""Tests of core.admission and core.budgets."""
+
+import collections
+
+from peridotyard_core import admission
+from peridotyard_core import budgets
+from peridotyard_core import verdicts
+
+
+def make_ticket(workspace="w", priority=1, weight=1.0, deadline=1e9):
+    return admission.Ticket(workspace, priority, weight, deadline)
+
+
+def drain(queue, interval_s=1.0):
+    taken = []
+    while len(queue):
+        taken.append(queue.take(len(taken) * interval_s))
+    return taken
+
+
+def test_higher_priority_is_always_first():
+    """Guards against a low class that delays a higher one."""
+    queue = admission.Queue()
+    tickets = [make_ticket(priority=p) for p in (2, 1, 0, 1)]
+    for ticket in tickets:
+        assert queue.add(ticket, 0) is None
+    assert queue.peek() is tickets[2]
+    assert [item.priority for item in drain(queue)] == [0, 1, 1, 2]
+
+
+def test_workspaces_share_by_weight():
+    """Guards against a flooding workspace that starves the others."""
+    queue = admission.Queue()
+    for _ in range(300):
+        queue.add(make_ticket("flood", weight=1), 0)
+    for _ in range(90):
+        queue.add(make_ticket("large", weight=3), 0)
+    for _ in range(30):
+        queue.add(make_ticket("small", weight=1), 0)
+    count = collections.Counter(item.workspace for item in drain(queue)[:100])
+    assert abs(count["large"] - 60) <= 2
+    assert abs(count["small"] - 20) <= 2
+
+
+def test_removed_ticket_is_not_taken():
+    """Guards against capacity given to a caller that has gone."""
+    queue = admission.Queue()
+    tickets = [make_ticket() for _ in range(4)]
+    for ticket in tickets:
+        queue.add(ticket, 0)
+    queue.remove(tickets[0])
+    queue.remove(tickets[2])
+    queue.remove(tickets[2])
+    assert drain(queue) == [tickets[1], tickets[3]]
+    assert queue.peek() is None
+
+
+def test_wait_beyond_the_deadline_is_rejected_as_not_run():
+    """Guards against requests that wait only to miss their deadline."""
+    queue = admission.Queue()
+    for _ in range(10):
+        queue.add(make_ticket(), 0)
+    for second in range(5):
+        queue.take(second)
+    # One start a second and 5 tickets ahead.
+    assert queue.add(make_ticket(deadline=11), 5) is None
+    failure = queue.add(make_ticket(deadline=9), 5)
+    assert failure.verdict is verdicts.Verdict.NOT_RUN
+    assert failure.retry_after_s >= 5
+    # A higher class does not wait for this one.
+    assert queue.add(make_ticket(priority=0, deadline=6), 5) is None
+
+
+def test_queue_is_bounded():
+    """Guards against memory that grows with an overload."""
+    queue = admission.Queue(limit=2)
+    assert queue.add(make_ticket(), 0) is queue.add(make_ticket(), 0) is None
+    assert queue.add(make_ticket(), 0).code == "overloaded"
+
+
+def test_retries_are_a_fraction_of_successes():
+    """Guards against retries that multiply an overload."""
+    budget = budgets.RetryBudget(fraction=0.5, reserve=1, limit=2)
+    assert [budget.spend(), budget.spend()] == [True, False]
+    for _ in range(100):
+        budget.record_success()
+    assert [budget.spend() for _ in range(3)] == [True, True, False]
--- /dev/null
+++ b/tests/unit/test_membership.py
@@ -0,0 +1,97 @@
+"""Tests of core.membership."""
+
+from peridotyard_core import membership
+from peridotyard_core import pipelines
+import pytest
+
+
+def make_row(address, state="live", role="sidecar"):
+    return membership.Instance(address, "z", role, address, state)
+
+
+def make_offer(load=0, sequence=0, **fields):
+    stage = pipelines.StageOffer(
+        "i", "", "m", "1", 0, 4, adapters=("x",), load=load
+    )
+    return membership.Offer(stage, sequence=sequence, **fields)
+
+
+@pytest.fixture
+def table():
+    made = membership.RoutingTable()
+    made.update_list(
+        [make_row("a"), make_row("b"), make_row("e", role="entry")]
+    )
+    made.connect("a", 1)
+    made.record_offer("a", make_offer())
+    return made
+
+
+def count(table, adapter=""):
+    return len(table.find_stages("m", "1", adapter))
+
+
+@pytest.mark.parametrize(
+    "rows", [None, [], [make_row("c")], [make_row("a", "leaving")]]
+)
+def test_list_never_removes_a_connected_sidecar(table, rows):
+    """Guards against an empty, stale or lost list that empties the table."""
+    kept, given_up = table.update_list(rows)
+    assert count(table) == 1
+    assert "a" in kept and "e" not in kept
+    assert given_up == (["b"] if rows else [])
+    table.update_list(rows)
+    table.disconnect("a")
+    assert count(table) == 0
+    # Only now may the list give it up.
+    assert ("a" in table.update_list(rows)[1]) == bool(rows)
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        lambda table: table.record_leaving("a"),
+        lambda table: table.record_offer("a", make_offer(draining=True)),
+        lambda table: table.record_offer("a", make_offer(ready=False)),
+        lambda table: table.disconnect("a"),
+    ],
+)
+def test_leaving_sidecar_gets_no_new_work(table, change):
+    """Guards against new work for a sidecar that drains (R5)."""
+    change(table)
+    assert count(table) == 0
+    # A new process at the address starts afresh.
+    table.connect("a", 2)
+    table.record_offer("a", make_offer(sequence=1))
+    assert count(table) == 1
+
+
+def test_older_offer_is_ignored(table):
+    """Guards against an offer that a newer one has overtaken."""
+    table.record_offer("a", make_offer(sequence=5, ready=False))
+    table.record_offer("a", make_offer(sequence=4))
+    assert count(table) == 0
+
+
+def test_own_streams_count_at_once_and_reports_only_correct(table):
+    """Guards against herding between two reports, and double counting."""
+    (stage,) = table.find_stages("m", "1", "x")
+    chain = (pipelines.ChainStage(stage, 0, 4),)
+    table.take(chain)
+    table.record_offer("a", make_offer(load=3, sequence=1))
+    table.take(chain)
+    assert table.find_stages("m", "1")[0].load == 4
+    table.give_back(chain)
+    table.give_back(chain)
+    assert table.find_stages("m", "1")[0].load == 2
+    assert not table._own
+
+
+def test_lookup_matches_model_adapter_and_service(table):
+    """Guards against work for a server that does not hold what it needs."""
+    assert not table.find_stages("m", "2")
+    assert (count(table, "x"), count(table, "y")) == (1, 0)
+    offer = make_offer(kind="service", service="ledger", sequence=1)
+    table.record_offer("a", offer)
+    assert table.find_services("ledger") == ["a"]
+    assert not table.find_services("bookings") and not count(table)
--- /dev/null
+++ b/tests/unit/test_streams.py
@@ -0,0 +1,94 @@
+"""Tests of core.streams against an oracle that keeps every message."""
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+from peridotyard_core import streams
+
+PROMPT = 3
+LIMIT = 8
+
+
+class StreamMachine(stateful.RuleBasedStateMachine):
+    """Delivers messages of all generations in any order, with repeats."""
+
+    def __init__(self):
+        super().__init__()
+        self.stream = streams.Stream(PROMPT, LIMIT)
+        self.opened = set()
+        self.given = {}
+        self.expected = []
+
+    @stateful.rule(size=strategies.integers(1, 3))
+    def begin(self, size):
+        if self.stream.finish:
+            return
+        assert self.stream.begin(tuple(range(size))) == (self.stream.generation)
+        self.opened = set()
+        self.given = {}
+
+    @stateful.rule(
+        age=strategies.integers(-1, 2), index=strategies.integers(-1, 3)
+    )
+    def open_stage(self, age, index):
+        generation = self.stream.generation - age
+        size = len(self.stream.chain)
+        is_new = not age and 0 <= index < size and index not in self.opened
+        if is_new:
+            self.opened.add(index)
+        assert self.stream.record_opened(generation, index) == (
+            is_new and len(self.opened) == size
+        )
+        failed = self.stream.find_failed(generation, index)
+        is_valid = not age and 0 <= index < size and not self.stream.finish
+        assert failed == (index if is_valid else None)
+
+    @stateful.rule()
+    def open_rest(self):
+        for index in range(len(self.stream.chain)):
+            self.open_stage(0, index)
+
+    @stateful.rule(
+        age=strategies.sampled_from([0, 0, 0, 1, -1]),
+        ahead=strategies.integers(-2, 3),
+    )
+    def deliver(self, age, ahead):
+        position = self.stream.next_position + ahead
+        generation = self.stream.generation - age
+        # Each generation has other tokens, so that one of an older one shows.
+        token = 1000 * generation + position
+        is_open = self.stream.chain and len(self.opened) == len(
+            self.stream.chain
+        )
+        if not age and is_open and len(self.expected) < LIMIT:
+            self.given.setdefault(position, token)
+        before = len(self.expected)
+        while (
+            len(self.expected) < LIMIT
+            and PROMPT + len(self.expected) in self.given
+        ):
+            self.expected.append(self.given[PROMPT + len(self.expected)])
+        ready = self.stream.accept(generation, position, token, "")
+        assert ready == self.expected[before:]
+
+    @stateful.invariant()
+    def matches_oracle(self):
+        assert self.stream.accepted == self.expected
+        assert (self.stream.finish == "length") == (len(self.expected) == LIMIT)
+
+
+TestStream = StreamMachine.TestCase
+TestStream.settings = hypothesis.settings(
+    derandomize=True, deadline=None, max_examples=200, database=None
+)
+
+
+def test_token_after_the_end_is_dropped():
+    """Guards against text after the finish reason."""
+    stream = streams.Stream(PROMPT, LIMIT)
+    stream.begin((0,))
+    stream.record_opened(1, 0)
+    assert stream.accept(1, 4, 20, "") == []
+    assert stream.accept(1, 3, 10, "stop") == [10]
+    assert (stream.finish, stream.accepted) == ("stop", [10])
+    assert stream.accept(1, 4, 20, "") == []
