Add streamed responses with recovery and the completions interface

Cause: the entry cannot run a request on a chain of stages. Change: one Response opens all stages, sends the prefix, takes tokens, redials lost connections and replaces only the failed stage under the next generation; Completions checks the body, admits it, and answers as events or as a whole. A number with too many digits in a JSON body is now a 400 instead of a 500.

--- a/packages/peridotyard-daemon/src/peridotyard_daemon/connection/http.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/connection/http.py
@@ -112,7 +112,8 @@
     except json.JSONDecodeError as error:
         place = f"line {error.lineno}, column {error.colno}"
         text = f"The body is not JSON: {error.msg} at {place}."
-    except (UnicodeDecodeError, RecursionError) as error:
+    # Besides bad UTF-8, a number with too many digits is a plain ValueError.
+    except (ValueError, RecursionError) as error:
         text = f"The body is not JSON: {error}."
     raise RequestError(verdicts.refuse("bad-request", text))
 
--- /dev/null
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/chains.py
@@ -0,0 +1,573 @@
+"""One streamed response at the entry: its stages, deadlines and recovery."""
+
+import collections
+import dataclasses
+import random as random_module
+
+from peridotyard_core import addresses
+from peridotyard_core import admission
+from peridotyard_core import budgets
+from peridotyard_core import membership
+from peridotyard_core import pipelines
+from peridotyard_core import streams
+from peridotyard_core import verdicts
+import trio
+
+from peridotyard_daemon.connection import peers as peers_module
+from peridotyard_daemon.process import logs
+from peridotyard_daemon.process import metrics as metrics_module
+from peridotyard_daemon.wire.generated import ttypes
+
+# Between two looks for a spare when there is none.
+CAPACITY_POLL_S = 0.05
+# A stage that keeps the request out for one of these reasons speaks for all.
+FINAL_REFUSALS = ("bad-request", "forbidden", "quarantined")
+# Closes that are kept for each address.
+KEPT_LIMIT = 1024
+
+_log = logs.Part("chains")
+
+
+@dataclasses.dataclass(frozen=True)
+class Job:
+    """What one response needs of the stages.
+
+    Attributes:
+        request_id: Identifies the request in logs.
+        workspace: Name of the caller's workspace.
+        priority: 0 is the highest.
+        model: Name of the model.
+        version: Version of the model.
+        adapter: Name of the adapter, or empty.
+        layers: Number of layers of the model.
+        prompt: Tokens of the prompt.
+        max_tokens: Most generated tokens.
+        seed: Seed of the sampling.
+        fingerprint: 64-bit signed hash of the request.
+        deadline: trio time at which the entry gives up.
+    """
+
+    request_id: str
+    workspace: str
+    priority: int
+    model: str
+    version: str
+    adapter: str
+    layers: int
+    prompt: tuple[int, ...]
+    max_tokens: int
+    seed: int
+    fingerprint: int
+    deadline: float
+
+
+@dataclasses.dataclass(frozen=True)
+class Timing:
+    """Limits of the streams of an entry; see `settings.EntrySettings`."""
+
+    first_token_s: float
+    stall_s: float
+    open_s: float
+    recovery_limit: int
+
+    @classmethod
+    def from_config(cls, settings) -> "Timing":
+        """Takes the limits of a `settings.EntrySettings`."""
+        return cls(
+            settings.first_token_s,
+            settings.stall_s,
+            settings.open_timeout_s,
+            settings.recovery_limit,
+        )
+
+
+def find_address(connection: peers_module.Connection) -> str:
+    """Returns the address by which `Peers` knows a connection."""
+    return str(connection.dialed) if connection.dialed else connection.key
+
+
+class Closes:
+    """StreamClose messages of the entry, owned by the entry.
+
+    A close is kept for as long as a silent connection may go unnoticed, and
+    longer while there is no connection, and is sent again on the next one.
+    Without it the sidecar would see its entry return and keep the stream.
+    """
+
+    def __init__(self, peers: peers_module.Peers, window_s: float):
+        """Makes the closes of an entry.
+
+        Args:
+            peers: Connections of the entry.
+            window_s: Longest time for which a silent connection goes unnoticed.
+        """
+        self._peers = peers
+        self._window_s = window_s
+        self._kept: dict[str, collections.deque] = {}
+
+    def post(self, address: str, close: ttypes.StreamClose) -> None:
+        """Sends a close to a sidecar, now or after it is reconnected."""
+        now = trio.current_time()
+        frame = ttypes.Frame(stream_close=close)
+        kept = self._kept.setdefault(
+            address, collections.deque(maxlen=KEPT_LIMIT)
+        )
+        connection = self._peers.find(address)
+        if connection is not None and connection.post(frame):
+            while kept and kept[0][0] < now - self._window_s:
+                kept.popleft()
+        kept.append((now, frame))
+
+    def handle_connected(self, connection: peers_module.Connection) -> None:
+        """Sends what the sidecar may have missed."""
+        for _, frame in self._kept.get(find_address(connection), ()):
+            connection.post(frame)
+
+    def forget(self, address: str) -> None:
+        """Drops what is kept for an address that is not dialed any more."""
+        self._kept.pop(address, None)
+
+
+@dataclasses.dataclass(frozen=True)
+class Fleet:
+    """What all responses of an entry share."""
+
+    peers: peers_module.Peers
+    table: membership.RoutingTable
+    policy: pipelines.LeastLoad
+    budget: budgets.RetryBudget
+    closes: Closes
+    timing: Timing
+    metrics: metrics_module.Metrics
+    random: random_module.Random
+
+    def find_chain(self, job: Job) -> pipelines.Chain | None:
+        """Returns a chain with free capacity for a new response."""
+        offers = self.table.find_stages(job.model, job.version, job.adapter)
+        return self.policy.select(offers, job.layers)
+
+    def is_covered(self, job: Job) -> bool:
+        """Returns whether a chain exists, whatever its load."""
+        offers = self.table.find_stages(job.model, job.version, job.adapter)
+        return bool(
+            pipelines.search_chain(offers, 0, job.layers, lambda *_: 1.0)
+        )
+
+
+class Response:
+    """One streamed response, owned by the request of its caller.
+
+    `run` drives it; the frame handlers are called by the connections. The
+    generation is raised and the failed stage replaced when a stage fails,
+    stalls, refuses or is lost; a lost connection to a living stage is only
+    redialed.
+
+    Attributes:
+        stream: Its id in messages.
+        state: Accepted tokens and generation.
+        failure: Why it ended early, or None.
+        recoveries: Generations after the first.
+        is_done: Whether it has ended.
+    """
+
+    def __init__(self, job: Job, fleet: Fleet):
+        self.job = job
+        self.stream = fleet.random.getrandbits(62) + 1
+        self.state = streams.Stream(len(job.prompt), job.max_tokens)
+        self.failure: verdicts.Failure | None = None
+        self.recoveries = 0
+        self.is_done = False
+        self._fleet = fleet
+        self._ready: list[int] = []
+        self._arrived = trio.Event()
+        self._changed = trio.Event()
+        self._due = 0.0
+        self._last_token_at: float | None = None
+        self._started_at = trio.current_time()
+        # Failed stages that have no replacement yet, and until when to wait.
+        self._failing: set[int] = set()
+        self._capacity_until = 0.0
+        self._avoided: set[tuple[str, int]] = set()
+        self._incarnations: dict[str, int] = {}
+        # Stages that have reported a neighbour as unreachable.
+        self._reporters: set[str] = set()
+        self._attached_at = (0, 0)
+        self._has_run = False
+        self._nursery: trio.Nursery | None = None
+
+    async def receive(self) -> list[int]:
+        """Returns the tokens that wait; none at the end or after a failure."""
+        while not self._ready and not self.is_done:
+            self._arrived = trio.Event()
+            await self._arrived.wait()
+        ready, self._ready = self._ready, []
+        return ready
+
+    async def run(self, chain: pipelines.Chain) -> None:
+        """Produces the response; frees all stages when it is cancelled.
+
+        Args:
+            chain: Stages that the routing table already counts as taken.
+        """
+        try:
+            async with trio.open_nursery() as nursery:
+                self._nursery = nursery
+                self._begin(chain)
+                while not self.is_done:
+                    self._changed = trio.Event()
+                    due = min(self._due, self.job.deadline)
+                    with trio.move_on_at(due) as scope:
+                        await self._changed.wait()
+                    if scope.cancelled_caught and not self._changed.is_set():
+                        self._handle_due()
+                nursery.cancel_scope.cancel()
+        finally:
+            self._finish(None)
+            self._free(self.state.chain, self._describe_end())
+
+    def handle_opened(self, message: ttypes.StreamOpened) -> None:
+        """Sends the prefix once all stages have accepted."""
+        if not self.is_done and self.state.record_opened(
+            message.generation, message.index
+        ):
+            self._send_prefix()
+            self._wait_until(self._fleet.timing.first_token_s)
+
+    def handle_refused(self, message: ttypes.StreamRefused) -> None:
+        """Replaces a stage that does not take the stream."""
+        index = self.state.find_failed(message.generation, message.index)
+        if index is None or self.is_done:
+            return
+        retry_after_s = message.retry_after_ms / 1000 or 1.0
+        code = message.code
+        if code in FINAL_REFUSALS:
+            self._fail(code, message.message, retry_after_s)
+        elif not self._has_run and not self._fleet.budget.spend():
+            self._fail("overloaded", message.message, retry_after_s)
+        else:
+            self._recover({index}, f"refused: {code}")
+
+    def handle_failed(self, address: str, message: ttypes.StreamFailed) -> None:
+        """Replaces the stage that the stage at an address reports as failed.
+
+        A stage that cannot reach a second neighbour is replaced itself: its
+        own link is the likely fault, and no other server would help.
+        """
+        index = self.state.find_failed(message.generation, message.index)
+        if index is None or self.is_done:
+            return
+        if message.reason == "unreachable":
+            if address in self._reporters:
+                index = self._find_index(address, index)
+            self._reporters.add(address)
+        self._recover({index}, message.reason)
+
+    def handle_token(self, message: ttypes.Token) -> None:
+        """Takes a token of the last stage."""
+        if self.is_done:
+            return
+        ready = self.state.accept(
+            message.generation, message.position, message.token, message.finish
+        )
+        if ready:
+            self._record_times(len(ready))
+            self._ready += ready
+            self._arrived.set()
+            if not self._failing:
+                self._wait_until(self._fleet.timing.stall_s)
+        if self.state.finish:
+            self._finish(None)
+        elif self.state.has_gap:
+            self._attach()
+
+    def handle_closed(self, address: str) -> None:
+        """Redials a stage whose connection ended."""
+        if self.is_done or self._nursery is None:
+            return
+        for index, stage in enumerate(self.state.chain):
+            if stage.offer.address == address and index not in self._failing:
+                self._nursery.start_soon(
+                    self._redial, self.state.generation, index
+                )
+
+    def _find_index(self, address: str, default: int) -> int:
+        for index, stage in enumerate(self.state.chain):
+            if stage.offer.address == address:
+                return index
+        return default
+
+    def _begin(self, chain: pipelines.Chain) -> None:
+        before = self.state.chain
+        generation = self.state.begin(chain)
+        self._failing.clear()
+        # The first chain was counted when the request was admitted.
+        if generation > 1:
+            self._fleet.table.take(chain)
+        kept = {stage.offer.address for stage in chain}
+        for stage in before:
+            if stage.offer.address not in kept:
+                self._post_close(stage, "replaced")
+        self._fleet.table.give_back(before)
+        for index, stage in enumerate(chain):
+            connection = self._fleet.peers.find(stage.offer.address)
+            if connection is None:
+                self._nursery.start_soon(self._redial, generation, index)
+            else:
+                self._open_stage(connection, index)
+        self._wait_until(self._fleet.timing.open_s)
+
+    def _open_stage(self, connection, index: int) -> None:
+        stage = self.state.chain[index]
+        self._incarnations[stage.offer.address] = connection.peer.incarnation
+        job = self.job
+        left_s = max(0.0, job.deadline - trio.current_time())
+        connection.post(
+            ttypes.Frame(
+                stream_open=ttypes.StreamOpen(
+                    stream=self.stream,
+                    generation=self.state.generation,
+                    chain=[
+                        ttypes.Stage(
+                            instance=item.offer.instance,
+                            address=item.offer.address,
+                            first_layer=item.first_layer,
+                            end_layer=item.end_layer,
+                        )
+                        for item in self.state.chain
+                    ],
+                    index=index,
+                    model=job.model,
+                    version=job.version,
+                    adapter=job.adapter,
+                    workspace=job.workspace,
+                    priority=job.priority,
+                    seed=job.seed,
+                    max_tokens=job.max_tokens,
+                    prompt_tokens=len(job.prompt),
+                    deadline_ms=int(left_s * 1000),
+                    request=job.request_id,
+                    fingerprint=job.fingerprint,
+                    resume_position=self.state.next_position,
+                )
+            )
+        )
+
+    def _send_prefix(self) -> None:
+        connection = self._fleet.peers.find(self.state.chain[0].offer.address)
+        # Without a connection the redial sends it.
+        if connection is None:
+            return
+        self._has_run = True
+        tokens = [*self.job.prompt, *self.state.accepted]
+        step = ttypes.Step(
+            stream=self.stream,
+            generation=self.state.generation,
+            position=0,
+            count=len(tokens),
+            tokens=tokens,
+            activations=b"",
+        )
+        connection.post(ttypes.Frame(step_batch=ttypes.StepBatch([step])))
+
+    def _attach(self) -> None:
+        """Asks the last stage once for the tokens from the next position."""
+        place = (self.state.generation, self.state.next_position)
+        if self._attached_at == place:
+            return
+        address = self.state.chain[-1].offer.address
+        connection = self._fleet.peers.find(address)
+        if connection is not None:
+            self._attached_at = place
+            connection.post(
+                ttypes.Frame(
+                    stream_attach=ttypes.StreamAttach(
+                        stream=self.stream,
+                        generation=place[0],
+                        position=place[1],
+                    )
+                )
+            )
+
+    async def _redial(self, generation: int, index: int) -> None:
+        """Resumes on a new connection, or replaces a stage that is gone."""
+        text = self.state.chain[index].offer.address
+        try:
+            connection = await self._fleet.peers.connect(
+                addresses.Address.from_text(text)
+            )
+        except peers_module.UnreachableError:
+            connection = None
+        if generation != self.state.generation or self.is_done:
+            return
+        expected = self._incarnations.get(text)
+        if connection is None:
+            self._recover({index}, "unreachable")
+        elif expected not in (None, connection.peer.incarnation):
+            self._recover({index}, "restarted")
+        else:
+            self._resume(connection, index)
+
+    def _resume(self, connection, index: int) -> None:
+        # Each of these messages may have been lost with the old connection,
+        # and each may be repeated.
+        state = self.state
+        if not state.is_opened(index):
+            self._open_stage(connection, index)
+        elif state.is_open:
+            if index == 0 and not state.has_token:
+                self._send_prefix()
+            if index == len(state.chain) - 1:
+                self._attached_at = (0, 0)
+                self._attach()
+
+    def _handle_due(self) -> None:
+        now = trio.current_time()
+        if now >= self.job.deadline:
+            self._fail("deadline-exceeded", "The request took too long.")
+        elif now < self._due:
+            return
+        elif self._failing:
+            self._replace_failing()
+        elif not self.state.is_open:
+            self._recover(set(self.state.missing), "not accepted in time")
+        else:
+            self._recover_stall()
+
+    def _recover(self, indices: set[int], reason: str) -> None:
+        if self._failing:
+            # Still without a replacement for an earlier failure.
+            self._failing |= indices
+            self._avoid(indices)
+            return
+        if not self._count_recovery(reason, indices):
+            return
+        self._avoid(indices)
+        self._failing = set(indices)
+        self._capacity_until = trio.current_time() + self._fleet.timing.stall_s
+        self._replace_failing()
+
+    def _recover_stall(self) -> None:
+        """Replaces every stage that has a spare.
+
+        No stage has reported a failure, so any may be the cause, and all of
+        them rerun the prefix anyway.
+        """
+        chain = self.state.chain
+        if not self._count_recovery("stalled", set(range(len(chain)))):
+            return
+        offers = self._find_offers()
+        for index in reversed(range(len(self.state.chain))):
+            spares = self._fleet.policy.replace_stage(chain, index, offers)
+            # A neighbour that takes over layers may be the stalled one.
+            if spares is not None and len(spares) >= len(chain):
+                chain = spares
+                self._avoid({index})
+        self._begin(chain)
+
+    def _replace_failing(self) -> None:
+        chain = self.state.chain
+        offers = self._find_offers()
+        for index in sorted(self._failing, reverse=True):
+            chain = self._fleet.policy.replace_stage(chain, index, offers)
+            if chain is None:
+                break
+        if chain is None:
+            chain = self._fleet.policy.select(offers, self.job.layers)
+        if chain is not None:
+            self._begin(chain)
+        elif not self._has_run or trio.current_time() >= self._capacity_until:
+            is_covered = self._fleet.is_covered(self.job)
+            self._fail(
+                "overloaded" if is_covered else "no-capacity",
+                "No free server is left for some layers of the model.",
+                1.0,
+            )
+        else:
+            self._wait_until(CAPACITY_POLL_S)
+
+    def _find_offers(self) -> list[pipelines.StageOffer]:
+        job = self.job
+        return [
+            offer
+            for offer in self._fleet.table.find_stages(
+                job.model, job.version, job.adapter
+            )
+            if (offer.instance, offer.epoch) not in self._avoided
+        ]
+
+    def _avoid(self, indices: set[int]) -> None:
+        for index in indices:
+            offer = self.state.chain[index].offer
+            self._avoided.add((offer.instance, offer.epoch))
+
+    def _count_recovery(self, reason: str, indices: set[int]) -> bool:
+        self.recoveries += 1
+        chain = self.state.chain
+        names = ",".join(chain[i].offer.instance for i in sorted(indices))
+        _log.warning(
+            "recovering a stream",
+            request=self.job.request_id,
+            stage=names,
+            reason=reason,
+            generation=self.state.generation,
+            position=self.state.next_position,
+        )
+        self._fleet.metrics.increment("streams.recoveries")
+        if self.recoveries > self._fleet.timing.recovery_limit:
+            self._fail(
+                "stream-lost",
+                f"The stream failed {self.recoveries} times; last: {reason}.",
+            )
+            return False
+        return True
+
+    def _record_times(self, count: int) -> None:
+        now = trio.current_time()
+        first = self._last_token_at is None
+        since = self._started_at if first else self._last_token_at
+        names = (self.job.workspace, admission.PRIORITIES[self.job.priority])
+        record = self._fleet.metrics.record
+        if first:
+            record("first_token", *names, now - since)
+        else:
+            record("between_tokens", *names, (now - since) / count)
+        self._last_token_at = now
+
+    def _wait_until(self, duration_s: float) -> None:
+        self._due = trio.current_time() + duration_s
+        self._changed.set()
+
+    def _fail(
+        self, code: str, message: str, retry_after_s: float | None = None
+    ) -> None:
+        if self._has_run:
+            self._finish(verdicts.doubt(code, message))
+        else:
+            self._finish(verdicts.refuse(code, message, retry_after_s))
+
+    def _finish(self, failure: verdicts.Failure | None) -> None:
+        if not self.is_done:
+            self.is_done = True
+            self.failure = failure
+        self._changed.set()
+        self._arrived.set()
+
+    def _describe_end(self) -> str:
+        if self.failure is not None:
+            return self.failure.code
+        return "ended" if self.state.finish else "cancelled"
+
+    def _free(self, chain: pipelines.Chain, reason: str) -> None:
+        for stage in chain:
+            self._post_close(stage, reason)
+        self._fleet.table.give_back(chain)
+
+    def _post_close(self, stage: pipelines.ChainStage, reason: str) -> None:
+        self._fleet.closes.post(
+            stage.offer.address,
+            ttypes.StreamClose(
+                stream=self.stream,
+                generation=self.state.generation,
+                reason=reason,
+            ),
+        )
--- /dev/null
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/completions.py
@@ -0,0 +1,551 @@
+"""Completions: the OpenAI-compatible requests at the entry."""
+
+import dataclasses
+import json
+import random as random_module
+import time
+
+from peridotyard_core import admission
+from peridotyard_core import budgets
+from peridotyard_core import errors
+from peridotyard_core import membership
+from peridotyard_core import pipelines
+from peridotyard_core import tokens
+from peridotyard_core import verdicts
+import trio
+
+from peridotyard_daemon.connection import http
+from peridotyard_daemon.process import logs
+from peridotyard_daemon.request import chains
+from peridotyard_daemon.request import parameters
+from peridotyard_daemon.wire.generated import ttypes
+
+CHAT_PATH = "/v1/chat/completions"
+TEXT_PATH = "/v1/completions"
+EVENT_TYPE = b"text/event-stream"
+DONE = b"data: [DONE]\n\n"
+
+_log = logs.Part("completions")
+
+
+class SlowCallerError(errors.PeridotyardError):
+    """The caller did not take a chunk of its answer in time."""
+
+
+@dataclasses.dataclass(eq=False)
+class _Waiting:
+    """A request in the queue; `started` is set with a chain or a failure."""
+
+    job: chains.Job
+    started: trio.Event = dataclasses.field(default_factory=trio.Event)
+    chain: pipelines.Chain | None = None
+    failure: verdicts.Failure | None = None
+
+
+class Completions:
+    """The completion requests of an entry, owned by the entry."""
+
+    def __init__(
+        self,
+        settings,
+        peers,
+        table: membership.RoutingTable,
+        find_catalog,
+        metrics,
+        random: random_module.Random,
+        clock=time.time,
+    ):
+        """Makes the handler.
+
+        Args:
+            settings: `settings.EntrySettings`.
+            peers: `connection.peers.Peers` of the entry.
+            table: Routing table, kept by the entry.
+            find_catalog: Function that returns the current catalog.
+            metrics: `process.metrics.Metrics`.
+            random: Source of stream ids, seeds and ties.
+            clock: Seconds since the epoch, for the field "created".
+        """
+        self._settings = settings
+        self._find_catalog = find_catalog
+        self._metrics = metrics
+        self._random = random
+        self._clock = clock
+        self._queues: dict[tuple[str, str], admission.Queue] = {}
+        self._responses: dict[int, chains.Response] = {}
+        self.fleet = chains.Fleet(
+            peers,
+            table,
+            pipelines.LeastLoad(random),
+            budgets.RetryBudget(),
+            chains.Closes(
+                peers,
+                2 * settings.heartbeat_s * settings.heartbeat_misses,
+            ),
+            chains.Timing.from_config(settings),
+            metrics,
+            random,
+        )
+
+    @property
+    def in_flight(self) -> int:
+        """Responses that run."""
+        return len(self._responses)
+
+    def handle_connected(self, connection) -> None:
+        """Is called for each new connection."""
+        self.fleet.closes.handle_connected(connection)
+
+    def handle_closed(self, connection) -> None:
+        """Is called for each connection that ended."""
+        for response in list(self._responses.values()):
+            response.handle_closed(chains.find_address(connection))
+
+    def handle_frame(self, connection, frame: ttypes.Frame) -> bool:
+        """Handles a frame of a stream; False if it is of another kind."""
+        if frame.token_batch is not None:
+            self._handle_tokens(connection, frame.token_batch)
+        elif frame.stream_opened is not None:
+            response = self._find(connection, frame.stream_opened)
+            if response is not None:
+                response.handle_opened(frame.stream_opened)
+        elif frame.stream_refused is not None:
+            response = self._responses.get(frame.stream_refused.stream)
+            if response is not None:
+                response.handle_refused(frame.stream_refused)
+        elif frame.stream_failed is not None:
+            response = self._responses.get(frame.stream_failed.stream)
+            if response is not None:
+                response.handle_failed(
+                    chains.find_address(connection), frame.stream_failed
+                )
+        else:
+            return False
+        return True
+
+    def handle_capacity(self) -> None:
+        """Starts waiting requests; is called when an offer has changed."""
+        for queue in list(self._queues.values()):
+            self._start_waiting(queue)
+
+    async def handle(
+        self, request: http.Request, workspace, request_id: str, receive, send
+    ) -> None:
+        """Serves one request; see `CHAT_PATH` and `TEXT_PATH`.
+
+        Raises:
+            http.CallerGoneError: The caller went away; its work is cancelled.
+        """
+        exchange = Exchange(
+            self._settings.write_timeout_s, request_id, int(self._clock()), send
+        )
+        started_at = trio.current_time()
+        response = None
+        try:
+            body = await http.read_body(
+                receive,
+                self._settings.body_limit_bytes,
+                self._settings.body_timeout_s,
+            )
+            exchange.parameters = parameters.Parameters.from_body(
+                http.parse_json(body), request.path == CHAT_PATH
+            )
+            job = self._make_job(exchange.parameters, workspace, request_id)
+            response = chains.Response(job, self.fleet)
+            gone = await self._serve(response, workspace, exchange, receive)
+            if gone:
+                exchange.outcome = "caller-gone"
+                raise http.CallerGoneError("the caller went away")
+        except http.RequestError as error:
+            await exchange.send_failure(error.failure)
+        except SlowCallerError:
+            exchange.outcome = "slow-caller"
+        finally:
+            self._record(exchange, workspace, response, started_at)
+
+    async def _serve(self, response, workspace, exchange, receive) -> bool:
+        """Runs a response; returns whether its caller went away."""
+        gone = False
+
+        async def watch() -> None:
+            nonlocal gone
+            while (await receive())["type"] != "http.disconnect":
+                pass
+            gone = True
+            nursery.cancel_scope.cancel()
+
+        failure = slow = None
+        # A nursery wraps exceptions in a group, so the results of its body are
+        # carried out by variables.
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(watch)
+            try:
+                chain = await self._admit(response.job, workspace)
+                self._responses[response.stream] = response
+                nursery.start_soon(response.run, chain)
+                await exchange.deliver(response)
+            except http.RequestError as error:
+                failure = error
+            except SlowCallerError as error:
+                slow = error
+            finally:
+                self._responses.pop(response.stream, None)
+            nursery.cancel_scope.cancel()
+        self.handle_capacity()
+        if exchange.is_ended:
+            self.fleet.budget.record_success()
+        elif failure is not None or slow is not None:
+            raise failure or slow
+        return gone and not exchange.is_ended
+
+    async def _admit(self, job: chains.Job, workspace) -> pipelines.Chain:
+        now = trio.current_time()
+        waiting = _Waiting(job)
+        # A request that has not started by then would be of no use, since the
+        # first token would be due.
+        deadline = min(now + self.fleet.timing.first_token_s, job.deadline)
+        ticket = admission.Ticket(
+            workspace.name,
+            job.priority,
+            workspace.weight,
+            deadline,
+            item=waiting,
+        )
+        queue = self._queues.setdefault(
+            (job.model, job.version), admission.Queue()
+        )
+        failure = queue.add(ticket, now)
+        if failure is not None:
+            raise http.RequestError(failure)
+        try:
+            self._start_waiting(queue)
+            with trio.move_on_at(deadline):
+                await waiting.started.wait()
+        except trio.Cancelled:
+            # The caller may go away in the moment in which it is started.
+            if waiting.chain is not None:
+                self.fleet.table.give_back(waiting.chain)
+            raise
+        finally:
+            queue.remove(ticket)
+        if waiting.chain is not None:
+            return waiting.chain
+        raise http.RequestError(
+            waiting.failure
+            or verdicts.refuse(
+                "deadline-exceeded",
+                "All servers were busy until the deadline.",
+                max(1.0, queue.estimate_wait(job.priority)),
+            )
+        )
+
+    def _start_waiting(self, queue: admission.Queue) -> None:
+        while (ticket := queue.peek()) is not None:
+            waiting = ticket.item
+            waiting.chain = self.fleet.find_chain(waiting.job)
+            if waiting.chain is None:
+                if self.fleet.is_covered(waiting.job):
+                    return
+                waiting.failure = verdicts.refuse(
+                    "no-capacity",
+                    "No servers hold all layers of the model now.",
+                    1.0,
+                )
+            else:
+                # Counted from here, so that the next in the queue sees it.
+                self.fleet.table.take(waiting.chain)
+            queue.take(trio.current_time())
+            waiting.started.set()
+
+    def _make_job(
+        self, values: parameters.Parameters, workspace, request_id: str
+    ) -> chains.Job:
+        name, _, adapter = values.model.partition(":")
+        model = self._find_catalog().find_model(name)
+        if (
+            model is None
+            or name not in workspace.models
+            or (
+                adapter
+                and not (
+                    adapter in model.adapters and adapter in workspace.adapters
+                )
+            )
+        ):
+            allowed = ", ".join(list_models(self._find_catalog(), workspace))
+            raise http.RequestError(
+                verdicts.refuse(
+                    "forbidden",
+                    f"model {values.model!r} is not a model of this"
+                    f" workspace; allowed: {allowed or 'none'}.",
+                )
+            )
+        max_tokens = check_lengths(values, model)
+        seed = values.seed
+        if seed is None:
+            seed = self._random.getrandbits(63)
+        return chains.Job(
+            request_id,
+            workspace.name,
+            admission.PRIORITIES.index(workspace.priority),
+            model.name,
+            model.version,
+            adapter,
+            model.layers,
+            values.prompt,
+            max_tokens,
+            seed,
+            values.hash_content(),
+            trio.current_time() + self._settings.request_timeout_s,
+        )
+
+    def _find(self, connection, message) -> chains.Response | None:
+        """Returns the response of a message; frees an unknown stream."""
+        response = self._responses.get(message.stream)
+        if response is None:
+            # A close may have been lost or have crossed with the message.
+            connection.post(
+                ttypes.Frame(
+                    stream_close=ttypes.StreamClose(
+                        stream=message.stream,
+                        generation=message.generation,
+                        reason="unknown stream",
+                    )
+                )
+            )
+        return response
+
+    def _handle_tokens(self, connection, batch: ttypes.TokenBatch) -> None:
+        for token in batch.tokens:
+            response = self._find(connection, token)
+            if response is not None:
+                response.handle_token(token)
+
+    def _record(self, exchange, workspace, response, started_at) -> None:
+        duration_s = trio.current_time() - started_at
+        names = (workspace.name, workspace.priority)
+        self._metrics.record("request", *names, duration_s)
+        self._metrics.increment(f"requests.{exchange.outcome}")
+        fields = {}
+        if response is not None:
+            fields = {
+                "model": response.job.model,
+                "tokens": len(response.state.accepted),
+                "recoveries": response.recoveries,
+            }
+        _log.info(
+            "request ended",
+            request=exchange.request_id,
+            workspace=workspace.name,
+            priority=workspace.priority,
+            outcome=exchange.outcome,
+            duration_ms=round(duration_s * 1000),
+            **fields,
+        )
+
+
+def list_models(catalog, workspace) -> list[str]:
+    """Returns the names that a workspace may use in the field "model"."""
+    names = []
+    for name in workspace.models:
+        model = catalog.find_model(name)
+        if model is not None:
+            names.append(name)
+            names += [
+                f"{name}:{adapter}"
+                for adapter in model.adapters
+                if adapter in workspace.adapters
+            ]
+    return names
+
+
+def check_lengths(values: parameters.Parameters, model) -> int:
+    """Returns the most tokens to generate.
+
+    Raises:
+        http.RequestError: The prompt or max_tokens is too long for the model.
+    """
+    space = model.context_tokens - len(values.prompt)
+    if space < 1:
+        place = "messages" if values.is_chat else "prompt"
+        raise parameters.reject(
+            place,
+            f"at most {model.context_tokens - 1} tokens",
+            f"has {len(values.prompt)} tokens",
+        )
+    highest = min(model.max_tokens, space)
+    wanted = values.max_tokens
+    if wanted is not None and wanted > highest:
+        raise parameters.reject(
+            "max_tokens", f"a whole number from 1 to {highest}"
+        )
+    return wanted or highest
+
+
+class Exchange:
+    """The answer to one completion request, owned by its request.
+
+    Attributes:
+        parameters: The checked body, None until then.
+        outcome: For the log: "ended" or the code of what went wrong.
+        is_ended: Whether the caller has the whole answer.
+    """
+
+    def __init__(
+        self, write_timeout_s: float, request_id: str, created: int, send
+    ):
+        self.request_id = request_id
+        self.parameters: parameters.Parameters | None = None
+        self.outcome = "internal"
+        self.is_ended = False
+        self._write_timeout_s = write_timeout_s
+        self._created = created
+        self._send = send
+        self._is_started = False
+        self._count = 0
+        self._texts: list[str] = []
+
+    async def deliver(self, response: chains.Response) -> None:
+        """Sends a response, as it arrives or as a whole.
+
+        Raises:
+            http.RequestError: The response failed before its first chunk.
+            SlowCallerError: The caller did not take a chunk in time.
+        """
+        decoder = tokens.Decoder()
+        scanner = tokens.StopScanner(self.parameters.stops)
+        while not scanner.stopped:
+            batch = await response.receive()
+            if not batch:
+                break
+            text = ""
+            for token in batch:
+                self._count += 1
+                text += scanner.feed(decoder.feed([token]))
+                # Tokens after the stop sequence are not counted, so that the
+                # usage does not depend on how they were batched.
+                if scanner.stopped:
+                    break
+            await self._add_text(text)
+        if response.failure is not None and not scanner.stopped:
+            raise http.RequestError(response.failure)
+        text = scanner.feed(decoder.finish()) + scanner.finish()
+        await self._add_text(text)
+        finish = "stop" if scanner.stopped else response.state.finish
+        await self._finish(finish, len(response.job.prompt))
+        self.is_ended = True
+        self.outcome = "ended"
+
+    async def send_failure(self, failure: verdicts.Failure) -> None:
+        """Sends a failure: as an answer, or as an event within a stream."""
+        self.outcome = failure.code
+        try:
+            if not self._is_started:
+                await self._write(
+                    http.send_failure, self._send, failure, self.request_id
+                )
+                return
+            value = http.render_failure(failure, self.request_id)
+            # A stream that failed has no [DONE].
+            await self._send_body(render_event(value), more=False)
+        except SlowCallerError:
+            self.outcome = "slow-caller"
+
+    async def _add_text(self, text: str) -> None:
+        if not text:
+            return
+        if self.parameters.is_streamed:
+            await self._send_chunk(text, None)
+        else:
+            self._texts.append(text)
+
+    async def _finish(self, finish: str, prompt_count: int) -> None:
+        usage = {
+            "prompt_tokens": prompt_count,
+            "completion_tokens": self._count,
+            "total_tokens": prompt_count + self._count,
+        }
+        if not self.parameters.is_streamed:
+            value = self._make_value("", [self._make_whole_choice(finish)])
+            value["usage"] = usage
+            headers = {"x-request-id": self.request_id}
+            await self._write(http.send_json, self._send, 200, value, headers)
+            return
+        await self._send_chunk("", finish)
+        if self.parameters.has_usage:
+            value = self._make_value(".chunk", [])
+            value["usage"] = usage
+            await self._send_body(render_event(value))
+        await self._send_body(DONE, more=False)
+
+    async def _send_chunk(self, text: str, finish: str | None) -> None:
+        is_first = not self._is_started
+        if is_first:
+            await self._start()
+        if not self.parameters.is_chat:
+            choice = {"text": text, "logprobs": None}
+        else:
+            delta = {"content": text} if text else {}
+            choice = {"delta": {"role": "assistant"} if is_first else {}}
+            choice["delta"] |= delta
+        choice |= {"index": 0, "finish_reason": finish}
+        await self._send_body(
+            render_event(self._make_value(".chunk", [choice]))
+        )
+
+    async def _start(self) -> None:
+        # Only now, so that a request that fails before its first token gets a
+        # proper status.
+        headers = {
+            "content-type": EVENT_TYPE.decode(),
+            "cache-control": "no-cache",
+            "x-request-id": self.request_id,
+        }
+        self._is_started = True
+        await self._write(
+            self._send,
+            {
+                "type": "http.response.start",
+                "status": 200,
+                "headers": http.encode_headers(headers),
+            },
+        )
+
+    async def _send_body(self, body: bytes, more: bool = True) -> None:
+        await self._write(
+            self._send,
+            {"type": "http.response.body", "body": body, "more_body": more},
+        )
+
+    async def _write(self, function, *args) -> None:
+        try:
+            with trio.fail_after(self._write_timeout_s):
+                await function(*args)
+        except trio.TooSlowError as error:
+            raise SlowCallerError("the caller does not read") from error
+
+    def _make_whole_choice(self, finish: str) -> dict:
+        text = "".join(self._texts)
+        choice = {"index": 0, "finish_reason": finish}
+        if self.parameters.is_chat:
+            message = {"role": "assistant", "content": text}
+            return choice | {"message": message}
+        return choice | {"text": text, "logprobs": None}
+
+    def _make_value(self, suffix: str, choices: list) -> dict:
+        prefix = "chatcmpl" if self.parameters.is_chat else "cmpl"
+        is_chat = self.parameters.is_chat
+        return {
+            "id": f"{prefix}-{self.request_id}",
+            "object": (
+                f"chat.completion{suffix}" if is_chat else "text_completion"
+            ),
+            "created": self._created,
+            "model": self.parameters.model,
+            "choices": choices,
+        }
+
+
+def render_event(value: dict) -> bytes:
+    """Returns a server-sent event with a JSON value."""
+    return b"data: " + json.dumps(value).encode() + b"\n\n"
