--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/entry.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/entry.py
@@ -1,8 +1,476 @@
 """The entry process."""
 
-from peridotyard_core import settings
+import collections.abc
+import importlib
+import random as random_module
+import signal
+import string
+import typing
 
+from peridotyard_core import addresses
+from peridotyard_core import errors
+from peridotyard_core import membership
+from peridotyard_core import pipelines
+from peridotyard_core import settings as settings_module
+from peridotyard_core import verdicts
+import trio
 
-def run(values: settings.EntrySettings) -> int:
+from peridotyard_daemon.connection import http
+from peridotyard_daemon.connection import peers as peers_module
+from peridotyard_daemon.process import logs
+from peridotyard_daemon.process import metrics as metrics_module
+from peridotyard_daemon.process import network as network_module
+from peridotyard_daemon.request import chains
+from peridotyard_daemon.request import completions
+from peridotyard_daemon.wire.generated import ttypes
+
+MODELS_PATH = "/v1/models"
+SERVICES_PREFIX = "/v1/services/"
+HEALTH_PATHS = ("/healthz", "/readyz")
+# Methods of each path that is not below `SERVICES_PREFIX`.
+METHODS = {
+    "/healthz": ("GET", "HEAD"),
+    "/readyz": ("GET", "HEAD"),
+    MODELS_PATH: ("GET",),
+    completions.CHAT_PATH: ("POST",),
+    completions.TEXT_PATH: ("POST",),
+}
+REQUEST_ID_LENGTH = 128
+REQUEST_ID_CHARACTERS = frozenset(string.ascii_letters + string.digits + "-_.:")
+INSTANCES_PATH = "/v1/instances"
+INSTANCE_FIELDS = ("instance", "zone", "role", "address", "state")
+# The list is a fallback, so a slow answer may wait for the next reading.
+INSTANCES_TIMEOUT_S = 2.0
+
+_log = logs.Part("entry")
+
+ListInstances = collections.abc.Callable[
+    [], collections.abc.Awaitable[list[membership.Instance] | None]
+]
+
+
+class Entry:
+    """One entry: serves callers and owns the connections to sidecars.
+
+    It implements `connection.peers.Handler`.
+
+    Attributes:
+        peers: Connections to other processes.
+        table: Sidecars that can take work.
+        completions: Handler of completion requests.
+        calls: Handler of calls of plain services, None without one.
+        administration: ASGI application of the administration address.
+    """
+
+    def __init__(
+        self,
+        settings: settings_module.EntrySettings,
+        network: network_module.Network,
+        spread,
+        *,
+        metrics: metrics_module.Metrics,
+        random: random_module.Random,
+        list_instances: ListInstances | None = None,
+        make_calls=None,
+        make_administration=None,
+    ):
+        """Composes an entry.
+
+        Args:
+            settings: Settings of the process.
+            network: Connections to other processes.
+            spread: `version.spread.Spread`.
+            metrics: Metrics of the process.
+            random: Source of identifiers, seeds and ties.
+            list_instances: Reads the platform's instance list; its result is
+                None if the list is unavailable.
+            make_calls: Function from this entry to a `request.calls.Calls`.
+            make_administration: Function from this entry to an ASGI
+                application.
+        """
+        self.settings = settings
+        self.metrics = metrics
+        self.spread = spread
+        self.table = membership.RoutingTable()
+        self.peers = peers_module.Peers.from_config(settings, network, self)
+        self.completions = completions.Completions(
+            settings,
+            self.peers,
+            self.table,
+            lambda: spread.catalog,
+            metrics,
+            random,
+        )
+        self._random = random
+        self._list_instances = list_instances
+        self._incarnation = random.getrandbits(62)
+        self._is_draining = False
+        self._active = 0
+        self._idle = trio.Event()
+        self._stopped = trio.Event()
+        self.calls = make_calls(self) if make_calls else None
+        self.administration = (
+            make_administration(self) if make_administration else None
+        )
+
+    @property
+    def is_draining(self) -> bool:
+        """Whether the process has begun to stop."""
+        return self._is_draining
+
+    async def run(
+        self, serve=http.serve, task_status=trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Runs the entry until it has drained.
+
+        Args:
+            serve: Serves an ASGI application; replaced in tests.
+            task_status: Started once all addresses are served.
+        """
+        settings = self.settings
+        async with trio.open_nursery() as nursery:
+            await nursery.start(self.peers.run, settings.peer_address)
+            nursery.start_soon(self.spread.run)
+            nursery.start_soon(self.metrics.run)
+            nursery.start_soon(self._poll_instances)
+            async with trio.open_nursery() as servers:
+                await servers.start(
+                    serve,
+                    self.handle_caller,
+                    settings.caller_address,
+                    self._stopped,
+                )
+                if self.administration is not None:
+                    await servers.start(
+                        serve,
+                        self.administration,
+                        settings.admin_address,
+                        self._stopped,
+                    )
+                _log.info("started", callers=settings.caller_address)
+                task_status.started()
+            nursery.cancel_scope.cancel()
+
+    async def drain(self) -> None:
+        """Stops the entry once its requests have ended.
+
+        New requests are rejected as not-run. Requests that last longer than
+        the drain time are interrupted.
+        """
+        if self._is_draining:
+            return
+        self._is_draining = True
+        _log.info("draining", requests=self._active)
+        self.peers.broadcast(
+            ttypes.Frame(leaving=ttypes.Leaving(self.settings.instance))
+        )
+        with trio.move_on_after(self.settings.drain_s) as scope:
+            while self._active:
+                self._idle = trio.Event()
+                await self._idle.wait()
+        if scope.cancelled_caught:
+            _log.warning("stopped with open requests", requests=self._active)
+        self._stopped.set()
+
+    # Methods of `connection.peers.Handler`.
+
+    def make_hello(self) -> ttypes.Hello:
+        """Returns the first message for a peer."""
+        settings = self.settings
+        hello = ttypes.Hello(
+            instance=settings.instance,
+            zone=settings.zone,
+            role="entry",
+            address=str(settings.peer_address),
+            incarnation=self._incarnation,
+            protocol=peers_module.PROTOCOL_VERSION,
+        )
+        self.spread.fill_hello(hello)
+        return hello
+
+    def make_heartbeat(self) -> ttypes.Heartbeat:
+        """Returns a heartbeat with the configuration revision."""
+        heartbeat = ttypes.Heartbeat()
+        self.spread.fill_heartbeat(heartbeat)
+        return heartbeat
+
+    def handle_connected(self, connection: peers_module.Connection) -> None:
+        """Adds a sidecar to the routing table."""
+        if connection.peer.role == "sidecar":
+            self.table.connect(
+                chains.find_address(connection), connection.peer.incarnation
+            )
+            self.completions.handle_connected(connection)
+        self.spread.handle_connected(connection)
+
+    def handle_frame(
+        self, connection: peers_module.Connection, frame: ttypes.Frame
+    ) -> None:
+        """Passes a frame to the part that it is for."""
+        address = chains.find_address(connection)
+        if self.completions.handle_frame(connection, frame):
+            return
+        if frame.offer is not None:
+            self.table.record_offer(address, make_offer(frame.offer, address))
+            self.completions.handle_capacity()
+        elif frame.leaving is not None:
+            self.table.record_leaving(address)
+            _log.info("a peer is leaving", peer=frame.leaving.instance)
+        elif not (
+            self.spread.handle_frame(connection, frame)
+            or (
+                self.calls is not None
+                and self.calls.handle_frame(connection, frame)
+            )
+        ):
+            _log.debug("ignored a frame", peer=connection.peer.instance)
+
+    def handle_closed(
+        self, connection: peers_module.Connection, reason: str
+    ) -> None:
+        """Removes a sidecar from the routing table and its streams."""
+        address = chains.find_address(connection)
+        # Two processes that dialed each other have two connections.
+        if self.peers.find(address) is None:
+            self.table.disconnect(address)
+        self.completions.handle_closed(connection)
+        if self.calls is not None:
+            self.calls.handle_closed(connection)
+        self.completions.handle_capacity()
+        _log.info(
+            "lost a connection", peer=connection.peer.instance, reason=reason
+        )
+
+    async def _poll_instances(self) -> None:
+        if self._list_instances is None:
+            return
+        while True:
+            rows = await self._list_instances()
+            kept, given_up = self.table.update_list(rows)
+            for address in kept:
+                self.peers.keep(addresses.Address.from_text(address))
+            for address in given_up:
+                self.peers.release(addresses.Address.from_text(address))
+                self.completions.fleet.closes.forget(address)
+            await trio.sleep(self.settings.instance_poll_s)
+
+    # The ASGI application for callers.
+
+    async def handle_caller(self, scope, receive, send) -> None:
+        """Serves one caller request."""
+        if scope["type"] == "lifespan":
+            await http.run_lifespan(receive, send)
+            return
+        if scope["type"] != "http":
+            raise NotImplementedError(f"scope {scope['type']}")
+        request = http.Request.from_scope(scope)
+        request_id = self._choose_request_id(request)
+        is_started = False
+
+        async def send_noted(message) -> None:
+            nonlocal is_started
+            is_started = True
+            await send(message)
+
+        self._active += 1
+        try:
+            await self._route(request, request_id, receive, send_noted)
+        except http.RequestError as error:
+            await http.send_failure(send, error.failure, request_id)
+        except http.CallerGoneError:
+            _log.debug("the caller went away", request=request_id)
+        except Exception as error:
+            _log.error("request failed", request=request_id, error=repr(error))
+            self.metrics.increment("requests.internal")
+            # An answer that has begun can only be broken off.
+            if is_started:
+                raise
+            failure = verdicts.doubt("internal", "The request failed.")
+            await http.send_failure(send, failure, request_id)
+        finally:
+            self._active -= 1
+            if not self._active:
+                self._idle.set()
+
+    async def _route(self, request, request_id, receive, send) -> None:
+        path = request.path
+        headers = {"x-request-id": request_id}
+        is_service = path.startswith(SERVICES_PREFIX)
+        if not is_service:
+            if path not in METHODS:
+                paths = ", ".join([*METHODS, SERVICES_PREFIX + "<service>/..."])
+                raise fail("not-found", f"no path {path!r}; allowed: {paths}.")
+            if request.method not in METHODS[path]:
+                allowed = ", ".join(METHODS[path])
+                failure = verdicts.refuse(
+                    "method-not-allowed",
+                    f"method {request.method} of {path}; allowed: {allowed}.",
+                )
+                await http.send_json(
+                    send,
+                    errors.CODES[failure.code],
+                    http.render_failure(failure, request_id),
+                    headers | {"allow": allowed},
+                )
+                return
+        if path in HEALTH_PATHS:
+            fault = self._find_unready() if path == "/readyz" else ""
+            value = {"status": fault or "ok"}
+            await http.send_json(send, 503 if fault else 200, value, headers)
+            return
+        workspace = self._authenticate(request)
+        if path == MODELS_PATH:
+            value = self._describe_models(workspace)
+            await http.send_json(send, 200, value, headers)
+            return
+        self._check_open()
+        if not is_service:
+            handler = self.completions
+        elif self.calls is not None:
+            handler = self.calls
+        else:
+            raise fail("not-found", "This entry serves no plain services.")
+        await handler.handle(request, workspace, request_id, receive, send)
+
+    def _find_unready(self) -> str:
+        if self._is_draining:
+            return "draining"
+        return "" if self.spread.catalog.revision else "no configuration"
+
+    def _check_open(self) -> None:
+        if self._is_draining:
+            raise fail("draining", "This entry is stopping.", 1.0)
+        if self._active > self.settings.connection_limit:
+            raise fail("overloaded", "Too many requests are open.", 1.0)
+
+    def _authenticate(self, request: http.Request) -> typing.Any:
+        workspace = self.spread.catalog.authenticate(request.token)
+        if workspace is None:
+            raise fail(
+                "unauthorized",
+                "The API key is missing or unknown; allowed: the header"
+                ' "Authorization: Bearer <API key>".',
+            )
+        return workspace
+
+    def _describe_models(self, workspace) -> dict:
+        names = completions.list_models(self.spread.catalog, workspace)
+        return {
+            "object": "list",
+            "data": [
+                {
+                    "id": name,
+                    "object": "model",
+                    "created": 0,
+                    "owned_by": workspace.name,
+                }
+                for name in names
+            ],
+        }
+
+    def _choose_request_id(self, request: http.Request) -> str:
+        given = request.headers.get("x-request-id", "")
+        if 0 < len(given) <= REQUEST_ID_LENGTH and (
+            REQUEST_ID_CHARACTERS.issuperset(given)
+        ):
+            return given
+        return f"{self._random.getrandbits(96):024x}"
+
+
+def fail(
+    code: str, message: str, retry_after_s: float | None = None
+) -> http.RequestError:
+    """Returns the error of a request of which no part has run."""
+    return http.RequestError(verdicts.refuse(code, message, retry_after_s))
+
+
+def make_offer(message: ttypes.Offer, address: str) -> membership.Offer:
+    """Returns the offer of a message from a sidecar at an address."""
+    stage = pipelines.StageOffer(
+        message.instance,
+        address,
+        message.model,
+        message.version,
+        message.first_layer,
+        message.end_layer,
+        tuple(message.adapters),
+        message.zone,
+        message.in_flight,
+        message.limit,
+        message.tokens_per_s,
+    )
+    return membership.Offer(
+        stage,
+        message.kind,
+        message.service_name,
+        message.ready,
+        message.draining,
+        message.sequence,
+    )
+
+
+def make_list_reader(settings) -> ListInstances | None:
+    """Returns a function that reads the platform's instance list."""
+    if settings.instance_list is None:
+        return None
+    client = http.Client(settings.instance_list, INSTANCES_TIMEOUT_S)
+
+    async def read() -> list[membership.Instance] | None:
+        try:
+            answer = await client.request_json("GET", INSTANCES_PATH)
+            if answer.status != 200:
+                raise http.LostError(f"status {answer.status}")
+            found = [
+                membership.Instance(*(str(row[key]) for key in INSTANCE_FIELDS))
+                for row in answer.json["instances"]
+            ]
+            for row in found:
+                addresses.Address.from_text(row.address)
+            return found
+        except (
+            http.UnsentError,
+            http.LostError,
+            KeyError,
+            TypeError,
+            ValueError,
+        ) as error:
+            _log.warning("the instance list is unavailable", reason=repr(error))
+            return None
+
+    return read
+
+
+def run(values: settings_module.EntrySettings) -> int:
     """Runs the process until it is stopped and returns its exit status."""
-    raise NotImplementedError(values.instance)
+    # Imported here, so that tests of an entry do without these parts.
+    load = importlib.import_module
+    administration = load("peridotyard_daemon.request.administration")
+    calls = load("peridotyard_daemon.request.calls")
+    spread = load("peridotyard_daemon.version.spread")
+    status = 0
+    entry = Entry(
+        values,
+        network_module.TcpNetwork(),
+        spread.Spread.from_config(values),
+        metrics=metrics_module.Metrics.from_config(values),
+        random=random_module.SystemRandom(),
+        list_instances=make_list_reader(values),
+        make_calls=calls.Calls.from_entry,
+        make_administration=administration.Administration.from_entry,
+    )
+    try:
+        trio.run(_run_until_signal, entry)
+    except* OSError as group:
+        _log.error("cannot listen", reason=group.exceptions[0])
+        status = 1
+    return status
+
+
+async def _run_until_signal(entry: Entry) -> None:
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(entry.run)
+            async for number in signals:
+                _log.info("stopping", signal=signal.Signals(number).name)
+                await entry.drain()
+                return
