--- /dev/null
+++ b/packages/peridotyard-core/src/peridotyard_core/configuration.py
@@ -0,0 +1,574 @@
+"""The configuration: its objects, their JSON form, checks and comparison."""
+
+import collections.abc
+import dataclasses
+import hashlib
+import json
+import re
+import types
+import typing
+
+from peridotyard_core import errors
+from peridotyard_core import verdicts
+
+_NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
+_HASH = re.compile(r"[0-9a-f]{64}")
+_METHOD = re.compile(r"[A-Z]{1,16}")
+NAME_FORM = "1 to 63 letters, digits, '.', '_', '-'; first a letter or digit"
+
+# Kind and name of one object, such as ("model", "reference").
+Key = tuple[str, str]
+
+
+def hash_secret(secret: str) -> str:
+    """Returns the SHA-256 of an API key or operator token, hexadecimal."""
+    return hashlib.sha256(secret.encode()).hexdigest()
+
+
+@dataclasses.dataclass(frozen=True)
+class _Rule:
+    """The check of one field: what is accepted, and its description."""
+
+    accepts: typing.Callable[[typing.Any], bool]
+    allowed: str
+    many: bool = False
+
+
+def _declare(rule: _Rule, default: typing.Any = dataclasses.MISSING):
+    return dataclasses.field(default=default, metadata={"rule": rule})
+
+
+def _match(pattern: re.Pattern, allowed: str, empty: bool = False) -> _Rule:
+    return _Rule(
+        lambda value: isinstance(value, str)
+        and (bool(pattern.fullmatch(value)) or (empty and not value)),
+        allowed,
+    )
+
+
+def _integer(minimum: int, maximum: int) -> _Rule:
+    return _Rule(
+        lambda value: type(value) is int and minimum <= value <= maximum,
+        f"whole number from {minimum} to {maximum}",
+    )
+
+
+def _number(minimum: float, maximum: float) -> _Rule:
+    # NaN fails both comparisons; a bool is an int in Python, but not here.
+    return _Rule(
+        lambda value: type(value) in (int, float)
+        and minimum <= value <= maximum,
+        f"number from {minimum:g} to {maximum:g}",
+    )
+
+
+def _choice(*values: str) -> _Rule:
+    return _Rule(lambda value: value in values, ", ".join(values))
+
+
+def _many(rule: _Rule) -> _Rule:
+    return dataclasses.replace(rule, many=True)
+
+
+_NAME_RULE = _match(_NAME, NAME_FORM)
+_NAMES_RULE = _many(_NAME_RULE)
+_HASH_RULE = _match(_HASH, "64 lower-case hexadecimal digits of a SHA-256")
+
+
+@dataclasses.dataclass(frozen=True)
+class Workspace:
+    """A customer: its API keys and what it may use."""
+
+    name: str = _declare(_NAME_RULE)
+    key_hashes: tuple[str, ...] = _declare(_many(_HASH_RULE), ())
+    models: tuple[str, ...] = _declare(_NAMES_RULE, ())
+    adapters: tuple[str, ...] = _declare(_NAMES_RULE, ())
+    services: tuple[str, ...] = _declare(_NAMES_RULE, ())
+    priority: str = _declare(_choice("high", "normal", "low"), "normal")
+    weight: float = _declare(_number(0.001, 1e6), 1)
+
+
+@dataclasses.dataclass(frozen=True)
+class Model:
+    """A model; `activation_bytes` is per position between two layers."""
+
+    name: str = _declare(_NAME_RULE)
+    version: str = _declare(_NAME_RULE)
+    layers: int = _declare(_integer(1, 10_000))
+    adapters: tuple[str, ...] = _declare(_NAMES_RULE, ())
+    tokenizer: str = _declare(_choice("bytes"), "bytes")
+    max_tokens: int = _declare(_integer(1, 10_000_000), 4096)
+    context_tokens: int = _declare(_integer(1, 10_000_000), 8192)
+    activation_bytes: int = _declare(_integer(1, 1 << 24), 4)
+
+
+@dataclasses.dataclass(frozen=True)
+class Adapter:
+    """An adapter of one model."""
+
+    name: str = _declare(_NAME_RULE)
+    model: str = _declare(_NAME_RULE)
+    version: str = _declare(_NAME_RULE)
+
+
+@dataclasses.dataclass(frozen=True)
+class Service:
+    """A plain service; outcomes of its calls are kept for `retention_s`."""
+
+    name: str = _declare(_NAME_RULE)
+    idempotent_methods: tuple[str, ...] = _declare(
+        _many(_match(_METHOD, "HTTP methods in capitals")), ("GET", "HEAD")
+    )
+    retention_s: float = _declare(_number(1, 366 * 86400), 86400)
+
+
+@dataclasses.dataclass(frozen=True)
+class Limit:
+    """Limits of one workspace over all entries; 0 means no limit."""
+
+    name: str = _declare(_NAME_RULE)
+    workspace: str = _declare(_NAME_RULE)
+    requests_per_s: float = _declare(_number(0, 1e9), 0)
+    in_flight: int = _declare(_integer(0, 1_000_000_000), 0)
+
+
+@dataclasses.dataclass(frozen=True)
+class PlacementRule:
+    """How many copies of a model version run, and in which zones."""
+
+    name: str = _declare(_NAME_RULE)
+    model: str = _declare(_NAME_RULE)
+    version: str = _declare(_NAME_RULE)
+    copies: int = _declare(_integer(0, 100_000), 1)
+    zones: tuple[str, ...] = _declare(_NAMES_RULE, ())
+
+
+@dataclasses.dataclass(frozen=True)
+class Operator:
+    """Who may read or change the configuration."""
+
+    name: str = _declare(_NAME_RULE)
+    token_hash: str = _declare(_HASH_RULE)
+    role: str = _declare(_choice("read", "change"), "read")
+    workspace: str = _declare(
+        _match(_NAME, NAME_FORM + "; empty for all", empty=True), ""
+    )
+
+
+KINDS = {
+    "workspace": Workspace,
+    "model": Model,
+    "adapter": Adapter,
+    "service": Service,
+    "limit": Limit,
+    "placement-rule": PlacementRule,
+    "operator": Operator,
+}
+KIND_NAMES = {kind_class: kind for kind, kind_class in KINDS.items()}
+
+
+@dataclasses.dataclass(frozen=True)
+class Record:
+    """One object with the revision that last changed it.
+
+    Attributes:
+        value: An object of `KINDS`; None where the revision deleted it.
+    """
+
+    kind: str
+    name: str
+    revision: int
+    value: typing.Any
+
+    @property
+    def key(self) -> Key:
+        """Key of the record in a configuration."""
+        return (self.kind, self.name)
+
+
+@dataclasses.dataclass(frozen=True)
+class Configuration:
+    """All objects at one revision."""
+
+    revision: int = 0
+    objects: collections.abc.Mapping[Key, Record] = dataclasses.field(
+        default_factory=lambda: types.MappingProxyType({})
+    )
+
+    def render(self) -> dict:
+        """Returns the JSON value of the configuration."""
+        return {
+            "revision": self.revision,
+            "objects": [
+                {**render_object(record.value), "revision": record.revision}
+                for _, record in sorted(self.objects.items())
+            ],
+        }
+
+    def replace(
+        self, revision: int, values: collections.abc.Mapping[Key, typing.Any]
+    ) -> "Configuration":
+        """Returns a later configuration; a value of None deletes its key."""
+        objects = dict(self.objects)
+        for key, value in values.items():
+            if value is None:
+                objects.pop(key, None)
+            else:
+                objects[key] = Record(*key, revision, value)
+        return Configuration(revision, types.MappingProxyType(objects))
+
+
+@dataclasses.dataclass(frozen=True)
+class Conflict:
+    """An object that is not at the revision a change expects.
+
+    Attributes:
+        key: The object.
+        expected: Revision that the change expects, 0 for absent.
+        actual: Revision of the object, 0 for absent.
+        submitted: JSON of the submitted version, None for a deletion.
+        current: JSON of the present version, None if there is none.
+    """
+
+    key: Key
+    expected: int
+    actual: int
+    submitted: typing.Any
+    current: typing.Any
+
+
+@dataclasses.dataclass(frozen=True)
+class Rejection(verdicts.Failure):
+    """A failure that shows what is wrong with a change.
+
+    Attributes:
+        conflicts: Objects that others changed.
+        place: Path of a bad value.
+        allowed: What would be accepted there.
+    """
+
+    conflicts: tuple[Conflict, ...] = ()
+    place: str = ""
+    allowed: str = ""
+
+    @classmethod
+    def from_error(cls, error: errors.ConfigurationError) -> "Rejection":
+        """Returns the rejection of an invalid configuration."""
+        return cls(
+            "invalid-configuration",
+            verdicts.Verdict.NOT_RUN,
+            str(error),
+            place=error.place,
+            allowed=error.allowed,
+        )
+
+
+@dataclasses.dataclass(frozen=True)
+class Change:
+    """A batch that is accepted as a whole or not at all.
+
+    Attributes:
+        change_id: Chosen by the operator; repeating it has no further effect.
+        author: Name of the operator.
+        expected: Revision of each changed object, 0 for absent.
+        values: New object of each key, None to delete it.
+        workspace: Workspace that the author is bound to, empty for none.
+    """
+
+    change_id: str
+    author: str
+    expected: collections.abc.Mapping[Key, int]
+    values: collections.abc.Mapping[Key, typing.Any]
+    workspace: str = ""
+
+    @property
+    def digest(self) -> str:
+        """SHA-256 of the content, to recognise a reused change id."""
+        content = {
+            render_key(key): value and render_object(value)
+            for key, value in self.values.items()
+        }
+        return hash_secret(json.dumps(content, sort_keys=True))
+
+
+def render_key(key: Key) -> str:
+    """Returns the text of a key, such as "model/reference"."""
+    return "/".join(key)
+
+
+def parse_key(text: typing.Any, place: str) -> Key:
+    """Parses "kind/name".
+
+    Raises:
+        errors.ConfigurationError: The text is not a key.
+    """
+    kind, _, name = text.partition("/") if isinstance(text, str) else ("",) * 3
+    if kind not in KINDS or not _NAME.fullmatch(name):
+        raise errors.ConfigurationError(
+            place,
+            f"{text!r} names no object",
+            f"kind/name, kind one of {_KIND}",
+        )
+    return (kind, name)
+
+
+_KIND = ", ".join(KINDS)
+
+
+def render_object(value: typing.Any) -> dict:
+    """Returns the JSON value of an object, with its kind."""
+    fields = {
+        name: list(part) if isinstance(part, tuple) else part
+        for name, part in dataclasses.asdict(value).items()
+    }
+    return {"kind": KIND_NAMES[type(value)], **fields}
+
+
+def parse_object(
+    value: typing.Any, place: str, *, ignore_unknown: bool = False
+) -> typing.Any:
+    """Returns the object of a JSON value with its kind.
+
+    Args:
+        value: The JSON value.
+        place: Where it stands, for errors.
+        ignore_unknown: Accept fields of a later release, as in stored rows.
+
+    Raises:
+        errors.ConfigurationError: A field is missing, unknown or invalid.
+    """
+    if not isinstance(value, dict):
+        raise errors.ConfigurationError(place, "not an object", "JSON object")
+    kind = value.get("kind")
+    if not isinstance(kind, str) or kind not in KINDS:
+        raise errors.ConfigurationError(
+            f"{place}.kind", f"unknown kind {kind!r}", _KIND
+        )
+    if isinstance(value.get("name"), str) and value["name"]:
+        place = f"{kind}/{value['name']}"
+    fields = {f.name: f for f in dataclasses.fields(KINDS[kind])}
+    unknown = sorted(value.keys() - fields.keys() - {"kind", "revision"})
+    if unknown and not ignore_unknown:
+        raise errors.ConfigurationError(
+            f"{place}.{unknown[0]}", "unknown field", ", ".join(fields)
+        )
+    return KINDS[kind](
+        **{
+            name: _parse_field(field, value[name], f"{place}.{name}")
+            for name, field in fields.items()
+            if name in value or _require(field, place)
+        }
+    )
+
+
+def _require(field: dataclasses.Field, place: str) -> bool:
+    if field.default is dataclasses.MISSING:
+        raise errors.ConfigurationError(
+            f"{place}.{field.name}", "missing", field.metadata["rule"].allowed
+        )
+    return False
+
+
+def _parse_field(field: dataclasses.Field, value, place: str):
+    rule = field.metadata["rule"]
+    if not rule.many:
+        if not rule.accepts(value):
+            raise errors.ConfigurationError(
+                place, f"invalid value {value!r}", rule.allowed
+            )
+        return value
+    if not isinstance(value, (list, tuple)):
+        raise errors.ConfigurationError(
+            place, f"invalid value {value!r}", f"list of: {rule.allowed}"
+        )
+    for index, part in enumerate(value):
+        if not rule.accepts(part) or part in value[:index]:
+            raise errors.ConfigurationError(
+                f"{place}[{index}]",
+                f"invalid or repeated value {part!r}",
+                rule.allowed,
+            )
+    return tuple(value)
+
+
+def parse_objects(values: typing.Any, place: str) -> dict[Key, typing.Any]:
+    """Returns the objects of a JSON list by key.
+
+    Raises:
+        errors.ConfigurationError: An object is invalid or given twice.
+    """
+    if not isinstance(values, list):
+        raise errors.ConfigurationError(place, "not a list", "list of objects")
+    objects = {}
+    for index, value in enumerate(values):
+        item = parse_object(value, f"{place}[{index}]")
+        key = (KIND_NAMES[type(item)], item.name)
+        if key in objects:
+            raise errors.ConfigurationError(
+                f"{place}[{index}]", f"{render_key(key)} is given twice"
+            )
+        objects[key] = item
+    return objects
+
+
+# Fields that name other objects: kind, field and kind of the named object.
+_REFERENCES = (
+    ("workspace", "models", "model"),
+    ("workspace", "adapters", "adapter"),
+    ("workspace", "services", "service"),
+    ("model", "adapters", "adapter"),
+    ("adapter", "model", "model"),
+    ("limit", "workspace", "workspace"),
+    ("placement-rule", "model", "model"),
+    ("operator", "workspace", "workspace"),
+)
+# Fields whose value no two objects of the kind may share: an API key or token
+# must lead to one workspace or operator, and a workspace to one limit.
+_UNIQUE = (
+    ("workspace", "key_hashes"),
+    ("operator", "token_hash"),
+    ("limit", "workspace"),
+)
+
+
+def check(configuration: Configuration) -> None:
+    """Checks the references between the objects.
+
+    Raises:
+        errors.ConfigurationError: A named object is missing, or two objects
+            share a value that must be unique.
+    """
+    values = {key: r.value for key, r in sorted(configuration.objects.items())}
+    names = {kind: [] for kind in KINDS}
+    for kind, name in values:
+        names[kind].append(name)
+    for kind, field, target in _REFERENCES:
+        for name in names[kind]:
+            for place, part in _list_parts(values[kind, name], kind, field):
+                if part and (target, part) not in values:
+                    raise errors.ConfigurationError(
+                        place,
+                        f"there is no {target} {part!r}",
+                        ", ".join(names[target]) or f"no {target} exists yet",
+                    )
+    for name in names["model"]:
+        _check_adapters(values, name)
+    for kind, field in _UNIQUE:
+        _check_unique([values[kind, name] for name in names[kind]], kind, field)
+
+
+def _check_adapters(values, model: str) -> None:
+    for place, part in _list_parts(values["model", model], "model", "adapters"):
+        if values["adapter", part].model != model:
+            raise errors.ConfigurationError(
+                place,
+                f"adapter {part!r} belongs to another model",
+                f"adapters with model {model!r}",
+            )
+
+
+def _check_unique(values, kind: str, field: str) -> None:
+    owners = {}
+    for value in values:
+        for place, part in _list_parts(value, kind, field):
+            if owners.setdefault(part, value.name) != value.name:
+                raise errors.ConfigurationError(
+                    place, f"{kind} {owners[part]!r} has the same value"
+                )
+
+
+def _list_parts(value, kind: str, field: str) -> list[tuple[str, str]]:
+    """Returns the place and text of each value of a field."""
+    place = f"{kind}/{value.name}.{field}"
+    part = getattr(value, field)
+    if isinstance(part, tuple):
+        return [(f"{place}[{i}]", item) for i, item in enumerate(part)]
+    return [(place, part)]
+
+
+def check_scope(
+    configuration: Configuration,
+    values: collections.abc.Mapping[Key, typing.Any],
+    workspace: str,
+) -> str:
+    """Returns why an operator of one workspace may not make a change.
+
+    Such an operator may change the API keys of its workspace, give up models,
+    adapters, services, priority and weight, and set or lower its limits. All
+    else would let it grant itself more.
+
+    Returns:
+        The reason, or an empty text if the change is allowed.
+    """
+    for key, value in values.items():
+        text = render_key(key)
+        held = configuration.objects.get(key)
+        old = held.value if held else None
+        match key[0]:
+            case "workspace" if key[1] == workspace and old and value:
+                if not _is_reduced_workspace(old, value):
+                    return f"{text}: would grant the workspace more"
+            case "limit" if value and value.workspace == workspace:
+                if old and old.workspace != workspace:
+                    return f"{text}: belongs to another workspace"
+                if old and not _is_lowered_limit(old, value):
+                    return f"{text}: would raise the limit"
+            case _:
+                return f"{text}: not open to operators of {workspace!r}"
+    return ""
+
+
+def _is_reduced_workspace(old: Workspace, new: Workspace) -> bool:
+    ranks = ("low", "normal", "high")
+    return (
+        all(
+            set(getattr(new, field)) <= set(getattr(old, field))
+            for field in ("models", "adapters", "services")
+        )
+        and ranks.index(new.priority) <= ranks.index(old.priority)
+        and new.weight <= old.weight
+    )
+
+
+def _is_lowered_limit(old: Limit, new: Limit) -> bool:
+    for field in ("requests_per_s", "in_flight"):
+        before = getattr(old, field) or float("inf")
+        if (getattr(new, field) or float("inf")) > before:
+            return False
+    return True
+
+
+def compare(
+    before: collections.abc.Mapping[Key, typing.Any],
+    after: collections.abc.Mapping[Key, typing.Any],
+) -> list[str]:
+    """Returns the differences of two sets of objects, one line each."""
+    lines = []
+    for key in sorted(before.keys() | after.keys()):
+        old, new = before.get(key), after.get(key)
+        text = render_key(key)
+        if old is None:
+            lines.append(f"+ {text} {_render_fields(new)}")
+        elif new is None:
+            lines.append(f"- {text}")
+        else:
+            for field in dataclasses.fields(new):
+                was, now = getattr(old, field.name), getattr(new, field.name)
+                if was != now:
+                    lines.append(
+                        f"~ {text}.{field.name}: {_render(was)} -> "
+                        f"{_render(now)}"
+                    )
+    return lines
+
+
+def _render(value) -> str:
+    return json.dumps(value)
+
+
+def _render_fields(value) -> str:
+    return " ".join(
+        f"{field.name}={_render(getattr(value, field.name))}"
+        for field in dataclasses.fields(value)
+        if field.name != "name"
+    )
