--- /dev/null
+++ b/tests/support/tables.py
@@ -0,0 +1,114 @@
+"""The platform's table in memory, with outages, delays and lost replies."""
+
+import copy
+import dataclasses
+
+from peridotyard_core import verdicts
+import returns.result
+import trio
+
+
+@dataclasses.dataclass(frozen=True)
+class Row:
+    """One row; see `process.tables`."""
+
+    version: int
+    value: object
+
+
+class MemoryTable:
+    """A table that all processes of a test share.
+
+    Attributes:
+        rows: The rows by key.
+        is_down: Requests fail without being sent.
+        delay_s: Duration of each request, half before and half after it takes
+            effect.
+        lose: Number of transactions whose reply will be lost.
+        late_s: Seconds after which a transaction with a lost reply takes
+            effect; 0 for before the loss is noticed.
+        reads: Number of reads and scans.
+    """
+
+    def __init__(self):
+        self.rows: dict[str, Row] = {}
+        self.is_down = False
+        self.delay_s = 0.002
+        self.lose = 0
+        self.late_s = 0.0
+        self.reads = 0
+        self._late = []
+
+    async def transact(self, conditions, puts, deletes):
+        """Writes all or nothing if the conditions hold."""
+        arguments = copy.deepcopy((conditions, puts, deletes))
+        await trio.sleep(self.delay_s / 2)
+        if self.is_down:
+            return self._refuse()
+        self._run_late()
+        if self.lose:
+            self.lose -= 1
+            if self.late_s:
+                due = trio.current_time() + self.late_s
+                self._late.append((due, arguments))
+            else:
+                self._write(*arguments)
+            return returns.result.Failure(
+                verdicts.doubt("store-unavailable", "reply lost")
+            )
+        result = self._write(*arguments)
+        await trio.sleep(self.delay_s / 2)
+        return result
+
+    async def read(self, key):
+        """Returns a row or None."""
+        await trio.sleep(self.delay_s / 2)
+        if self.is_down:
+            return self._refuse()
+        self._run_late()
+        self.reads += 1
+        row = copy.deepcopy(self.rows.get(key))
+        await trio.sleep(self.delay_s / 2)
+        return returns.result.Success(row)
+
+    async def scan(self, prefix):
+        """Returns rows by key; not a snapshot, as with the real table."""
+        found = {}
+        for part in range(2):
+            await trio.sleep(self.delay_s / 2)
+            if self.is_down:
+                return self._refuse()
+            self._run_late()
+            for key in sorted(self.rows):
+                if key.startswith(prefix) and sum(key.encode()) % 2 == part:
+                    found[key] = copy.deepcopy(self.rows[key])
+        self.reads += 1
+        return returns.result.Success(found)
+
+    def _refuse(self):
+        return returns.result.Failure(
+            verdicts.refuse("store-unavailable", "table is down")
+        )
+
+    def _run_late(self) -> None:
+        now = trio.current_time()
+        due = [item for item in self._late if item[0] <= now]
+        self._late = [item for item in self._late if item[0] > now]
+        for _, arguments in due:
+            self._write(*arguments)
+
+    def _write(self, conditions, puts, deletes):
+        for key, version in conditions.items():
+            row = self.rows.get(key)
+            if (row.version if row else 0) != version:
+                return returns.result.Failure(
+                    verdicts.refuse("conflict", f"condition on {key}")
+                )
+        for key in deletes:
+            self.rows.pop(key, None)
+        for key, value in puts.items():
+            row = self.rows.get(key)
+            self.rows[key] = Row(row.version + 1 if row else 1, value)
+        return returns.result.Success(
+            {key: self.rows[key].version for key in puts}
+        )
--- /dev/null
+++ b/tests/unit/test_spread.py
@@ -0,0 +1,508 @@
+"""Tests of version.spread and version.catalog."""
+
+import contextlib
+import random
+
+from hypothesis import settings
+from hypothesis import stateful
+from hypothesis import strategies as st
+from peridotyard_core import addresses
+from peridotyard_core import configuration
+from peridotyard_core import revisions
+from peridotyard_core import verdicts
+from peridotyard_daemon.connection import peers
+from peridotyard_daemon.version import spread
+from peridotyard_daemon.wire.generated import ttypes
+import pytest
+import returns.result
+import trio
+
+from tests.support import memory
+from tests.support import tables
+from tests.support import virtual
+
+TIMING = peers.Timing(heartbeat_s=0.4, misses=3, dial_s=0.5)
+POLL_S = 1.0
+
+
+class WatchedSpread(spread.Spread):
+    """A spread that records each configuration it applies."""
+
+    def __setattr__(self, name, value):
+        if name == "configuration":
+            self.__dict__.setdefault("applied", []).append(value)
+        super().__setattr__(name, value)
+
+
+class Process:
+    """A process with a spread and connections; implements `peers.Handler`."""
+
+    def __init__(self, number, network, table, role="entry", submit_s=3.0):
+        self.address = addresses.Address("127.0.0.1", 1 + number)
+        self.role = role
+        self.spread = WatchedSpread(
+            f"i{number}",
+            role,
+            table,
+            POLL_S,
+            random=random.Random(number),
+            read_clock=lambda: 0.0,
+            submit_s=submit_s,
+        )
+        self.peers = peers.Peers(network.join(str(self.address)), self, TIMING)
+        self.scope = trio.CancelScope()
+
+    def make_hello(self):
+        hello = ttypes.Hello(
+            instance=self.spread._instance,
+            role=self.role,
+            address=str(self.address),
+            protocol=peers.PROTOCOL_VERSION,
+        )
+        self.spread.fill_hello(hello)
+        return hello
+
+    def make_heartbeat(self):
+        heartbeat = ttypes.Heartbeat()
+        self.spread.fill_heartbeat(heartbeat)
+        return heartbeat
+
+    def handle_connected(self, connection):
+        self.spread.handle_connected(connection)
+
+    def handle_frame(self, connection, frame):
+        self.spread.handle_frame(connection, frame)
+
+    def handle_closed(self, connection, reason):
+        pass
+
+    async def run(self, others, task_status):
+        with self.scope:
+            async with trio.open_nursery() as nursery:
+                await nursery.start(self.peers.run, self.address)
+                for other in others:
+                    self.peers.keep(other)
+                task_status.started()
+                await self.spread.run()
+
+
+@contextlib.asynccontextmanager
+async def start_processes(count, table, tableless=()):
+    """Starts connected processes; those in `tableless` only have peers."""
+    network = memory.MemoryNetwork()
+    async with trio.open_nursery() as nursery:
+        processes = []
+        for number in range(count):
+            own = None if number in tableless else table
+            process = Process(number, network, own)
+            others = [item.address for item in processes]
+            processes.append(process)
+            await nursery.start(process.run, others)
+        yield processes, network
+        nursery.cancel_scope.cancel()
+
+
+def make_change(change_id, expected, weight, name="north", **fields):
+    value = weight and configuration.Workspace(name, weight=weight, **fields)
+    key = ("workspace", name)
+    return configuration.Change(
+        change_id, "ana", {key: expected}, {key: value or None}
+    )
+
+
+def get_weight(process, name="north"):
+    record = process.spread.configuration.objects.get(("workspace", name))
+    return record and record.value.weight
+
+
+def run_pair(check, **options):
+    async def body():
+        table = tables.MemoryTable()
+        async with start_processes(2, table, **options) as (pair, network):
+            await trio.sleep(1)
+            await check(table, network, *pair)
+
+    virtual.run(body)
+
+
+def test_change_is_in_effect_everywhere_within_seconds():
+    """Guards against processes that wait for their next poll."""
+
+    async def check():
+        table = tables.MemoryTable()
+        async with start_processes(8, table, tableless=(6, 7)) as (items, _):
+            await trio.sleep(1)
+            result = await items[0].spread.submit(make_change("c1", 0, 2))
+            assert result == returns.result.Success(1)
+            await trio.sleep(0.1)
+            assert [get_weight(item) for item in items] == [2] * 8
+            await trio.sleep(1)
+            for item in items:
+                assert not revisions.find_lagging(item.spread.list_reports(), 1)
+                assert item.spread.confirmed_age_s <= 3
+
+    virtual.run(check)
+
+
+def test_new_process_gets_the_configuration_from_peers():
+    """Guards against a restart during an outage that serves nothing."""
+
+    async def check(table, network, first, second):
+        await first.spread.submit(make_change("c1", 0, 2))
+        table.is_down = True
+        second.scope.cancel()
+        await trio.sleep(1)
+        async with trio.open_nursery() as nursery:
+            again = Process(1, network, table)
+            await nursery.start(again.run, [first.address])
+            await trio.sleep(2)
+            assert again.spread.loaded.is_set()
+            assert get_weight(again) == 2
+            nursery.cancel_scope.cancel()
+
+    run_pair(check)
+
+
+def test_configuration_is_kept_while_the_table_is_down():
+    """Guards against an outage that empties the configuration."""
+
+    async def check(table, _network, first, second):
+        await first.spread.submit(make_change("c1", 0, 2))
+        table.is_down = True
+        result = await first.spread.submit(make_change("c2", 1, 3))
+        failure = result.failure()
+        assert failure.code == "store-unavailable"
+        assert failure.verdict is verdicts.Verdict.NOT_RUN
+        await trio.sleep(60)
+        assert get_weight(first) == get_weight(second) == 2
+        assert first.spread.confirmed_age_s > 60
+
+    run_pair(check)
+
+
+def test_conflict_shows_both_versions():
+    """Guards against the later of two operators undoing the earlier one."""
+
+    async def check(_table, _network, first, second):
+        await first.spread.submit(make_change("c1", 0, 2))
+        result = await second.spread.submit(make_change("c2", 0, 3))
+        failure = result.failure()
+        assert failure.code == "conflict"
+        (conflict,) = failure.conflicts
+        assert (conflict.expected, conflict.actual) == (0, 1)
+        assert conflict.submitted["weight"] == 3
+        assert conflict.current["weight"] == 2
+        assert get_weight(second) == 2
+
+    run_pair(check)
+
+
+def test_changes_of_different_objects_do_not_conflict():
+    """Guards against operators who hold each other up."""
+
+    async def check(_table, _network, *pair):
+        results = []
+
+        async def submit(process, name):
+            change = make_change(name, 0, 2, name)
+            results.append(await process.spread.submit(change))
+
+        async with trio.open_nursery() as nursery:
+            for number in range(6):
+                nursery.start_soon(submit, pair[number % 2], f"w{number}")
+        assert sorted(result.unwrap() for result in results) == list(
+            range(1, 7)
+        )
+
+    run_pair(check)
+
+
+@pytest.mark.parametrize("late_s", [0.0, 0.3])
+def test_lost_reply_is_resolved_by_the_change_id(late_s):
+    """Guards against a change that is made twice or reported wrongly."""
+
+    async def check(table, _network, first, second):
+        table.lose, table.late_s = 1, late_s
+        result = await first.spread.submit(make_change("c1", 0, 2))
+        assert result == returns.result.Success(1)
+        await trio.sleep(5)
+        assert first.spread.configuration.revision == 1
+        # An operator who missed the answer repeats the change elsewhere.
+        again = await second.spread.submit(make_change("c1", 0, 2))
+        assert again == returns.result.Success(1)
+        other = await second.spread.submit(make_change("c1", 1, 5))
+        assert other.failure().code == "idempotency-key-reused"
+
+    run_pair(check)
+
+
+def test_unresolved_reply_is_reported_as_may_have_run():
+    """Guards against "not-run" for a change that takes effect later."""
+
+    async def check(table, _network, first, _second):
+        table.lose = 1000
+        table.late_s = 5.0
+        result = await first.spread.submit(make_change("c1", 0, 2))
+        assert result.failure().verdict is verdicts.Verdict.MAY_HAVE_RUN
+        await trio.sleep(10)
+        assert get_weight(first) == 2
+
+    run_pair(check)
+
+
+def test_batch_is_accepted_as_a_whole_or_not_at_all():
+    """Guards against half of an invalid or conflicting batch."""
+
+    async def check(table, _network, first, _second):
+        change = make_change("c1", 0, 2, models=("none",))
+        values = {
+            **change.values,
+            ("service", "ledger"): configuration.Service("ledger"),
+        }
+        batch = configuration.Change(
+            "c1", "a", dict.fromkeys(values, 0), values
+        )
+        failure = (await first.spread.submit(batch)).failure()
+        assert failure.code == "invalid-configuration"
+        assert failure.place == "workspace/north.models[0]"
+        assert not table.rows
+
+    run_pair(check)
+
+
+def test_audit_trail_is_complete_and_newest_first():
+    """Guards against a change without author or a page that skips rows."""
+
+    async def check(_table, _network, first, _second):
+        for number in range(120):
+            await first.spread.submit(make_change(f"c{number}", number, 1))
+        rows = (await first.spread.read_changes(110)).unwrap()
+        assert [row["revision"] for row in rows] == list(range(120, 10, -1))
+        assert {row["author"] for row in rows} == {"ana"}
+        rows = (await first.spread.read_changes(50, before=11)).unwrap()
+        assert [row["change_id"] for row in rows][:2] == ["c9", "c8"]
+
+    run_pair(check)
+
+
+def test_confirmed_processes_do_not_poll():
+    """Guards against a poll rate that grows with the number of processes."""
+
+    async def check():
+        table = tables.MemoryTable()
+        async with start_processes(8, table) as (items, _):
+            # Heartbeats of revision 0 are not handed over by the connection.
+            await items[0].spread.submit(make_change("c1", 0, 2))
+            await trio.sleep(10)
+            before = table.reads
+            await trio.sleep(50)
+            # Alone, each of the eight would poll about once a second.
+            assert table.reads - before < 200
+
+    virtual.run(check)
+
+
+def test_silent_peer_is_named_as_lagging_until_forgotten():
+    """Guards against a wait that ends while a process cannot be reached."""
+
+    async def check(_table, network, first, second):
+        network.cut(str(first.address), str(second.address))
+        second.scope.cancel()
+        await first.spread.submit(make_change("c1", 0, 2))
+        await trio.sleep(5)
+        lagging = revisions.find_lagging(first.spread.list_reports(), 1)
+        assert [item.instance for item in lagging] == ["i1"]
+        await trio.sleep(revisions.FORGET_S)
+        assert not revisions.find_lagging(first.spread.list_reports(), 1)
+
+    run_pair(check)
+
+
+def test_malformed_delta_of_a_peer_is_ignored():
+    """Guards against one faulty peer that stops or empties a process."""
+
+    async def check(_table, _network, first, second):
+        await first.spread.submit(make_change("c1", 0, 2))
+        await trio.sleep(1)
+        connection = second.peers.connections[0]
+        for body in ("{", "[]", '{"kind": "workspace", "name": ""}'):
+            record = ttypes.ConfigRecord("workspace", "north", 9, body)
+            connection.post(
+                ttypes.Frame(
+                    config_delta=ttypes.ConfigDelta(0, 9, 0, True, [record])
+                )
+            )
+        await trio.sleep(1)
+        assert get_weight(first) == 2
+        assert first.spread.configuration.revision == 1
+
+    run_pair(check)
+
+
+class SpreadMachine(stateful.RuleBasedStateMachine):
+    """Collects steps, and runs them on the virtual clock at the end."""
+
+    count = 4
+
+    def __init__(self):
+        super().__init__()
+        self.steps = []
+
+    @stateful.rule(
+        process=st.integers(0, 3),
+        name=st.sampled_from(["a", "b"]),
+        weight=st.integers(0, 3),
+        offset=st.sampled_from([0, 0, 0, -1]),
+        pause_s=st.sampled_from([0, 0, 0.01, 1]),
+    )
+    def submit(self, process, name, weight, offset, pause_s):
+        self.steps.append(("submit", process, name, weight, offset, pause_s))
+
+    @stateful.rule(is_down=st.booleans(), pause_s=st.sampled_from([0, 1, 5]))
+    def switch_table(self, is_down, pause_s):
+        self.steps.append(("table", is_down, pause_s))
+
+    @stateful.rule(
+        count=st.integers(1, 3), late_s=st.sampled_from([0, 0.1, 1, 4])
+    )
+    def lose_replies(self, count, late_s):
+        self.steps.append(("lose", count, late_s))
+
+    @stateful.rule(process=st.integers(0, 3))
+    def restart(self, process):
+        self.steps.append(("restart", process))
+
+    @stateful.rule(process=st.integers(1, 3), is_cut=st.booleans())
+    def isolate(self, process, is_cut):
+        """Process 3 has no table, so it becomes stale when it is cut off."""
+        self.steps.append(("isolate", process, is_cut))
+
+    def teardown(self):
+        if any(step[0] == "submit" for step in self.steps):
+            virtual.run(Simulation(self.steps).run)
+
+
+class Simulation:
+    """One run of the steps, and the oracle."""
+
+    def __init__(self, steps):
+        self.steps = steps
+        self.table = tables.MemoryTable()
+        self.network = memory.MemoryNetwork()
+        self.spreads = []
+        self.processes = {}
+        self.outcomes = {}
+
+    async def run(self):
+        async with trio.open_nursery() as nursery:
+            for number in range(SpreadMachine.count):
+                await self.start(nursery, number)
+            for index, step in enumerate(self.steps):
+                await self.take(nursery, index, step)
+            self.table.is_down, self.table.lose = False, 0
+            for number in range(1, SpreadMachine.count):
+                self.isolate(number, False)
+            await trio.sleep(12)
+            self.check()
+            nursery.cancel_scope.cancel()
+
+    async def start(self, nursery, number):
+        own = None if number == 3 else self.table
+        process = Process(number, self.network, own)
+        others = [
+            addresses.Address("127.0.0.1", 1 + other)
+            for other in range(SpreadMachine.count)
+            if other != number
+        ]
+        self.processes[number] = process
+        self.spreads.append(process.spread)
+        await nursery.start(process.run, others)
+
+    def isolate(self, number, is_cut):
+        change = self.network.cut if is_cut else self.network.heal
+        for other in range(SpreadMachine.count):
+            if other != number:
+                change(f"127.0.0.1:{1 + number}", f"127.0.0.1:{1 + other}")
+
+    async def take(self, nursery, index, step):
+        match step:
+            case ("submit", number, name, weight, offset, pause_s):
+                held = self.processes[number].spread.configuration
+                record = held.objects.get(("workspace", name))
+                expected = max(0, (record.revision if record else 0) + offset)
+                change = make_change(f"c{index}", expected, weight, name)
+                nursery.start_soon(self.submit, number, change)
+                await trio.sleep(pause_s)
+            case ("table", is_down, pause_s):
+                self.table.is_down = is_down
+                await trio.sleep(pause_s)
+            case ("lose", count, late_s):
+                self.table.lose, self.table.late_s = count, late_s
+            case ("restart", number):
+                self.processes[number].scope.cancel()
+                self.network.reset(f"127.0.0.1:{1 + number}")
+                await trio.sleep(0.1)
+                await self.start(nursery, number)
+            case ("isolate", number, is_cut):
+                self.isolate(number, is_cut)
+                await trio.sleep(1)
+
+    async def submit(self, number, change):
+        self.outcomes[change.change_id] = (change, None)
+        result = await self.processes[number].spread.submit(change)
+        self.outcomes[change.change_id] = (change, result)
+
+    def check(self):
+        """Replays the log as the oracle and compares all processes with it."""
+        rows = sorted(
+            (
+                row.value
+                for key, row in self.table.rows.items()
+                if key.startswith(spread.LOG_PREFIX)
+            ),
+            key=lambda row: row["revision"],
+        )
+        assert [r["revision"] for r in rows] == list(range(1, len(rows) + 1))
+        logged = {row["change_id"]: row["revision"] for row in rows}
+        assert len(logged) == len(rows)
+        states = [{}]
+        for row in rows:
+            change, _ = self.outcomes[row["change_id"]]
+            ((key, value),) = change.values.items()
+            revision, _ = states[-1].get(key, (0, None))
+            # Nobody else's change is undone unseen.
+            assert change.expected[key] == revision
+            state = {**states[-1], key: (row["revision"], value)}
+            if value is None:
+                del state[key]
+            states.append(state)
+        for change, result in self.outcomes.values():
+            match result:
+                case returns.result.Success(revision):
+                    assert logged[change.change_id] == revision
+                case returns.result.Failure(failure):
+                    if failure.verdict is verdicts.Verdict.NOT_RUN:
+                        assert change.change_id not in logged
+                case _:
+                    raise AssertionError("a submit has not ended")
+        for item in self.spreads:
+            seen = [state.revision for state in item.applied]
+            assert seen == sorted(set(seen))
+            for state in item.applied:
+                got = {
+                    key: (record.revision, record.value)
+                    for key, record in state.objects.items()
+                }
+                assert got == states[state.revision]
+        for process in self.processes.values():
+            assert process.spread.configuration.revision == len(rows)
+
+
+TestSpreadMachine = SpreadMachine.TestCase
+TestSpreadMachine.settings = settings(
+    derandomize=True,
+    max_examples=40,
+    stateful_step_count=16,
+    deadline=None,
+    database=None,
+)
