--- a/packages/peridotyard-core/src/peridotyard_core/admission.py
+++ b/packages/peridotyard-core/src/peridotyard_core/admission.py
@@ -72,7 +72,8 @@
         while self._heap and id(self._heap[0][3]) in self._removed:
             self._removed.discard(id(heapq.heappop(self._heap)[3]))
         if not self._heap:
-            # An idle queue owes nobody; keeps the table of workspaces small.
+            # Virtual times matter only among waiting requests; without any,
+            # the table of workspaces would only grow.
             self._finish.clear()
             self._now = 0.0
 
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/chains.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/chains.py
@@ -20,7 +20,7 @@
 
 # Between two looks for a spare when there is none.
 CAPACITY_POLL_S = 0.05
-# A stage that keeps the request out for one of these reasons speaks for all.
+# Every stage would refuse for these reasons, so no other one is tried.
 FINAL_REFUSALS = ("bad-request", "forbidden", "quarantined")
 # Closes that are kept for each address.
 KEPT_LIMIT = 1024
@@ -159,8 +159,8 @@
 
     `run` drives it; the frame handlers are called by the connections. The
     generation is raised and the failed stage replaced when a stage fails,
-    stalls, refuses or is lost; a lost connection to a living stage is only
-    redialed.
+    stalls, refuses or is lost. A lost connection to a stage that still runs
+    is only redialed.
 
     Attributes:
         stream: Its id in messages.
--- a/tests/support/entries.py
+++ b/tests/support/entries.py
@@ -113,7 +113,7 @@
         )
 
 
-class Yard:
+class Cluster:
     """An entry on an in-memory network with one sidecar for each range."""
 
     def __init__(self, ranges, **options):
@@ -181,14 +181,14 @@
         return Caller("/v1/completions", value)
 
 
-def with_yard(*ranges, **options):
-    """Makes an async function of a yard a test with the other parameters."""
+def with_cluster(*ranges, **options):
+    """Makes an async function of a cluster a test with the other parameters."""
 
     def decorate(check):
         async def start(arguments):
-            yard = Yard(ranges, **options)
-            async with yard.start():
-                await check(yard, **arguments)
+            cluster = Cluster(ranges, **options)
+            async with cluster.start():
+                await check(cluster, **arguments)
 
         @functools.wraps(check)
         def test(**arguments):
--- a/tests/support/sidecars.py
+++ b/tests/support/sidecars.py
@@ -29,10 +29,10 @@
     Attributes:
         step_s: Seconds for each step.
         refusal: Code with which streams are refused, empty to accept them.
-        is_deaf: Ignores StreamOpen.
+        ignores_open: Ignores StreamOpen.
         is_stalled: Accepts streams but runs no step.
         fails_at: Sends StreamFailed instead of running this many tokens.
-        blames: Index of the stage that it then calls unreachable, if any.
+        unreachable: Index of the stage that it then calls unreachable, if any.
         drops_tokens: Loses tokens on the way to the entry.
         log: Messages of streams in order: name, generation.
         ran: (stream, generation, length) of each step.
@@ -45,9 +45,9 @@
         self.limit = limit
         self.step_s = 0.01
         self.refusal = ""
-        self.is_deaf = self.is_stalled = self.drops_tokens = False
+        self.ignores_open = self.is_stalled = self.drops_tokens = False
         self.is_ready, self.is_draining = True, False
-        self.fails_at = self.blames = None
+        self.fails_at = self.unreachable = None
         self.log, self.ran = [], []
         self.incarnation = number
         self.network = network
@@ -149,7 +149,7 @@
 
     def _open(self, message):
         self.log.append(("open", message.generation))
-        if self.is_deaf:
+        if self.ignores_open:
             return
         place = (message.stream, message.generation, message.index)
         if self.refusal:
@@ -191,8 +191,8 @@
         failed = ttypes.StreamFailed(
             message.stream, message.generation, message.index, "engine-lost"
         )
-        if self.blames is not None:
-            failed.index, failed.reason = self.blames, "unreachable"
+        if self.unreachable is not None:
+            failed.index, failed.reason = self.unreachable, "unreachable"
         self.entry.post(ttypes.Frame(stream_failed=failed))
 
     async def _emit(self, message, generated):
--- a/tests/unit/test_chains.py
+++ b/tests/unit/test_chains.py
@@ -13,11 +13,11 @@
 RANGES = ((0, 2), (2, 4), (0, 2), (2, 4))
 
 
-def find_stage(yard, first_layer):
+def find_stage(cluster, first_layer):
     """Returns the sidecar that runs a stage now."""
     return next(
         item
-        for item in yard.sidecars
+        for item in cluster.sidecars
         if item.streams and item.layers[0] == first_layer
     )
 
@@ -27,19 +27,19 @@
     assert caller.events[-1] == "[DONE]"
 
 
-def check_idle(yard):
+def check_idle(cluster):
     """No stage keeps a stream, no count is left over."""
-    assert not any(item.streams for item in yard.sidecars)
-    assert not yard.entry.table._own
-    assert not yard.entry.completions.in_flight
+    assert not any(item.streams for item in cluster.sidecars)
+    assert not cluster.entry.table._own
+    assert not cluster.entry.completions.in_flight
 
 
-async def start(yard, count=20):
+async def start(cluster, count=20):
     """Returns a caller in the middle of its response, and the two stages."""
-    caller = yard.call_soon(yard.complete(count))
+    caller = cluster.call_soon(cluster.complete(count))
     await trio.sleep(0.2)
     assert 0 < len(caller.text) < count
-    return caller, find_stage(yard, 0), find_stage(yard, 2)
+    return caller, find_stage(cluster, 0), find_stage(cluster, 2)
 
 
 @pytest.mark.parametrize("index", [0, 1])
@@ -47,88 +47,88 @@
     ("fault", "limit_s"),
     [(None, 0.3), ("kill", 0.3), ("restart", 0.3), ("fail", 0.3), ("stall", 1)],
 )
-@entries.with_yard(*RANGES)
-async def test_failed_stage_is_replaced_in_time(yard, index, fault, limit_s):
+@entries.with_cluster(*RANGES)
+async def test_failed_stage_is_replaced_in_time(cluster, index, fault, limit_s):
     """Guards against a response that ends, hangs or restarts with a stage."""
-    caller, *stages = await start(yard)
+    caller, *stages = await start(cluster)
     if fault:
         getattr(stages[index], fault)()
     await trio.sleep(limit_s)
     check_complete(caller)
-    recoveries = yard.entry.metrics.count("streams.recoveries")
+    recoveries = cluster.entry.metrics.count("streams.recoveries")
     assert recoveries == (1 if fault else 0)
     # A stall names no stage, so it alone may move the other stage.
     kept = stages[1 - index]
     assert fault == "stall" or ("close", 2) not in kept.log[:-1]
     await trio.sleep(0.1)
-    check_idle(yard)
+    check_idle(cluster)
 
 
-@entries.with_yard(*RANGES)
-async def test_stage_that_reaches_no_neighbour_is_replaced(yard):
+@entries.with_cluster(*RANGES)
+async def test_stage_that_reaches_no_neighbour_is_replaced(cluster):
     """Guards against trying all neighbours of a stage with a broken link."""
-    yard.sidecars[0].fails_at, yard.sidecars[0].blames = 5, 1
-    yard.sidecars[2].is_ready = False
-    yard.sidecars[2].offer()
+    cluster.sidecars[0].fails_at, cluster.sidecars[0].unreachable = 5, 1
+    cluster.sidecars[2].is_ready = False
+    cluster.sidecars[2].offer()
     await trio.sleep(0.1)
-    caller = yard.call_soon(yard.complete())
+    caller = cluster.call_soon(cluster.complete())
     await trio.sleep(0.1)
-    yard.sidecars[2].is_ready = True
-    yard.sidecars[2].offer()
+    cluster.sidecars[2].is_ready = True
+    cluster.sidecars[2].offer()
     await trio.sleep(2)
     check_complete(caller)
-    assert yard.entry.metrics.count("streams.recoveries") == 2
-    assert ("open", 3) not in yard.sidecars[0].log
+    assert cluster.entry.metrics.count("streams.recoveries") == 2
+    assert ("open", 3) not in cluster.sidecars[0].log
 
 
-@pytest.mark.parametrize("fault", ["refusal", "is_deaf"])
-@entries.with_yard(*RANGES)
+@pytest.mark.parametrize("fault", ["refusal", "ignores_open"])
+@entries.with_cluster(*RANGES)
 async def test_stage_that_does_not_accept_is_replaced_before_any_step(
-    yard, fault
+    cluster, fault
 ):
     """Guards against layers that run although a stage has not accepted."""
-    for item in yard.sidecars[:2]:
+    for item in cluster.sidecars[:2]:
         setattr(item, fault, "overloaded" if fault == "refusal" else True)
     # Servers with a lower limit are the second choice.
-    for item in yard.sidecars[2:]:
+    for item in cluster.sidecars[2:]:
         item.limit = 1
         item.offer()
     await trio.sleep(0.1)
-    check_complete(await yard.call(yard.complete()))
-    assert all(item.log for item in yard.sidecars[:2])
-    assert not any(item.ran for item in yard.sidecars[:2])
-    generations = {g for item in yard.sidecars for _, g, _ in item.ran}
+    check_complete(await cluster.call(cluster.complete()))
+    assert all(item.log for item in cluster.sidecars[:2])
+    assert not any(item.ran for item in cluster.sidecars[:2])
+    generations = {g for item in cluster.sidecars for _, g, _ in item.ran}
     assert len(generations) == 1
 
 
-@entries.with_yard(*RANGES)
-async def test_refusal_by_all_is_not_run(yard):
+@entries.with_cluster(*RANGES)
+async def test_refusal_by_all_is_not_run(cluster):
     """Guards against a may-have-run verdict where no layer has run."""
-    for item in yard.sidecars:
+    for item in cluster.sidecars:
         item.refusal = "overloaded"
-    caller = await yard.call(yard.complete())
+    caller = await cluster.call(cluster.complete())
     assert caller.status == 503
     assert caller.json["error"]["verdict"] == "not-run"
     assert b"retry-after" in caller.headers
-    assert not any(item.ran for item in yard.sidecars)
+    assert not any(item.ran for item in cluster.sidecars)
 
 
-@entries.with_yard(*RANGES)
-async def test_refusals_are_retried_within_the_budget(yard):
+@entries.with_cluster(*RANGES)
+async def test_refusals_are_retried_within_the_budget(cluster):
     """Guards against retries that multiply an overload."""
-    while yard.entry.completions.fleet.budget.spend():
+    while cluster.entry.completions.fleet.budget.spend():
         pass
-    for item in yard.sidecars:
+    for item in cluster.sidecars:
         item.refusal = "overloaded"
-    caller = await yard.call(yard.complete())
+    caller = await cluster.call(cluster.complete())
     assert caller.json["error"]["code"] == "overloaded"
-    assert sum(("open", 2) in item.log for item in yard.sidecars) == 0
+    assert sum(("open", 2) in item.log for item in cluster.sidecars) == 0
 
 
-@entries.with_yard((0, 2), (2, 4))
-async def test_missing_capacity_is_an_error_event_without_done(yard):
+@entries.with_cluster((0, 2), (2, 4))
+async def test_missing_capacity_is_an_error_event_without_done(cluster):
     """Guards against a hanging stream when the only copy of a layer dies."""
-    caller, _, last = await start(yard)
+    caller, _, last = await start(cluster)
     last.kill()
     await trio.sleep(2)
     error = json.loads(caller.events[-1])["error"]
@@ -136,13 +136,13 @@
     assert error["verdict"] == "may-have-run"
     assert "[DONE]" not in caller.events
     assert EXPECTED.startswith(caller.text) and caller.text
-    check_idle(yard)
+    check_idle(cluster)
 
 
-@entries.with_yard((0, 2), (2, 4))
-async def test_returning_server_is_used_while_capacity_is_missing(yard):
+@entries.with_cluster((0, 2), (2, 4))
+async def test_returning_server_is_used_while_capacity_is_missing(cluster):
     """Guards against an error when an engine restarts within the wait."""
-    caller, _, last = await start(yard)
+    caller, _, last = await start(cluster)
     last.is_ready = False
     last.offer()
     last._report_failure(next(iter(last.streams.values())))
@@ -153,16 +153,16 @@
     check_complete(caller)
 
 
-@entries.with_yard(*RANGES, stall_s=5.0)
-async def test_silent_connection_to_the_last_stage_is_resumed(yard):
+@entries.with_cluster(*RANGES, stall_s=5.0)
+async def test_silent_connection_to_the_last_stage_is_resumed(cluster):
     """Guards against a new generation, or lost tokens, for a lost link."""
-    caller, _, last = await start(yard)
-    address = str(yard.settings.peer_address)
-    yard.network.cut(address, str(last.address))
+    caller, _, last = await start(cluster)
+    address = str(cluster.settings.peer_address)
+    cluster.network.cut(address, str(last.address))
     # The last token is among the lost ones, so no later one shows a gap.
     await trio.sleep(0.5)
-    yard.network.heal(address, str(last.address))
-    yard.network.reset(address)
+    cluster.network.heal(address, str(last.address))
+    cluster.network.reset(address)
     await trio.sleep(1)
     check_complete(caller)
     assert ("attach", 1) in last.log
@@ -171,28 +171,30 @@
 
 # The prefix leaves 1 ms after the request, when the stages have accepted.
 @pytest.mark.parametrize("delay_s", [0.0, 0.0008])
-@entries.with_yard((0, 2), (2, 4), open_timeout_s=5.0, first_token_s=5.0)
-async def test_messages_lost_before_the_first_token_are_repeated(yard, delay_s):
+@entries.with_cluster((0, 2), (2, 4), open_timeout_s=5.0, first_token_s=5.0)
+async def test_messages_lost_before_the_first_token_are_repeated(
+    cluster, delay_s
+):
     """Guards against a stream whose StreamOpen or prefix was lost."""
-    ends = str(yard.settings.peer_address), str(yard.sidecars[0].address)
-    caller = yard.call_soon(yard.complete())
+    ends = str(cluster.settings.peer_address), str(cluster.sidecars[0].address)
+    caller = cluster.call_soon(cluster.complete())
     if not delay_s:
-        yard.network.cut(*ends)
+        cluster.network.cut(*ends)
     await trio.sleep(delay_s)
-    yard.network.cut(*ends)
+    cluster.network.cut(*ends)
     await trio.sleep(0.2)
-    assert not yard.sidecars[0].ran
-    yard.network.heal(*ends)
-    yard.network.reset(ends[0])
+    assert not cluster.sidecars[0].ran
+    cluster.network.heal(*ends)
+    cluster.network.reset(ends[0])
     await trio.sleep(1)
     check_complete(caller)
-    assert ("open", 2) not in yard.sidecars[0].log
+    assert ("open", 2) not in cluster.sidecars[0].log
 
 
-@entries.with_yard(*RANGES)
-async def test_gap_is_filled_by_attach(yard):
+@entries.with_cluster(*RANGES)
+async def test_gap_is_filled_by_attach(cluster):
     """Guards against tokens that are sent to the caller out of order."""
-    caller, _, last = await start(yard)
+    caller, _, last = await start(cluster)
     last.drops_tokens = True
     await trio.sleep(0.05)
     last.drops_tokens = False
@@ -201,14 +203,14 @@
     assert ("attach", 1) in last.log
 
 
-@entries.with_yard(*RANGES)
-async def test_tokens_of_other_streams_and_generations_are_dropped(yard):
+@entries.with_cluster(*RANGES)
+async def test_tokens_of_other_streams_and_generations_are_dropped(cluster):
     """Guards against a response that gets the tokens of another (R2)."""
-    first = yard.call_soon(yard.complete())
-    second = yard.call_soon(yard.complete(prompt="xyz"))
+    first = cluster.call_soon(cluster.complete())
+    second = cluster.call_soon(cluster.complete(prompt="xyz"))
     await trio.sleep(0.1)
     # The replaced stage lives on and repeats its tokens late.
-    old = find_stage(yard, 2)
+    old = find_stage(cluster, 2)
     for message in list(old.streams.values()):
         old._report_failure(message)
     await trio.sleep(0.05)
@@ -223,36 +225,36 @@
     assert second.text == sidecars.generate("xyz", 7, 20)
 
 
-@entries.with_yard(*RANGES)
-async def test_caller_that_leaves_cancels_all_stages(yard):
+@entries.with_cluster(*RANGES)
+async def test_caller_that_leaves_cancels_all_stages(cluster):
     """Guards against work for a caller that is gone."""
-    caller, *_ = await start(yard, 60)
+    caller, *_ = await start(cluster, 60)
     caller.disconnect()
     await trio.sleep(0.1)
-    check_idle(yard)
+    check_idle(cluster)
 
 
-@entries.with_yard(*RANGES)
-async def test_close_reaches_a_stage_after_its_connection_returns(yard):
+@entries.with_cluster(*RANGES)
+async def test_close_reaches_a_stage_after_its_connection_returns(cluster):
     """Guards against streams that stay on a stage which missed the close."""
-    caller, _, last = await start(yard, 60)
-    address = str(yard.settings.peer_address)
-    yard.network.cut(address, str(last.address))
+    caller, _, last = await start(cluster, 60)
+    address = str(cluster.settings.peer_address)
+    cluster.network.cut(address, str(last.address))
     await trio.sleep(1)
     caller.disconnect()
     await trio.sleep(1)
     assert last.streams
-    yard.network.heal(address, str(last.address))
+    cluster.network.heal(address, str(last.address))
     await trio.sleep(5)
     assert not last.streams
 
 
-@entries.with_yard(*[(0, 4)] * 5, recovery_limit=2)
-async def test_recoveries_are_limited(yard):
+@entries.with_cluster(*[(0, 4)] * 5, recovery_limit=2)
+async def test_recoveries_are_limited(cluster):
     """Guards against a request that visits every server without end."""
-    for item in yard.sidecars:
+    for item in cluster.sidecars:
         item.fails_at = 0
-    caller = await yard.call(yard.complete())
+    caller = await cluster.call(cluster.complete())
     assert caller.status == 502
     assert caller.json["error"]["code"] == "stream-lost"
     assert caller.json["error"]["verdict"] == "may-have-run"
--- a/tests/unit/test_completions.py
+++ b/tests/unit/test_completions.py
@@ -16,13 +16,13 @@
 
 
 @pytest.mark.parametrize("stream", [False, True])
-@entries.with_yard((0, 4))
-async def test_stop_sequence_ends_the_text_and_the_work(yard, stream):
+@entries.with_cluster((0, 4))
+async def test_stop_sequence_ends_the_text_and_the_work(cluster, stream):
     """Guards against text past a stop, and usage that depends on batches."""
     stop = EXPECTED[9:12]
     end = EXPECTED.index(stop)
-    caller = await yard.call(
-        yard.complete(
+    caller = await cluster.call(
+        cluster.complete(
             stop=["~", stop],
             stream=stream,
             stream_options={"include_usage": True},
@@ -46,12 +46,12 @@
     }
     assert caller.headers[b"x-request-id"] == b"r-1"
     await trio.sleep(0.1)
-    assert not yard.sidecars[0].streams
+    assert not cluster.sidecars[0].streams
 
 
 @pytest.mark.parametrize("stream", [False, True])
-@entries.with_yard((0, 4))
-async def test_chat_has_the_form_of_the_interface(yard, stream):
+@entries.with_cluster((0, 4))
+async def test_chat_has_the_form_of_the_interface(cluster, stream):
     """Guards against chunks that a client of the interface cannot read."""
     prompt = "system: be brief\nuser: hi\nassistant:"
     expected = sidecars.generate(prompt, 7, 5)
@@ -61,7 +61,7 @@
     ]
     value = {"model": "peri", "messages": messages, "seed": 7, "n": 1}
     value |= {"max_completion_tokens": 5, "stream": stream}
-    caller = await yard.call(entries.Caller(CHAT, value))
+    caller = await cluster.call(entries.Caller(CHAT, value))
     if not stream:
         (choice,) = caller.json["choices"]
         message = {"role": "assistant", "content": expected}
@@ -102,13 +102,13 @@
         ),
     ],
 )
-@entries.with_yard((0, 4))
+@entries.with_cluster((0, 4))
 async def test_bad_field_is_named_with_the_allowed_values(
-    yard, path, fields, place, allowed
+    cluster, path, fields, place, allowed
 ):
     """Guards against fields that are ignored or fail without their place."""
     value = (BODY if path == TEXT else {"model": "peri"}) | fields
-    caller = await yard.call(entries.Caller(path, value))
+    caller = await cluster.call(entries.Caller(path, value))
     error = caller.json["error"]
     assert (caller.status, error["code"]) == (400, "bad-request")
     before, _, after = error["message"].partition("allowed:")
@@ -131,72 +131,72 @@
         (entries.Caller("/readyz", method="GET", key=""), 200),
     ],
 )
-@entries.with_yard((0, 4), body_limit_bytes=8192)
-async def test_status_of_requests_that_reach_no_server(yard, caller, status):
+@entries.with_cluster((0, 4), body_limit_bytes=8192)
+async def test_status_of_requests_that_reach_no_server(cluster, caller, status):
     """Guards against requests that pass a check or get the wrong status."""
-    await yard.call(caller)
+    await cluster.call(caller)
     assert caller.status == status
     assert caller.headers[b"x-request-id"] == b"r-1"
     if status >= 400:
         error = caller.json["error"]
         assert error["verdict"] == "not-run"
         assert error["request_id"] == "r-1"
-    assert not yard.sidecars[0].log
+    assert not cluster.sidecars[0].log
 
 
-@entries.with_yard((0, 4))
-async def test_missing_configuration_is_not_an_unknown_key(yard):
+@entries.with_cluster((0, 4))
+async def test_missing_configuration_is_not_an_unknown_key(cluster):
     """Guards against a 401 for valid keys while the store is unavailable."""
     catalog = types.SimpleNamespace(revision=0)
-    yard.entry.spread = types.SimpleNamespace(catalog=catalog)
+    cluster.entry.spread = types.SimpleNamespace(catalog=catalog)
     ready = entries.Caller("/readyz", method="GET")
-    for caller in (yard.complete(), ready):
-        assert (await yard.call(caller)).status == 503
+    for caller in (cluster.complete(), ready):
+        assert (await cluster.call(caller)).status == 503
 
 
-@entries.with_yard((0, 4))
-async def test_slow_body_times_out(yard):
+@entries.with_cluster((0, 4))
+async def test_slow_body_times_out(cluster):
     """Guards against callers that hold a connection without a request."""
     caller = entries.Caller(TEXT, BODY)
     caller._arrivals.clear()
-    await yard.call(caller)
+    await cluster.call(caller)
     assert caller.status == 408
 
 
-@entries.with_yard((0, 4), write_timeout_s=5.0)
-async def test_slow_caller_is_cut_off_and_its_work_cancelled(yard):
+@entries.with_cluster((0, 4), write_timeout_s=5.0)
+async def test_slow_caller_is_cut_off_and_its_work_cancelled(cluster):
     """Guards against callers that do not read and keep a server busy."""
-    caller = yard.complete(60)
+    caller = cluster.complete(60)
     caller.write_s = 100
     started_at = trio.current_time()
-    await yard.call(caller)
+    await cluster.call(caller)
     assert trio.current_time() - started_at < 6
     await trio.sleep(0.1)
-    assert not yard.sidecars[0].streams
+    assert not cluster.sidecars[0].streams
 
 
-@entries.with_yard((0, 4))
-async def test_waiting_tokens_leave_as_one_chunk(yard):
+@entries.with_cluster((0, 4))
+async def test_waiting_tokens_leave_as_one_chunk(cluster):
     """Guards against one chunk for each token to a caller that is slow."""
-    caller = yard.complete(60)
+    caller = cluster.complete(60)
     caller.write_s = 0.2
-    await yard.call(caller)
+    await cluster.call(caller)
     assert caller.text == sidecars.generate("abc", 7, 60)
     assert len(caller.events) < 15
 
 
-@entries.with_yard((0, 4))
-async def test_requests_beyond_the_capacity_wait_or_are_not_run(yard):
+@entries.with_cluster((0, 4))
+async def test_requests_beyond_the_capacity_wait_or_are_not_run(cluster):
     """Guards against servers that get more streams than their limit."""
-    yard.sidecars[0].limit = 2
-    yard.sidecars[0].offer()
+    cluster.sidecars[0].limit = 2
+    cluster.sidecars[0].offer()
     await trio.sleep(0.1)
-    callers = [yard.call_soon(yard.complete()) for _ in range(12)]
+    callers = [cluster.call_soon(cluster.complete()) for _ in range(12)]
     highest = 0
     await trio.sleep(0.01)
-    while yard.entry._active:
+    while cluster.entry._active:
         await trio.sleep(0.01)
-        highest = max(highest, len(yard.sidecars[0].streams))
+        highest = max(highest, len(cluster.sidecars[0].streams))
     assert highest == 2
     done = [caller for caller in callers if caller.status == 200]
     assert len(done) >= 6
@@ -206,27 +206,27 @@
         assert int(caller.headers[b"retry-after"]) >= 1
 
 
-@entries.with_yard((0, 4))
-async def test_drain_finishes_streams_and_rejects_new_work(yard):
+@entries.with_cluster((0, 4))
+async def test_drain_finishes_streams_and_rejects_new_work(cluster):
     """Guards against a planned stop that interrupts a response (R6)."""
-    caller = yard.call_soon(yard.complete())
+    caller = cluster.call_soon(cluster.complete())
     await trio.sleep(0.1)
-    yard.nursery.start_soon(yard.entry.drain)
+    cluster.nursery.start_soon(cluster.entry.drain)
     await trio.sleep(0.01)
-    ready = await yard.call(entries.Caller("/readyz", method="GET"))
+    ready = await cluster.call(entries.Caller("/readyz", method="GET"))
     assert ready.status == 503
-    late = await yard.call(yard.complete())
+    late = await cluster.call(cluster.complete())
     assert late.json["error"]["code"] == "draining"
-    assert not yard.entry._stopped.is_set()
-    await yard.entry._stopped.wait()
+    assert not cluster.entry._stopped.is_set()
+    await cluster.entry._stopped.wait()
     assert caller.text == EXPECTED and caller.events[-1] == "[DONE]"
 
 
-@entries.with_yard((0, 4))
-async def test_durations_are_recorded_for_the_workspace(yard):
+@entries.with_cluster((0, 4))
+async def test_durations_are_recorded_for_the_workspace(cluster):
     """Guards against missing figures of the service level."""
-    await yard.call(yard.complete())
-    found = yard.entry.metrics.histograms.summarize()
+    await cluster.call(cluster.complete())
+    found = cluster.entry.metrics.histograms.summarize()
     keys = [(s.key.figure, s.key.workspace, s.key.priority) for s in found]
     assert keys == [
         (name, "north", "normal")
