Add the state machine of non-repeatable calls

Change: core.claims decides from events of the table and the service what an attempt does next, and what it tells its caller; decide_release voids inserts that are still on their way. Conclusion: every branch has a verdict; the sidecar only does the I/O.

--- /dev/null
+++ b/packages/peridotyard-core/src/peridotyard_core/claims.py
@@ -0,0 +1,434 @@
+"""The claim that makes a non-repeatable call run at most once.
+
+A claim is a row of the platform's table. Each attempt of a call has a random
+nonce and may run only after the table has accepted a row with that nonce.
+This module decides; the caller reads, writes, waits and watches the deadline.
+"""
+
+import base64
+import binascii
+import dataclasses
+import enum
+import hashlib
+import typing
+import urllib.parse
+
+from peridotyard_core import verdicts
+
+STARTED = "started"
+OUTCOME = "outcome"
+RELEASED = "released"
+
+
+@dataclasses.dataclass(frozen=True)
+class Outcome:
+    """What the service answered to the one call that ran.
+
+    Attributes:
+        status: HTTP status; 0 if the answer could not be kept.
+        headers: Name and value of each header.
+        body: The body.
+        message: Why the answer could not be kept.
+    """
+
+    status: int
+    headers: tuple[tuple[str, str], ...] = ()
+    body: bytes = b""
+    message: str = ""
+
+
+@dataclasses.dataclass(frozen=True)
+class Row:
+    """A claim as it is stored.
+
+    Attributes:
+        version: Version of the row in the table; 0 before it is written.
+        state: `STARTED`, `OUTCOME`, `RELEASED`, or another text if the row
+            cannot be interpreted.
+        nonce: Nonce of the attempt that wrote the row.
+        body_hash: See `hash_call`.
+        outcome: Set in state `OUTCOME`.
+        expires_at_s: Unix time after which the key may be used again, 0 for
+            never.
+    """
+
+    version: int
+    state: str
+    nonce: str
+    body_hash: str
+    outcome: Outcome | None = None
+    expires_at_s: float = 0.0
+
+    @classmethod
+    def from_value(cls, version: int, value: typing.Any, now_s: float) -> "Row":
+        """Interprets the JSON value of a row at the Unix time `now_s`.
+
+        An outcome whose retention has ended becomes a released row, since its
+        key may be used again. A started row never expires: the call may have
+        run, and no later fact would contradict that. A value that cannot be
+        interpreted, as one of a later release, gets the state "invalid".
+        """
+        try:
+            row = cls(
+                version,
+                str(value["state"]),
+                str(value["nonce"]),
+                str(value["body_hash"]),
+                _parse_outcome(value.get("outcome")),
+                float(value.get("expires_at_s", 0)),
+            )
+        except (TypeError, ValueError, LookupError, AttributeError):
+            return cls(version, "invalid", "", "")
+        if row.state == OUTCOME:
+            if row.outcome is None:
+                return dataclasses.replace(row, state="invalid")
+            if 0 < row.expires_at_s <= now_s:
+                return dataclasses.replace(row, state=RELEASED, outcome=None)
+        return row
+
+    def to_value(self) -> dict:
+        """Returns the JSON value of the row."""
+        value = {
+            "state": self.state,
+            "nonce": self.nonce,
+            "body_hash": self.body_hash,
+            "expires_at_s": self.expires_at_s,
+        }
+        if self.outcome is not None:
+            value["outcome"] = {
+                "status": self.outcome.status,
+                "headers": [list(pair) for pair in self.outcome.headers],
+                "body": base64.b64encode(self.outcome.body).decode(),
+                "message": self.outcome.message,
+            }
+        return value
+
+
+def _parse_outcome(value) -> Outcome | None:
+    if value is None:
+        return None
+    try:
+        body = base64.b64decode(value["body"], validate=True)
+    except binascii.Error as error:
+        raise ValueError("body") from error
+    headers = tuple((str(name), str(text)) for name, text in value["headers"])
+    return Outcome(int(value["status"]), headers, body, str(value["message"]))
+
+
+def make_key(workspace: str, service: str, key: str) -> str:
+    """Returns the table key; quoting keeps "a/b","c" apart from "a","b/c"."""
+    parts = (workspace, service, key)
+    return "claims/" + "/".join(urllib.parse.quote(p, safe="") for p in parts)
+
+
+def hash_call(method: str, path: str, body: bytes) -> str:
+    """Returns the hash by which two calls under one key are compared."""
+    digest = hashlib.sha256()
+    for part in (method.encode(), path.encode(), body):
+        # With the length, moving bytes between the parts changes the hash.
+        digest.update(len(part).to_bytes(8, "big") + part)
+    return digest.hexdigest()
+
+
+# Events.
+
+
+@dataclasses.dataclass(frozen=True)
+class Written:
+    """The table accepted the row."""
+
+    version: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Found:
+    """The row as read, or as returned by a conflict; None if absent."""
+
+    row: Row | None
+
+
+@dataclasses.dataclass(frozen=True)
+class Refused:
+    """The last request to the table certainly had no effect."""
+
+
+@dataclasses.dataclass(frozen=True)
+class ReplyLost:
+    """The last request to the table may have taken effect, or may later."""
+
+
+@dataclasses.dataclass(frozen=True)
+class DeadlineReached:
+    """No time is left."""
+
+
+@dataclasses.dataclass(frozen=True)
+class CallUnsent:
+    """The service cannot have received the call."""
+
+
+@dataclasses.dataclass(frozen=True)
+class CallLost:
+    """The service may have received the call; there is no answer."""
+
+
+@dataclasses.dataclass(frozen=True)
+class CallAnswered:
+    """The service answered."""
+
+    outcome: Outcome
+
+
+Event = (
+    Written
+    | Found
+    | Refused
+    | ReplyLost
+    | DeadlineReached
+    | CallUnsent
+    | CallLost
+    | CallAnswered
+)
+
+
+# Actions.
+
+
+@dataclasses.dataclass(frozen=True)
+class Insert:
+    """Write the row on condition that its present version is `expected`."""
+
+    row: Row
+    expected: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Read:
+    """Read the row, after a pause if `is_poll`."""
+
+    is_poll: bool
+
+
+@dataclasses.dataclass(frozen=True)
+class Run:
+    """Call the service now, once."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Answer:
+    """Send the outcome to the caller.
+
+    Attributes:
+        outcome: The outcome.
+        replayed: It is that of an earlier attempt and needs no write.
+    """
+
+    outcome: Outcome
+    replayed: bool
+
+
+@dataclasses.dataclass(frozen=True)
+class Reject:
+    """Send the failure to the caller.
+
+    Attributes:
+        failure: The failure.
+        release: This attempt may have left a started row but will never run:
+            see `decide_release`.
+    """
+
+    failure: verdicts.Failure
+    release: bool = False
+
+
+Action = Insert | Read | Run | Answer | Reject
+
+
+class Phase(enum.Enum):
+    """How far an attempt has come."""
+
+    INSERTING = "inserting"
+    # An insert has no known result, so the row must be read.
+    RESOLVING = "resolving"
+    WAITING = "waiting"
+    OWNED = "owned"
+    DONE = "done"
+
+
+@dataclasses.dataclass
+class Claim:
+    """One attempt of a non-repeatable call, owned by its sidecar.
+
+    Attributes:
+        nonce: Random name of the attempt.
+        body_hash: See `hash_call`.
+        expires_at_s: Of the started row; the outcome sets its own.
+        version: Version of the own row while `phase` is `OWNED`.
+        unresolved: A sent insert may have taken effect, or may do so later.
+    """
+
+    nonce: str
+    body_hash: str
+    phase: Phase = Phase.INSERTING
+    version: int = 0
+    unresolved: bool = False
+
+    def start(self) -> Action:
+        """Returns the first action."""
+        return self._insert(0)
+
+    def handle(self, event: Event) -> Action:
+        """Returns the next action.
+
+        Raises:
+            ValueError: The event cannot follow the last action.
+        """
+        match self.phase, event:
+            case Phase.INSERTING, Written(version):
+                return self._own(version)
+            case (
+                (Phase.INSERTING | Phase.RESOLVING | Phase.WAITING),
+                Found(row),
+            ):
+                return self._handle_row(row)
+            case Phase.INSERTING, ReplyLost():
+                self.unresolved = True
+                self.phase = Phase.RESOLVING
+                return Read(is_poll=False)
+            case Phase.INSERTING, Refused() if not self.unresolved:
+                return self._reject_table()
+            case (
+                (Phase.INSERTING | Phase.RESOLVING),
+                (Refused() | ReplyLost()),
+            ):
+                self.phase = Phase.RESOLVING
+                return Read(is_poll=True)
+            case Phase.WAITING, Refused() | ReplyLost():
+                return Read(is_poll=True)
+            case _, DeadlineReached() if self.phase is not Phase.DONE:
+                return self._give_up()
+            case Phase.OWNED, CallUnsent() | CallLost() | CallAnswered():
+                return self._finish_call(event)
+        raise ValueError(f"{event} in phase {self.phase.value}")
+
+    def _insert(self, expected: int) -> Insert:
+        self.phase = Phase.INSERTING
+        row = Row(0, STARTED, self.nonce, self.body_hash)
+        return Insert(row, expected)
+
+    def _own(self, version: int) -> Run:
+        self.phase = Phase.OWNED
+        self.version = version
+        self.unresolved = False
+        return Run()
+
+    def _handle_row(self, row: Row | None) -> Action:
+        if row is None:
+            return self._insert(0)
+        if row.state == RELEASED:
+            # That attempt never ran, so neither did its body.
+            return self._insert(row.version)
+        if row.state == STARTED and row.nonce == self.nonce:
+            return self._own(row.version)
+        # The row of another attempt: an insert of this one can no longer take
+        # effect, since its condition names an older version.
+        self.unresolved = False
+        if row.state not in (STARTED, OUTCOME):
+            return self._end(
+                verdicts.doubt(
+                    "outcome-unknown",
+                    f"The claim is in the unknown state {row.state!r}.",
+                )
+            )
+        if row.body_hash != self.body_hash:
+            return self._end(
+                verdicts.refuse(
+                    "idempotency-key-reused",
+                    "The idempotency key was used with another request.",
+                )
+            )
+        if row.state == OUTCOME:
+            self.phase = Phase.DONE
+            return Answer(row.outcome, replayed=True)
+        self.phase = Phase.WAITING
+        return Read(is_poll=True)
+
+    def _reject_table(self) -> Reject:
+        return self._end(
+            verdicts.refuse(
+                "store-unavailable", "The table service is unavailable.", 1.0
+            )
+        )
+
+    def _give_up(self) -> Reject:
+        if self.phase is Phase.WAITING:
+            return self._end(
+                verdicts.doubt(
+                    "outcome-unknown",
+                    "An earlier call with this key has no known outcome.",
+                )
+            )
+        release = self.unresolved or self.phase is Phase.OWNED
+        return self._end(
+            verdicts.refuse(
+                "deadline-exceeded", "The call was not started in time."
+            ),
+            release,
+        )
+
+    def _finish_call(self, event) -> Action:
+        match event:
+            case CallAnswered(outcome):
+                self.phase = Phase.DONE
+                return Answer(outcome, replayed=False)
+            case CallLost():
+                return self._end(
+                    verdicts.doubt(
+                        "backend-lost", "The service gave no complete answer."
+                    )
+                )
+            case _:
+                return self._end(
+                    verdicts.refuse(
+                        "backend-unavailable",
+                        "The service cannot be reached.",
+                        1.0,
+                    ),
+                    release=True,
+                )
+
+    def _end(self, failure: verdicts.Failure, release=False) -> Reject:
+        self.phase = Phase.DONE
+        return Reject(failure, release)
+
+
+def decide_release(row: Row | None, nonce: str, body_hash: str):
+    """Returns the write that ends an attempt which will never run.
+
+    A released row is also written where there is none, since an insert of the
+    attempt may still be on its way to the table.
+
+    Returns:
+        The insert, or None if nothing is left to release.
+    """
+    released = Row(0, RELEASED, nonce, body_hash)
+    if row is None:
+        return Insert(released, 0)
+    # A lost insert over a released row is conditional on its version, which
+    # a newer version makes void.
+    if (row.state == STARTED) == (row.nonce == nonce) and row.state in (
+        STARTED,
+        RELEASED,
+    ):
+        return Insert(released, row.version)
+    return None
+
+
+def decide_outcome(
+    row: Row | None, nonce: str, body_hash: str, outcome: Outcome, expires_at_s
+):
+    """Returns the write of an outcome over the own started row, if needed."""
+    if row is not None and row.state == STARTED and row.nonce == nonce:
+        done = Row(0, OUTCOME, nonce, body_hash, outcome, expires_at_s)
+        return Insert(done, row.version)
+    return None
