Add clients of the platform services and their emulation

Cause: claims, configuration and trial deployments need the platform. Change: clients of table, objects, instances and weights that tell unsent, lost, refused and invalid requests apart; emulated services with injectable faults, which also run inside a test.

--- /dev/null
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/weights.py
@@ -0,0 +1,51 @@
+"""Client of the weight store."""
+
+import urllib.parse
+
+from peridotyard_core import addresses
+from returns import result
+
+from peridotyard_daemon.connection import http
+from peridotyard_daemon.process import platform
+
+
+class Weights:
+    """The weight store as used by one process, owned by the process.
+
+    The store is read in parts, so that a process never holds a whole file and
+    a lost answer costs one part.
+    """
+
+    def __init__(
+        self, address: addresses.Address, timeout_s: float, client=None
+    ):
+        self._client = client or http.Client(address, timeout_s)
+
+    async def list(self) -> result.Result:
+        """Returns the size in bytes of each file, by name."""
+        reply = await platform.exchange(self._client, "GET", "/v1/weights")
+        return reply.bind(
+            lambda response: platform.parse(
+                response,
+                lambda value: {
+                    name: int(size) for name, size in value["weights"].items()
+                },
+            )
+        )
+
+    async def read(self, name: str, offset: int, count: int) -> result.Result:
+        """Returns up to `count` bytes of a file, None if there is no file."""
+        path = "/v1/weights/" + urllib.parse.quote(name, safe="")
+        reply = await platform.exchange(
+            self._client,
+            "GET",
+            f"{path}?offset={offset}&count={count}",
+            accepted=(200, 404),
+        )
+        return reply.map(
+            lambda response: response.body if response.status == 200 else None
+        )
+
+    async def close(self) -> None:
+        """Closes all connections."""
+        await self._client.close()
--- /dev/null
+++ b/packages/peridotyard-emulator/src/peridotyard_emulator/rates.py
@@ -0,0 +1,47 @@
+"""Rate limits of the emulated services."""
+
+
+class Rate:
+    """A token bucket that holds one second's worth, owned by a state."""
+
+    def __init__(self, per_s: float, now):
+        """Makes a full bucket.
+
+        Args:
+            per_s: Tokens for each second, 0 for no limit.
+            now: Returns seconds that never go back.
+        """
+        self._per_s = per_s
+        self._now = now
+        self._tokens = per_s
+        self._filled_at = None
+
+    def take(self) -> bool:
+        """Takes a token; returns False if there is none."""
+        if not self._per_s:
+            return True
+        now = self._now()
+        if self._filled_at is not None:
+            gained = (now - self._filled_at) * self._per_s
+            self._tokens = min(max(self._per_s, 1.0), self._tokens + gained)
+        self._filled_at = now
+        if self._tokens < 1:
+            return False
+        self._tokens -= 1
+        return True
+
+
+class Pacer:
+    """Shares a bandwidth between transfers, owned by a state."""
+
+    def __init__(self, per_s: float, now):
+        self._per_s = per_s
+        self._now = now
+        self._free_at = 0.0
+
+    def reserve(self, count: int) -> float:
+        """Reserves the next `count` units; returns the seconds to wait."""
+        now = self._now()
+        start = max(now, self._free_at)
+        self._free_at = start + count / self._per_s
+        return self._free_at - now
--- /dev/null
+++ b/packages/peridotyard-emulator/src/peridotyard_emulator/web.py
@@ -0,0 +1,317 @@
+"""The HTTP side of the emulated services."""
+
+import collections.abc
+import dataclasses
+import json
+import os
+import signal
+import typing
+import urllib.parse
+
+from peridotyard_core import addresses
+from peridotyard_core import errors
+from peridotyard_core import options
+from peridotyard_core import settings
+from peridotyard_daemon.connection import http
+import trio
+
+from peridotyard_emulator import faults
+
+BODY_LIMIT_BYTES = 64 << 20
+BODY_TIMEOUT_S = 60.0
+# Exit status of a server that a marked request crashes.
+CRASH_STATUS = 70
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Settings(settings.ProcessSettings):
+    """Options that all emulated services share."""
+
+    address: addresses.Address = options.declare(
+        "listen", "address", "address", options.REQUIRED, "HTTP address"
+    )
+    faults: tuple[str, ...] = options.declare(
+        "faults",
+        "kinds",
+        "names",
+        (),
+        "active faults, of: " + ", ".join(faults.KINDS),
+    )
+    fault_count: int = options.declare(
+        "faults",
+        "count",
+        "int",
+        0,
+        "requests that each fault affects, 0 until cleared",
+        minimum=0,
+    )
+    fault_delay_s: float = options.declare(
+        "faults",
+        "delay_s",
+        "float",
+        1.0,
+        "seconds, for slow, late-effect and lag",
+        minimum=0,
+        maximum=3600,
+    )
+
+
+@dataclasses.dataclass(frozen=True)
+class Call:
+    """One request to the state of an emulated service."""
+
+    method: str
+    path: str
+    query: dict[str, str]
+    headers: dict[str, str]
+    body: bytes
+
+    @property
+    def json(self) -> typing.Any:
+        """The JSON value of the body.
+
+        Raises:
+            ValueError: The body is not JSON.
+        """
+        return json.loads(self.body)
+
+
+@dataclasses.dataclass(frozen=True)
+class Answer:
+    """What a state answers.
+
+    Attributes:
+        status: HTTP status.
+        value: JSON value; bytes are sent as they are.
+        chunks: Body that is sent in parts instead of `value`.
+        delay_s: Seconds before the answer.
+        silent: The answer never comes.
+        crash: The server process ends without an answer.
+    """
+
+    status: int = 200
+    value: typing.Any = None
+    chunks: collections.abc.AsyncIterator[bytes] | None = None
+    delay_s: float = 0.0
+    silent: bool = False
+    crash: bool = False
+
+
+NOT_FOUND = Answer(404, {"error": "not found"})
+
+
+class State(typing.Protocol):
+    """The state of an emulated service, without any I/O."""
+
+    def handle(self, call: Call) -> Answer:
+        """Processes one request at once.
+
+        Raises:
+            ValueError: The request is invalid; becomes status 400.
+        """
+
+    def describe(self) -> dict:
+        """Returns what `GET /control/state` shows."""
+
+
+class Application:
+    """ASGI application of one emulated service, owned by its process."""
+
+    def __init__(self, state: State, active: faults.Faults, crash=None):
+        self.state = state
+        self.faults = active
+        self._crash = crash or (lambda: os._exit(CRASH_STATUS))
+        self.nursery: trio.Nursery | None = None
+
+    async def __call__(self, scope, receive, send) -> None:
+        """Serves one request."""
+        if scope["type"] == "lifespan":
+            await http.run_lifespan(receive, send)
+            return
+        request = http.Request.from_scope(scope)
+        try:
+            body = await http.read_body(
+                receive, BODY_LIMIT_BYTES, BODY_TIMEOUT_S
+            )
+        except http.CallerGoneError:
+            return
+        except http.RequestError as error:
+            await http.send_failure(send, error.failure, "")
+            return
+        # The decoded path of the scope does not tell "/" from "%2F".
+        path = request.raw_path.partition("?")[0]
+        call = Call(request.method, path, request.query, request.headers, body)
+        if path.startswith("/control/"):
+            await _send(send, self._handle_control(call))
+            return
+        answer = await self._handle(call)
+        if answer.delay_s:
+            await trio.sleep(answer.delay_s)
+        if answer.crash:
+            self._crash()
+        if answer.silent or answer.crash:
+            while (await receive())["type"] != "http.disconnect":
+                pass
+            return
+        await _send(send, answer)
+
+    async def _handle(self, call: Call) -> Answer:
+        fault = self.faults.take(call.path)
+        match fault and fault.kind:
+            case "outage":
+                return Answer(silent=True)
+            case "refuse":
+                return Answer(503, {"error": "unavailable"})
+            case "lost-reply":
+                self._answer(call)
+                return Answer(silent=True)
+            case "late-effect":
+                # The effect must come even if the caller goes away.
+                self.nursery.start_soon(self._apply, call, fault.delay_s)
+                return Answer(silent=True)
+            case "slow":
+                await trio.sleep(fault.delay_s)
+        return self._answer(call)
+
+    async def _apply(self, call: Call, delay_s: float) -> None:
+        await trio.sleep(delay_s)
+        self._answer(call)
+
+    def _answer(self, call: Call) -> Answer:
+        try:
+            return self.state.handle(call)
+        except (ValueError, LookupError, TypeError) as error:
+            return Answer(400, {"error": f"bad request: {error!r}"})
+
+    def _handle_control(self, call: Call) -> Answer:
+        match call.method, call.path:
+            case "GET", "/control/state":
+                value = self.state.describe()
+                return Answer(value={**value, "faults": self.faults.describe()})
+            case "POST", "/control/faults":
+                try:
+                    self.faults.set_json(call.json)
+                except ValueError as error:
+                    return Answer(400, {"error": str(error)})
+                return Answer(value={"faults": self.faults.describe()})
+        return self._answer(call)
+
+
+async def _send(send, answer: Answer) -> None:
+    if answer.chunks is None:
+        is_bytes = isinstance(answer.value, bytes)
+        await http.send_bytes(
+            send,
+            answer.status,
+            answer.value if is_bytes else json.dumps(answer.value).encode(),
+            b"application/octet-stream" if is_bytes else http.JSON_TYPE,
+        )
+        return
+    start = {
+        "type": "http.response.start",
+        "status": answer.status,
+        "headers": [(b"content-type", b"application/octet-stream")],
+    }
+    await send(start)
+    async for chunk in answer.chunks:
+        await send(
+            {"type": "http.response.body", "body": chunk, "more_body": True}
+        )
+    await send({"type": "http.response.body", "body": b""})
+
+
+def run(values: Settings, make_state) -> int:
+    """Serves a state until SIGTERM or SIGINT and returns the exit status.
+
+    Args:
+        values: Settings of the service.
+        make_state: Takes the faults and returns the state; it is called within
+            the event loop, so that it can read its clock.
+    """
+    active = faults.Faults.from_config(values)
+    error = None
+    try:
+        trio.run(_run, values, active, make_state)
+    except* OSError as group:
+        # The nurseries of the server wrap the one error of binding.
+        error = group
+    while isinstance(error, BaseExceptionGroup):
+        error = error.exceptions[0]
+    if error is not None:
+        raise errors.PeridotyardError(f"{values.address}: {error}")
+    return 0
+
+
+async def _run(values: Settings, active: faults.Faults, make_state) -> None:
+    application = Application(make_state(active), active)
+    stopped = trio.Event()
+    async with trio.open_nursery() as nursery:
+        application.nursery = nursery
+        nursery.start_soon(_watch_signals, stopped)
+        await http.serve(application, values.address, stopped)
+        nursery.cancel_scope.cancel()
+
+
+async def _watch_signals(stopped: trio.Event) -> None:
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async for _ in signals:
+            stopped.set()
+
+
+class LocalClient(http.Client):
+    """Calls an application in this process, in place of `http.Client`.
+
+    Owned by a test.
+
+    Attributes:
+        is_reachable: Whether a connection can be made; everything else but a
+            whole answer is a lost reply.
+    """
+
+    # Opens no pool of connections, unlike the base class.
+    def __init__(self, application: Application, timeout_s: float):
+        self._application = application
+        self._timeout_s = timeout_s
+        self.is_reachable = True
+
+    async def request(
+        self, method, path, *, body=b"", headers=(), timeout_s=None
+    ) -> http.Response:
+        """Sends a request; see `http.Client.request`."""
+        if not self.is_reachable:
+            raise http.UnsentError(f"{method} {path}: no connection")
+        raw_path, _, query = path.partition("?")
+        scope = {
+            "type": "http",
+            "method": method,
+            "path": urllib.parse.unquote(raw_path),
+            "raw_path": raw_path.encode(),
+            "query_string": query.encode(),
+            "headers": http.encode_headers(dict(headers)),
+        }
+        messages = [{"type": "http.request", "body": body}]
+        sent = []
+
+        async def receive():
+            if messages:
+                return messages.pop()
+            return await trio.sleep_forever()
+
+        async def send(message):
+            await trio.lowlevel.checkpoint()
+            sent.append(message)
+
+        limit_s = self._timeout_s if timeout_s is None else timeout_s
+        with trio.move_on_after(max(0.0, limit_s)) as limit:
+            await self._application(scope, receive, send)
+        if limit.cancelled_caught or not sent:
+            raise http.LostError(f"{method} {path}: no answer")
+        pairs = tuple(
+            (name.decode("latin-1"), value.decode("latin-1"))
+            for name, value in sent[0]["headers"]
+        )
+        data = b"".join(message["body"] for message in sent[1:])
+        return http.Response(sent[0]["status"], pairs, data)
+
+    async def close(self) -> None:
+        """Does nothing."""
