Add calls of plain services at entry and sidecar

Change: request.calls routes a call, retries it within the budget and sends the same key to another sidecar when one is lost; request.claims claims the key, calls the service once and keeps the outcome; connection.backends tells unsent from lost calls.

--- /dev/null
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/connection/backends.py
@@ -0,0 +1,145 @@
+"""Client of a plain service beside a sidecar."""
+
+import collections.abc
+import dataclasses
+
+from peridotyard_core import addresses
+from returns import result
+import trio
+
+from peridotyard_daemon.connection import http
+
+RESPONSE_LIMIT_BYTES = 1 << 20
+
+# Headers that belong to one connection (RFC 9110, section 7.6.1), and those
+# that the client itself writes.
+CONNECTION_HEADERS = frozenset(
+    (
+        "connection",
+        "content-length",
+        "host",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    )
+)
+
+
+@dataclasses.dataclass(frozen=True)
+class Unsent:
+    """The service cannot have received the call."""
+
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True)
+class Lost:
+    """The service may have received the call; there is no answer."""
+
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True)
+class TooLarge:
+    """The service ran the call, but its answer is over the limit."""
+
+    status: int
+    limit_bytes: int
+
+
+def remove_connection_headers(
+    headers: collections.abc.Iterable[tuple[str, str]],
+) -> tuple[tuple[str, str], ...]:
+    """Returns the headers without those that belong to a connection."""
+    pairs = tuple(headers)
+    named = {
+        token.strip().lower()
+        for name, value in pairs
+        if name.lower() == "connection"
+        for token in value.split(",")
+    }
+    removed = CONNECTION_HEADERS | named
+    return tuple(pair for pair in pairs if pair[0].lower() not in removed)
+
+
+class Backend:
+    """The plain service beside this sidecar, owned by the sidecar."""
+
+    def __init__(
+        self,
+        address: addresses.Address,
+        concurrency: int,
+        limit_bytes: int = RESPONSE_LIMIT_BYTES,
+    ):
+        # Imported here: the sidecar of a model engine needs no HTTP client.
+        import httpcore  # noqa: PLC0415
+
+        self._httpcore = httpcore
+        self._base = f"http://{address}"
+        self._limit_bytes = limit_bytes
+        self._pool = httpcore.AsyncConnectionPool(
+            max_connections=concurrency, keepalive_expiry=30
+        )
+
+    async def call(
+        self, method: str, path: str, headers, body: bytes, timeout_s: float
+    ) -> result.Result[http.Response, Unsent | Lost | TooLarge]:
+        """Sends a call once.
+
+        Args:
+            method: HTTP method.
+            path: Path and query, percent-encoded.
+            headers: Name and value of each header.
+            body: Request body.
+            timeout_s: Seconds for the whole exchange.
+        """
+        sent = False
+
+        async def trace(event, _info) -> None:
+            nonlocal sent
+            # Conservative: set as soon as anything of the request may leave.
+            if event == "http11.send_request_headers.started":
+                sent = True
+
+        try:
+            with trio.fail_after(max(0.0, timeout_s)):
+                async with self._pool.stream(
+                    method,
+                    self._base + path,
+                    headers=list(remove_connection_headers(headers)),
+                    content=body,
+                    extensions={"trace": trace},
+                ) as answer:
+                    return await self._read(answer)
+        except (
+            trio.TooSlowError,
+            OSError,
+            self._httpcore.NetworkError,
+            self._httpcore.ProtocolError,
+            self._httpcore.TimeoutException,
+        ) as error:
+            reason = type(error).__name__
+            return result.Failure(Lost(reason) if sent else Unsent(reason))
+
+    async def _read(self, answer) -> result.Result:
+        body = bytearray()
+        async for part in answer.aiter_stream():
+            body += part
+            if len(body) > self._limit_bytes:
+                return result.Failure(
+                    TooLarge(answer.status, self._limit_bytes)
+                )
+        pairs = remove_connection_headers(
+            (name.decode("latin-1"), value.decode("latin-1"))
+            for name, value in answer.headers
+        )
+        return result.Success(http.Response(answer.status, pairs, bytes(body)))
+
+    async def close(self) -> None:
+        """Closes all connections."""
+        await self._pool.aclose()
--- /dev/null
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/calls.py
@@ -0,0 +1,332 @@
+"""Calls of plain services at the entry."""
+
+import collections
+import collections.abc
+import copy
+import dataclasses
+import itertools
+import typing
+import urllib.parse
+
+from peridotyard_core import claims
+from peridotyard_core import verdicts
+import trio
+
+from peridotyard_daemon.connection import backends
+from peridotyard_daemon.connection import http
+from peridotyard_daemon.wire.generated import ttypes
+
+PREFIX = "/v1/services/"
+KEY_HEADER = "idempotency-key"
+KEY_LIMIT = 255
+# The sidecar gives up before the entry does, so that its verdict, which is
+# more exact, still arrives.
+REPLY_MARGIN_S = 0.1
+# A request that has lost two servers may be what crashed them.
+LOST_LIMIT = 2
+# Codes of a reply after which another sidecar may have a better one.
+RETRIED_CODES = frozenset(("overloaded", "draining", "backend-unavailable"))
+# The key of the caller is not for the service, and the entry has already met
+# the expectation of a caller that waits before it sends its body.
+DROPPED_HEADERS = frozenset(("authorization", "expect", KEY_HEADER))
+
+
+class Budget(typing.Protocol):
+    """Limits retries to a fraction of successes."""
+
+    def record_success(self) -> None:
+        """Counts a request that succeeded."""
+
+    def try_spend(self) -> bool:
+        """Returns whether one more retry is allowed, and counts it."""
+
+
+@dataclasses.dataclass
+class _Attempt:
+    """One call sent to one sidecar; `reply` is None if it was lost."""
+
+    done: trio.Event = dataclasses.field(default_factory=trio.Event)
+    reply: ttypes.CallReply | None = None
+
+    def finish(self, reply: ttypes.CallReply | None) -> None:
+        self.reply = reply
+        self.done.set()
+
+
+class Calls:
+    """The calls of plain services of one entry, owned by its process."""
+
+    def __init__(
+        self,
+        list_offers: collections.abc.Callable,
+        find_service: collections.abc.Callable,
+        budget: Budget,
+        *,
+        timeout_s: float,
+        body_limit_bytes: int,
+        body_timeout_s: float,
+    ):
+        """Makes the calls.
+
+        Args:
+            list_offers: Takes a service name and returns pairs of an open
+                connection and the `Offer` last received on it.
+            find_service: Takes a service name and returns the
+                `configuration.Service` or None.
+            budget: Retry budget of the entry.
+            timeout_s: Longest time for one request.
+            body_limit_bytes: Largest request body.
+            body_timeout_s: Longest time for a caller to send its body.
+        """
+        self._list_offers = list_offers
+        self._find_service = find_service
+        self._budget = budget
+        self._timeout_s = timeout_s
+        self._body_limit_bytes = body_limit_bytes
+        self._body_timeout_s = body_timeout_s
+        self._numbers = itertools.count(1)
+        self._attempts: dict[tuple[typing.Any, int], _Attempt] = {}
+        # Counted here, since the counts in offers lag.
+        self._in_flight = collections.Counter()
+
+    @property
+    def in_flight(self) -> int:
+        """Calls that wait for a reply of a sidecar."""
+        return len(self._attempts)
+
+    def handle_frame(self, connection, frame: ttypes.Frame) -> bool:
+        """Takes a `CallReply`; returns False for other frames."""
+        if frame.call_reply is None:
+            return False
+        attempt = self._attempts.get((connection, frame.call_reply.call))
+        if attempt is not None:
+            attempt.finish(frame.call_reply)
+        return True
+
+    def handle_closed(self, connection) -> None:
+        """Ends the attempts on a closed connection."""
+        for (owner, _), attempt in self._attempts.items():
+            if owner is connection and not attempt.done.is_set():
+                attempt.finish(None)
+
+    async def handle(
+        self, request: http.Request, workspace, request_id, receive, send
+    ) -> None:
+        """Serves `/v1/services/<service>/<path>`.
+
+        Args:
+            request: The request of the caller.
+            workspace: The authenticated `configuration.Workspace`.
+            request_id: Id for logs and answers.
+            receive: ASGI function.
+            send: ASGI function.
+        """
+        deadline = trio.current_time() + self._timeout_s
+        try:
+            call = self._make_call(request, workspace, request_id)
+            call.body = await http.read_body(
+                receive, self._body_limit_bytes, self._body_timeout_s
+            )
+        except http.RequestError as error:
+            await http.send_failure(send, error.failure, request_id)
+            return
+        except http.CallerGoneError:
+            return
+        digest = claims.hash_call(call.method, call.path, call.body)
+        call.fingerprint = int.from_bytes(
+            bytes.fromhex(digest[:16]), "big", signed=True
+        )
+        async with trio.open_nursery() as nursery:
+            if call.idempotent:
+                # A non-repeatable call goes on, so that a retry of the caller
+                # finds its outcome.
+                nursery.start_soon(
+                    _cancel_when_gone, receive, nursery.cancel_scope
+                )
+            answer = await self._run(call, deadline)
+            await _send(send, answer, request_id)
+            nursery.cancel_scope.cancel()
+
+    def _make_call(self, request, workspace, request_id) -> ttypes.Call:
+        quoted, separator, rest = request.raw_path.removeprefix(
+            PREFIX
+        ).partition("/")
+        if not separator:
+            quoted, mark, query = quoted.partition("?")
+            rest = mark + query
+        name = urllib.parse.unquote(quoted)
+        service = self._find_service(name)
+        if service is None or name not in workspace.services:
+            raise http.RequestError(
+                verdicts.refuse(
+                    "forbidden", f"The workspace has no service {name!r}."
+                )
+            )
+        idempotent = request.method in service.idempotent_methods
+        key = request.headers.get(KEY_HEADER, "")
+        if not idempotent:
+            _check_key(key)
+        kept = backends.remove_connection_headers(request.headers.items())
+        headers = [
+            ttypes.Header(name, value)
+            for name, value in kept
+            if name not in DROPPED_HEADERS and name != "x-request-id"
+        ]
+        headers.append(ttypes.Header("x-request-id", request_id))
+        return ttypes.Call(
+            workspace=workspace.name,
+            service_name=name,
+            method=request.method,
+            path="/" + rest,
+            headers=headers,
+            idempotent=idempotent,
+            idempotency_key="" if idempotent else key,
+            request=request_id,
+        )
+
+    async def _run(self, call, deadline):
+        """Returns the `CallReply` of the service or a `verdicts.Failure`."""
+        tried = set()
+        lost = 0
+        failure = verdicts.refuse(
+            "no-capacity", f"No server offers {call.service_name!r} now.", 1.0
+        )
+        while True:
+            connection = self._pick(call.service_name, tried)
+            if connection is None:
+                break
+            if tried and not self._budget.try_spend():
+                break
+            tried.add(connection)
+            sent, reply = await self._send_call(connection, call, deadline)
+            if not sent:
+                continue
+            if reply is not None and reply.status:
+                self._budget.record_success()
+                return reply
+            failure = _read_failure(reply, trio.current_time() >= deadline)
+            doubtful = failure.verdict is verdicts.Verdict.MAY_HAVE_RUN
+            lost += doubtful
+            if trio.current_time() >= deadline or lost >= LOST_LIMIT:
+                break
+            # Without a reply the same key goes to another sidecar, whose
+            # claim finds out; a doubtful reply has already been found out.
+            repeatable = reply is None or call.idempotent
+            if not (failure.code in RETRIED_CODES or (doubtful and repeatable)):
+                break
+        if lost and failure.verdict is verdicts.Verdict.NOT_RUN:
+            # The last attempt did not run, but an earlier one may have.
+            return verdicts.doubt(
+                "outcome-unknown",
+                f"An earlier attempt may have run. {failure.message}",
+            )
+        return failure
+
+    def _pick(self, service: str, tried):
+        choices = [
+            (self._in_flight[connection], offer.in_flight, number, connection)
+            for number, (connection, offer) in enumerate(
+                self._list_offers(service)
+            )
+            if connection not in tried
+            and connection.is_open
+            and offer.ready
+            and not offer.draining
+        ]
+        return (
+            min(choices, key=lambda choice: choice[:3])[3] if choices else None
+        )
+
+    async def _send_call(self, connection, call, deadline):
+        """Returns whether the call was sent, and its reply if there is one."""
+        number = next(self._numbers)
+        left_s = max(0.0, deadline - trio.current_time())
+        margin_s = min(REPLY_MARGIN_S, left_s / 10)
+        numbered = copy.copy(call)
+        numbered.call = number
+        numbered.deadline_ms = int(1000 * (left_s - margin_s))
+        frame = ttypes.Frame(call=numbered)
+        attempt = _Attempt()
+        self._attempts[connection, number] = attempt
+        self._in_flight[connection] += 1
+        try:
+            if not connection.post(frame):
+                return False, None
+            with trio.move_on_at(deadline):
+                await attempt.done.wait()
+            return True, attempt.reply
+        finally:
+            del self._attempts[connection, number]
+            self._in_flight[connection] -= 1
+            if not self._in_flight[connection]:
+                del self._in_flight[connection]
+            if call.idempotent and not attempt.done.is_set():
+                connection.post(
+                    ttypes.Frame(call_cancel=ttypes.CallCancel(call=number))
+                )
+
+
+def _check_key(key: str) -> None:
+    if not key:
+        raise http.RequestError(
+            verdicts.refuse(
+                "idempotency-key-required",
+                "A non-repeatable call needs the header Idempotency-Key.",
+            )
+        )
+    if len(key) > KEY_LIMIT:
+        raise http.RequestError(
+            verdicts.refuse(
+                "bad-request",
+                f"The header Idempotency-Key has {len(key)} characters;"
+                f" allowed: 1 to {KEY_LIMIT}.",
+            )
+        )
+
+
+def _read_failure(reply, late: bool) -> verdicts.Failure:
+    if reply is not None:
+        known = [
+            item for item in verdicts.Verdict if item.value == reply.verdict
+        ]
+        return verdicts.Failure(
+            reply.code,
+            # A peer of a later release may send a verdict unknown here.
+            known[0] if known else verdicts.Verdict.MAY_HAVE_RUN,
+            reply.message,
+            reply.retry_after_ms / 1000 or None,
+        )
+    if late:
+        return verdicts.doubt(
+            "deadline-exceeded", "The server did not reply in time."
+        )
+    return verdicts.doubt("backend-lost", "The connection to the server ended.")
+
+
+async def _cancel_when_gone(receive, scope: trio.CancelScope) -> None:
+    while (await receive())["type"] != "http.disconnect":
+        pass
+    scope.cancel()
+
+
+async def _send(send, answer, request_id: str) -> None:
+    if isinstance(answer, verdicts.Failure):
+        await http.send_failure(send, answer, request_id)
+        return
+    headers = [
+        (header.name.lower().encode("latin-1"), header.value.encode("latin-1"))
+        for header in answer.headers or ()
+        if header.name.lower() != "x-request-id"
+    ]
+    headers.append((b"content-length", str(len(answer.body or b"")).encode()))
+    headers.append((b"x-request-id", request_id.encode("latin-1")))
+    if answer.replayed:
+        headers.append((b"idempotent-replayed", b"true"))
+    await send(
+        {
+            "type": "http.response.start",
+            "status": answer.status,
+            "headers": headers,
+        }
+    )
+    await send({"type": "http.response.body", "body": answer.body or b""})
--- /dev/null
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/claims.py
@@ -0,0 +1,357 @@
+"""Calls of the plain service beside this sidecar."""
+
+import math
+import secrets
+import time
+import typing
+
+from peridotyard_core import claims
+from peridotyard_core import verdicts
+from returns import result
+import trio
+
+from peridotyard_daemon.connection import backends
+from peridotyard_daemon.process import logs
+from peridotyard_daemon.process import tables
+from peridotyard_daemon.wire.generated import ttypes
+
+# Most calls end within a few polls of the first pause; the last one keeps
+# many waiting duplicates below the read limit of the table.
+POLL_FIRST_S = 0.02
+POLL_LAST_S = 0.5
+# Pauses between attempts to write an outcome or a release during an outage.
+SETTLE_FIRST_S = 0.1
+SETTLE_LAST_S = 5.0
+OVERLOAD_RETRY_S = 1.0
+
+_log = logs.Part("claims")
+
+
+class Claims:
+    """The calls of one sidecar, owned by its process.
+
+    Idempotent calls go straight to the service. Any other call claims its key
+    in the table first, so that it runs at most once in the whole fleet.
+    """
+
+    def __init__(
+        self,
+        backend: backends.Backend,
+        table: tables.Table | None,
+        find_retention: typing.Callable[[str], float],
+        *,
+        concurrency: int,
+        make_nonce: typing.Callable[[], str] = lambda: secrets.token_hex(16),
+        read_time: typing.Callable[[], float] = time.time,
+    ):
+        """Makes the calls; `run` must be running before the first frame.
+
+        Args:
+            backend: Client of the service.
+            table: Table of the claims; None rejects non-repeatable calls.
+            find_retention: Seconds for which the outcome of a call of the
+                named service is kept.
+            concurrency: Calls at the same time.
+            make_nonce: Returns a text that no other attempt ever has.
+            read_time: Returns the Unix time, which is compared with that of
+                other instances only for retention.
+        """
+        self._backend = backend
+        self._table = table
+        self._find_retention = find_retention
+        self._concurrency = concurrency
+        self._make_nonce = make_nonce
+        self._read_time = read_time
+        self._nursery: trio.Nursery | None = None
+        self._draining = False
+        self._running = 0
+        self._unsettled = 0
+        self._idempotent: dict[tuple[typing.Any, int], trio.CancelScope] = {}
+
+    @property
+    def in_flight(self) -> int:
+        """Calls in progress and rows that are still to be written."""
+        return self._running + self._unsettled
+
+    async def run(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
+        """Runs the calls until it is cancelled."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            task_status.started()
+            await trio.sleep_forever()
+
+    def start_drain(self) -> None:
+        """Rejects new calls from now on."""
+        self._draining = True
+
+    def handle_frame(self, connection, frame: ttypes.Frame) -> bool:
+        """Takes a `Call` or `CallCancel`; returns False for other frames."""
+        if frame.call is not None:
+            self._accept(connection, frame.call)
+            return True
+        if frame.call_cancel is not None:
+            # A non-repeatable call goes on: its outcome is kept for the retry.
+            scope = self._idempotent.get((connection, frame.call_cancel.call))
+            if scope is not None:
+                scope.cancel()
+            return True
+        return False
+
+    def handle_closed(self, connection) -> None:
+        """Cancels the idempotent calls of a closed connection."""
+        for (owner, _), scope in self._idempotent.items():
+            if owner is connection:
+                scope.cancel()
+
+    def _accept(self, connection, call: ttypes.Call) -> None:
+        failure = self._check(call)
+        if failure is not None:
+            _post(connection, _make_failure(call, failure))
+            return
+        self._running += 1
+        deadline = trio.current_time() + max(0, call.deadline_ms) / 1000
+        self._nursery.start_soon(self._serve, connection, call, deadline)
+
+    def _check(self, call: ttypes.Call) -> verdicts.Failure | None:
+        if self._draining:
+            return verdicts.refuse("draining", "The server is draining.")
+        if self._running >= self._concurrency:
+            return verdicts.refuse(
+                "overloaded",
+                f"The server has {self._concurrency} calls in progress.",
+                OVERLOAD_RETRY_S,
+            )
+        if call.idempotent:
+            return None
+        if not call.idempotency_key:
+            return verdicts.refuse(
+                "idempotency-key-required",
+                "A non-repeatable call needs the header Idempotency-Key.",
+            )
+        if self._table is None:
+            return verdicts.refuse(
+                "store-unavailable", "No table service is configured."
+            )
+        return None
+
+    async def _serve(self, connection, call, deadline) -> None:
+        try:
+            if call.idempotent:
+                reply = await self._run_idempotent(connection, call, deadline)
+            else:
+                reply = await self._run_once(call, deadline)
+        finally:
+            self._running -= 1
+        if reply is not None:
+            _post(connection, reply)
+
+    async def _run_idempotent(self, connection, call, deadline):
+        """Returns the reply, or None if the call was cancelled."""
+        key = (connection, call.call)
+        with trio.CancelScope() as self._idempotent[key]:
+            try:
+                event = await self._call_backend(call, deadline)
+            finally:
+                del self._idempotent[key]
+            match event:
+                case claims.CallAnswered(outcome):
+                    return _make_reply(call, outcome, replayed=False)
+                case claims.CallLost():
+                    failure = verdicts.doubt(
+                        "backend-lost", "The service gave no complete answer."
+                    )
+                case _:
+                    failure = verdicts.refuse(
+                        "backend-unavailable", "The service cannot be reached."
+                    )
+            return _make_failure(call, failure)
+        return None
+
+    async def _run_once(self, call, deadline) -> ttypes.CallReply:
+        key = claims.make_key(
+            call.workspace, call.service_name, call.idempotency_key
+        )
+        body_hash = claims.hash_call(call.method, call.path, call.body or b"")
+        attempt = claims.Claim(self._make_nonce(), body_hash)
+        action = attempt.start()
+        pause_s = POLL_FIRST_S
+        while True:
+            # Also guards the call itself: after a pause of this process the
+            # caller may have been told long ago that the call did not run.
+            if (
+                not isinstance(action, claims.Answer | claims.Reject)
+                and trio.current_time() >= deadline
+            ):
+                action = attempt.handle(claims.DeadlineReached())
+            match action:
+                case claims.Insert():
+                    event = claims.ReplyLost()
+                    with trio.move_on_at(deadline):
+                        event = await self._write(key, action)
+                case claims.Read(is_poll):
+                    event = claims.DeadlineReached()
+                    with trio.move_on_at(deadline):
+                        if is_poll:
+                            await trio.sleep(pause_s)
+                            pause_s = min(2 * pause_s, POLL_LAST_S)
+                        event = await self._read(key)
+                case claims.Run():
+                    event = await self._call_backend(call, deadline)
+                case claims.Answer(outcome, replayed):
+                    if not replayed:
+                        self._keep_outcome(key, attempt, call, outcome)
+                    return _make_reply(call, outcome, replayed)
+                case claims.Reject(failure, release):
+                    if release:
+                        self._start_settling(
+                            key,
+                            lambda row: claims.decide_release(
+                                row, attempt.nonce, body_hash
+                            ),
+                        )
+                    return _make_failure(call, failure)
+            action = attempt.handle(event)
+
+    async def _call_backend(self, call, deadline) -> claims.Event:
+        answer = await self._backend.call(
+            call.method,
+            call.path,
+            [(header.name, header.value) for header in call.headers or ()],
+            call.body or b"",
+            deadline - trio.current_time(),
+        )
+        match answer:
+            case result.Success(response):
+                return claims.CallAnswered(
+                    claims.Outcome(
+                        response.status, response.headers, response.body
+                    )
+                )
+            case result.Failure(backends.TooLarge(status, limit_bytes)):
+                return claims.CallAnswered(
+                    claims.Outcome(
+                        0,
+                        message=f"The service answered {status} with more than"
+                        f" {limit_bytes} bytes.",
+                    )
+                )
+            case result.Failure(backends.Unsent()):
+                return claims.CallUnsent()
+            case _:
+                return claims.CallLost()
+
+    async def _write(self, key: str, insert: claims.Insert) -> claims.Event:
+        reply = await self._table.transact(
+            {key: insert.expected}, {key: insert.row.to_value()}
+        )
+        match reply:
+            case result.Success(versions):
+                return claims.Written(versions[key])
+            case result.Failure(tables.Conflict(rows)):
+                return claims.Found(self._parse(rows.get(key)))
+            case result.Failure(failure):
+                return _classify(failure)
+
+    async def _read(self, key: str) -> claims.Event:
+        match await self._table.read(key):
+            case result.Success(row):
+                return claims.Found(self._parse(row))
+            case result.Failure(failure):
+                return _classify(failure)
+
+    def _parse(self, row: tables.Row | None) -> claims.Row | None:
+        if row is None:
+            return None
+        return claims.Row.from_value(row.version, row.value, self._read_time())
+
+    def _keep_outcome(self, key, attempt, call, outcome) -> None:
+        retention_s = self._find_retention(call.service_name)
+        expires_at_s = self._read_time() + retention_s
+        started = claims.Row(
+            attempt.version, claims.STARTED, attempt.nonce, attempt.body_hash
+        )
+
+        def decide(row):
+            return claims.decide_outcome(
+                row, attempt.nonce, attempt.body_hash, outcome, expires_at_s
+            )
+
+        self._start_settling(key, decide, decide(started))
+
+    def _start_settling(self, key, decide, first=None) -> None:
+        self._unsettled += 1
+        self._nursery.start_soon(self._settle, key, decide, first)
+
+    async def _settle(self, key, decide, write) -> None:
+        """Writes what `decide` returns for the present row until it holds.
+
+        Args:
+            key: Key of the row.
+            decide: Returns the insert for a row, None if there is none to do.
+            write: First insert to try without reading; may be None.
+        """
+        pause_s = SETTLE_FIRST_S
+        try:
+            while True:
+                if write is None:
+                    event = await self._read(key)
+                else:
+                    event = await self._write(key, write)
+                match event:
+                    case claims.Written():
+                        return
+                    case claims.Found(row):
+                        write = decide(row)
+                        if write is None:
+                            return
+                    case _:
+                        # The write may have taken effect, so the row is read
+                        # before it is repeated.
+                        write = None
+                        _log.warning("claim not written", key=key)
+                        await trio.sleep(pause_s)
+                        pause_s = min(2 * pause_s, SETTLE_LAST_S)
+        finally:
+            self._unsettled -= 1
+
+
+def _classify(failure) -> claims.Event:
+    match failure:
+        case tables.platform.Lost():
+            return claims.ReplyLost()
+        case _:
+            return claims.Refused()
+
+
+def _post(connection, reply: ttypes.CallReply) -> None:
+    connection.post(ttypes.Frame(call_reply=reply))
+
+
+def _make_reply(call, outcome: claims.Outcome, replayed) -> ttypes.CallReply:
+    if not outcome.status:
+        failure = verdicts.Failure(
+            "backend-lost", verdicts.Verdict.RAN, outcome.message
+        )
+        return _make_failure(call, failure, replayed)
+    return ttypes.CallReply(
+        call=call.call,
+        status=outcome.status,
+        headers=[ttypes.Header(*pair) for pair in outcome.headers],
+        body=outcome.body,
+        replayed=replayed,
+    )
+
+
+def _make_failure(
+    call, failure: verdicts.Failure, replayed=False
+) -> ttypes.CallReply:
+    return ttypes.CallReply(
+        call=call.call,
+        headers=[],
+        body=b"",
+        code=failure.code,
+        verdict=failure.verdict.value,
+        message=failure.message,
+        retry_after_ms=math.ceil(1000 * (failure.retry_after_s or 0)),
+        replayed=replayed,
+    )
