--- a/tests/unit/test_claims.py
+++ b/tests/unit/test_claims.py
@@ -177,8 +177,7 @@
         self.version = 0
         self.attempts = []
         self.settling = []
-        self.late_writes = []
-        self.late_calls = []
+        self.late = []
         self.executions = collections.Counter()
         self.outcomes = {}
         self.rejected = []
@@ -211,7 +210,7 @@
         if mode == "refused" or self.table_down:
             return claims.Refused()
         if mode == "late":
-            self.late_writes.append((key, insert))
+            self.late.append((self.apply, key, insert))
         if mode in ("late", "lost"):
             return claims.ReplyLost()
         event = self.apply(key, insert)
@@ -222,7 +221,7 @@
             case "refused":
                 return claims.CallUnsent()
             case "late":
-                self.late_calls.append(attempt)
+                self.late.append((self.execute, attempt))
             case "effect":
                 self.execute(attempt)
             case "ok":
@@ -244,10 +243,12 @@
         self.attempts.append(Attempt(sidecar, key, claim, claim.start()))
 
     @stateful.precondition(lambda self: self.attempts)
-    @stateful.rule(index=INDEXES, mode=MODES)
+    @stateful.rule(index=INDEXES, mode=MODES | strategies.just("deadline"))
     def step(self, index, mode):
         attempt = self.attempts[index % len(self.attempts)]
         match attempt.action:
+            case _ if mode == "deadline":
+                event = claims.DeadlineReached()
             case claims.Insert() as insert:
                 event = self.write(attempt.key, insert, mode)
             case claims.Read():
@@ -258,28 +259,22 @@
                 event = self.call(attempt, mode)
         self.advance(attempt, event)
 
-    @stateful.precondition(lambda self: self.attempts)
-    @stateful.rule(index=INDEXES)
-    def reach_deadline(self, index):
-        attempt = self.attempts[index % len(self.attempts)]
-        self.advance(attempt, claims.DeadlineReached())
-
     def advance(self, attempt, event):
         attempt.action = attempt.claim.handle(event)
-        nonce, body_hash = attempt.claim.nonce, attempt.claim.body_hash
+        own = (attempt.claim.nonce, attempt.claim.body_hash)
         match attempt.action:
             case claims.Answer(outcome, replayed):
                 assert outcome == self.outcomes[attempt.key]
                 if not replayed:
                     attempt.decide = lambda row: claims.decide_outcome(
-                        row, nonce, body_hash, outcome, 0
+                        row, *own, outcome, 0
                     )
             case claims.Reject(failure, release):
                 if failure.verdict is NOT_RUN:
                     self.rejected.append(attempt)
                 if release:
                     attempt.decide = lambda row: claims.decide_release(
-                        row, nonce, body_hash
+                        row, *own
                     )
             case _:
                 return
@@ -303,15 +298,11 @@
         if isinstance(event, claims.Written):
             self.settling.remove(attempt)
 
-    @stateful.precondition(lambda self: self.late_writes)
+    @stateful.precondition(lambda self: self.late)
     @stateful.rule(index=INDEXES)
-    def apply_late_write(self, index):
-        self.apply(*self.late_writes.pop(index % len(self.late_writes)))
-
-    @stateful.precondition(lambda self: self.late_calls)
-    @stateful.rule(index=INDEXES)
-    def execute_late_call(self, index):
-        self.execute(self.late_calls.pop(index % len(self.late_calls)))
+    def take_late_effect(self, index):
+        function, *args = self.late.pop(index % len(self.late))
+        function(*args)
 
     @stateful.rule()
     def toggle_table(self):
@@ -325,26 +316,21 @@
                 items.remove(attempt)
 
     @stateful.invariant()
-    def at_most_one_execution(self):
+    def check_executions(self):
         assert all(count == 1 for count in self.executions.values())
-
-    @stateful.invariant()
-    def rejected_attempts_did_not_run(self):
         assert not any(attempt.executions for attempt in self.rejected)
 
     def teardown(self):
         """Ends all work with a healthy table and retries each key."""
         self.table_down = False
         while self.attempts:
-            self.reach_deadline(0)
+            self.step(0, "deadline")
         # What is late takes effect as late as possible: after each attempt
         # has written its last row.
         while self.settling:
             self.settle(0, "ok")
-        while self.late_writes:
-            self.apply_late_write(0)
-        while self.late_calls:
-            self.execute_late_call(0)
+        while self.late:
+            self.take_late_effect(0)
         for key in "ab":
             self.start(0, key)
             attempt = self.attempts[-1]
@@ -354,15 +340,10 @@
             if self.is_certain[key]:
                 assert isinstance(attempt.action, claims.Answer)
             self.attempts.clear()
-        self.at_most_one_execution()
-        self.rejected_attempts_did_not_run()
+        self.check_executions()
 
 
 TestClaimSimulation = ClaimSimulation.TestCase
 TestClaimSimulation.settings = hypothesis.settings(
-    derandomize=True,
-    database=None,
-    deadline=None,
-    max_examples=300,
-    stateful_step_count=40,
+    derandomize=True, database=None, deadline=None, max_examples=300
 )
--- a/tests/unit/test_emulator.py
+++ b/tests/unit/test_emulator.py
@@ -11,7 +11,7 @@
 import pytest
 import trio
 
-from tests.support import virtual
+from tests.support import cases
 
 
 def make_service(**options):
@@ -27,67 +27,58 @@
     return await client.request_json("POST", "/bookings", record)
 
 
-def test_service_counts_executions():
+@cases.run_virtually
+async def test_service_counts_executions():
     """Guards against a duplicate that the oracle does not see."""
-
-    async def check():
-        state, client, _ = make_service()
-        for count in (1, 2):
-            reply = await submit(client, id="b1")
-            assert (reply.status, reply.json["executions"]) == (201, count)
-        found = await client.request("GET", "/bookings/b1")
-        assert found.json == {"id": "b1"}
-        assert (await client.request("GET", "/bookings/b2")).status == 404
-        assert (await client.request("GET", "/tallies/b1")).status == 404
-        assert (await submit(client)).status == 400
-        shown = (await client.request("GET", "/control/state")).json
-        assert shown["executions"] == {"b1": 2}
-
-    virtual.run(check)
+    state, client, _ = make_service()
+    for count in (1, 2):
+        reply = await submit(client, id="b1")
+        assert (reply.status, reply.json["executions"]) == (201, count)
+    found = await client.request("GET", "/bookings/b1")
+    assert found.json == {"id": "b1"}
+    assert (await client.request("GET", "/bookings/b2")).status == 404
+    assert (await client.request("GET", "/tallies/b1")).status == 404
+    assert (await submit(client)).status == 400
+    shown = (await client.request("GET", "/control/state")).json
+    assert shown["executions"] == {"b1": 2}
 
 
 @pytest.mark.parametrize("mark", ["crash", "silent", "slow", "error"])
-def test_marked_request_runs_and_fails(mark):
+@cases.run_virtually
+async def test_marked_request_runs_and_fails(mark):
     """Guards against a marked failure that leaves no trace."""
-
-    async def check():
-        state, client, crashes = make_service(mark_delay_s=3)
-        try:
-            reply = await submit(client, id="b1", mark=mark)
-        except http.LostError:
-            assert mark in ("crash", "silent")
-        else:
-            assert reply.status == {"slow": 201, "error": 500}[mark]
-        assert state.executions["b1"] == 1
-        assert bool(crashes) == (mark == "crash")
-        assert (trio.current_time() >= 3) == (mark != "error")
-
-    virtual.run(check)
-
-
-def test_faults_last_for_their_count_and_path():
+    state, client, crashes = make_service(mark_delay_s=3)
+    try:
+        reply = await submit(client, id="b1", mark=mark)
+    except http.LostError:
+        assert mark in ("crash", "silent")
+    else:
+        assert reply.status == {"slow": 201, "error": 500}[mark]
+    assert state.executions["b1"] == 1
+    assert bool(crashes) == (mark == "crash")
+    assert (trio.current_time() >= 3) == (mark != "error")
+
+
+@cases.run_virtually
+async def test_faults_last_for_their_count_and_path():
     """Guards against a fault that stays after its test."""
-
-    async def check():
-        state = table.TableState()
-        application = web.Application(state, faults.Faults())
-        client = web.LocalClient(application, 1.0)
-        body = {"faults": [{"kind": "refuse", "count": 2, "path": "/v1/rows"}]}
-        await client.request_json("POST", "/control/faults", body)
-        statuses = [
-            (await client.request("GET", path)).status
-            for path in ("/v1/rows/a", "/other", "/v1/rows/a", "/v1/rows/a")
-        ]
-        assert statuses == [503, 404, 503, 404]
-        async with trio.open_nursery() as application.nursery:
-            application.faults.add(faults.Fault("late-effect", 1, 5.0))
-            put = {"puts": [{"key": "a", "value": 1}]}
-            with pytest.raises(http.LostError):
-                await client.request_json("POST", "/v1/transact", put)
-            assert not state.rows
-        assert list(state.rows) == ["a"]
-
-    virtual.run(check)
+    state = table.TableState()
+    application = web.Application(state, faults.Faults())
+    client = web.LocalClient(application, 1.0)
+    body = {"faults": [{"kind": "refuse", "count": 2, "path": "/v1/rows"}]}
+    await client.request_json("POST", "/control/faults", body)
+    statuses = [
+        (await client.request("GET", path)).status
+        for path in ("/v1/rows/a", "/other", "/v1/rows/a", "/v1/rows/a")
+    ]
+    assert statuses == [503, 404, 503, 404]
+    async with trio.open_nursery() as application.nursery:
+        application.faults.add(faults.Fault("late-effect", 1, 5.0))
+        put = {"puts": [{"key": "a", "value": 1}]}
+        with pytest.raises(http.LostError):
+            await client.request_json("POST", "/v1/transact", put)
+        assert not state.rows
+    assert list(state.rows) == ["a"]
 
 
 @pytest.mark.parametrize(
