--- a/packages/peridotyard-core/src/peridotyard_core/membership.py
+++ b/packages/peridotyard-core/src/peridotyard_core/membership.py
@@ -174,6 +174,37 @@
             and route.offer.service == service
         ]
 
+    def find_offer(self, address: str) -> Offer | None:
+        """Returns the last offer of a connected sidecar."""
+        route = self._routes.get(address)
+        return route.offer if route else None
+
+    def describe(self) -> list[dict]:
+        """Returns the JSON value of the table for operators."""
+        rows = []
+        for address, route in sorted(self._routes.items()):
+            offer = route.offer
+            stage = offer.stage if offer else None
+            rows.append(
+                {
+                    "address": address,
+                    "instance": stage.instance if stage else "",
+                    "zone": stage.zone if stage else "",
+                    "kind": offer.kind if offer else "",
+                    "service": offer.service if offer else "",
+                    "model": stage.model if stage else "",
+                    "version": stage.version if stage else "",
+                    "layers": [stage.first_layer, stage.end_layer]
+                    if stage and stage.model
+                    else [],
+                    "usable": route.is_usable,
+                    "leaving": route.leaving,
+                    "in_flight": self._own[address] + route.others,
+                    "limit": stage.limit if stage else 0,
+                }
+            )
+        return rows
+
     def take(self, chain: pipelines.Chain) -> None:
         """Counts a stream of this entry on each stage."""
         self._own.update(stage.offer.address for stage in chain)
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/connection/backends.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/connection/backends.py
@@ -80,12 +80,26 @@
         import httpcore  # noqa: PLC0415
 
         self._httpcore = httpcore
+        self._address = address
         self._base = f"http://{address}"
         self._limit_bytes = limit_bytes
         self._pool = httpcore.AsyncConnectionPool(
             max_connections=concurrency, keepalive_expiry=30
         )
 
+    async def probe(self, timeout_s: float) -> bool:
+        """Returns whether the service accepts connections."""
+        with trio.move_on_after(timeout_s):
+            try:
+                stream = await trio.open_tcp_stream(
+                    self._address.host, self._address.port
+                )
+            except OSError:
+                return False
+            await stream.aclose()
+            return True
+        return False
+
     async def call(
         self, method: str, path: str, headers, body: bytes, timeout_s: float
     ) -> result.Result[http.Response, Unsent | Lost | TooLarge]:
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/entry.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/entry.py
@@ -1,27 +1,34 @@
 """The entry process."""
 
 import collections.abc
-import importlib
 import random as random_module
-import signal
 import string
 import typing
 
 from peridotyard_core import addresses
+from peridotyard_core import budgets
 from peridotyard_core import errors
 from peridotyard_core import membership
 from peridotyard_core import pipelines
 from peridotyard_core import settings as settings_module
 from peridotyard_core import verdicts
+from returns import result
 import trio
 
 from peridotyard_daemon.connection import http
 from peridotyard_daemon.connection import peers as peers_module
+from peridotyard_daemon.process import instances
+from peridotyard_daemon.process import lifecycle
 from peridotyard_daemon.process import logs
 from peridotyard_daemon.process import metrics as metrics_module
 from peridotyard_daemon.process import network as network_module
+from peridotyard_daemon.process import tables
+from peridotyard_daemon.request import administration
+from peridotyard_daemon.request import calls
 from peridotyard_daemon.request import chains
 from peridotyard_daemon.request import completions
+from peridotyard_daemon.version import spread as spread_module
+from peridotyard_daemon.version import storage
 from peridotyard_daemon.wire.generated import ttypes
 
 MODELS_PATH = "/v1/models"
@@ -37,8 +44,6 @@
 }
 REQUEST_ID_LENGTH = 128
 REQUEST_ID_CHARACTERS = frozenset(string.ascii_letters + string.digits + "-_.:")
-INSTANCES_PATH = "/v1/instances"
-INSTANCE_FIELDS = ("instance", "zone", "role", "address", "state")
 # The list is a fallback, so a slow answer may wait for the next reading.
 INSTANCES_TIMEOUT_S = 2.0
 
@@ -172,6 +177,20 @@
             _log.warning("stopped with open requests", requests=self._active)
         self._stopped.set()
 
+    def describe(self) -> dict:
+        """Returns the JSON value of the state for operators."""
+        return {
+            "instance": self.settings.instance,
+            "zone": self.settings.zone,
+            "draining": self._is_draining,
+            "requests": self._active,
+            "routes": self.table.describe(),
+        }
+
+    def find_trace(self, request_id: str) -> dict | None:
+        """Returns what is known of a request, None if nothing."""
+        return self.completions.find_trace(request_id)
+
     # Methods of `connection.peers.Handler`.
 
     def make_hello(self) -> ttypes.Hello:
@@ -416,51 +435,83 @@
     """Returns a function that reads the platform's instance list."""
     if settings.instance_list is None:
         return None
-    client = http.Client(settings.instance_list, INSTANCES_TIMEOUT_S)
+    client = instances.InstanceList(settings.instance_list, INSTANCES_TIMEOUT_S)
 
     async def read() -> list[membership.Instance] | None:
-        try:
-            answer = await client.request_json("GET", INSTANCES_PATH)
-            if answer.status != 200:
-                raise http.LostError(f"status {answer.status}")
-            found = [
-                membership.Instance(*(str(row[key]) for key in INSTANCE_FIELDS))
-                for row in answer.json["instances"]
-            ]
-            for row in found:
-                addresses.Address.from_text(row.address)
-            return found
-        except (
-            http.UnsentError,
-            http.LostError,
-            KeyError,
-            TypeError,
-            ValueError,
-        ) as error:
-            _log.warning("the instance list is unavailable", reason=repr(error))
-            return None
+        match await client.read():
+            case result.Success(found):
+                return [
+                    membership.Instance(
+                        row.instance,
+                        row.zone,
+                        row.role,
+                        str(row.address),
+                        row.state,
+                    )
+                    for row in found
+                ]
+            case result.Failure(failure):
+                _log.warning("the instance list is unavailable", reason=failure)
+        return None
 
     return read
 
 
-def run(values: settings_module.EntrySettings) -> int:
-    """Runs the process until it is stopped and returns its exit status."""
-    # Imported here, so that tests of an entry do without these parts.
-    load = importlib.import_module
-    administration = load("peridotyard_daemon.request.administration")
-    calls = load("peridotyard_daemon.request.calls")
-    spread = load("peridotyard_daemon.version.spread")
-    status = 0
-    entry = Entry(
+def make(
+    values: settings_module.EntrySettings, network: network_module.Network
+) -> Entry:
+    """Composes the process of the settings."""
+    table = None
+    if values.table is not None:
+        table = storage.Storage(
+            tables.Table(values.table, values.table_timeout_s)
+        )
+    return Entry(
         values,
-        network_module.TcpNetwork(),
-        spread.Spread.from_config(values),
+        network,
+        spread_module.Spread.from_config(values, "entry", table),
         metrics=metrics_module.Metrics.from_config(values),
         random=random_module.SystemRandom(),
         list_instances=make_list_reader(values),
-        make_calls=calls.Calls.from_entry,
-        make_administration=administration.Administration.from_entry,
+        make_calls=_make_calls,
+        make_administration=_make_administration,
+    )
+
+
+def _make_calls(entry: Entry) -> calls.Calls:
+    def list_offers(service: str):
+        found = []
+        for address in entry.table.find_services(service):
+            connection = entry.peers.find(address)
+            offer = entry.table.find_offer(address)
+            if connection is not None and offer is not None:
+                found.append((connection, offer))
+        return found
+
+    return calls.Calls(
+        list_offers,
+        lambda name: entry.spread.catalog.find_service(name),
+        budgets.RetryBudget(),
+        timeout_s=entry.settings.request_timeout_s,
+        body_limit_bytes=entry.settings.body_limit_bytes,
+        body_timeout_s=entry.settings.body_timeout_s,
+    )
+
+
+def _make_administration(entry: Entry) -> administration.Administration:
+    return administration.Administration.from_config(
+        entry.settings,
+        entry.spread,
+        entry.metrics.histograms,
+        entry.describe,
+        entry.find_trace,
     )
+
+
+def run(values: settings_module.EntrySettings) -> int:
+    """Runs the process until it is stopped and returns its exit status."""
+    entry = make(values, network_module.TcpNetwork())
+    status = 0
     try:
         trio.run(_run_until_signal, entry)
     except* OSError as group:
@@ -470,10 +521,18 @@
 
 
 async def _run_until_signal(entry: Entry) -> None:
-    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(entry.run)
-            async for number in signals:
-                _log.info("stopping", signal=signal.Signals(number).name)
-                await entry.drain()
-                return
+    signals = lifecycle.Lifecycle()
+    async with trio.open_nursery() as nursery:
+        await nursery.start(signals.watch_signals)
+        nursery.start_soon(entry.run)
+        await signals.draining.wait()
+        _log.info("stopping")
+        with trio.CancelScope() as scope:
+            nursery.start_soon(_cancel_on, signals.stopped, scope)
+            await entry.drain()
+        nursery.cancel_scope.cancel()
+
+
+async def _cancel_on(event: trio.Event, scope: trio.CancelScope) -> None:
+    await event.wait()
+    scope.cancel()
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/sidecar.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/sidecar.py
@@ -12,6 +12,7 @@
 from peridotyard_daemon.process import logs
 from peridotyard_daemon.process import network as network_module
 from peridotyard_daemon.request import stages
+from peridotyard_daemon.version import spread as spread_module
 from peridotyard_daemon.wire.generated import ttypes
 
 EXIT_OK = 0
@@ -21,6 +22,8 @@
 OFFER_INTERVAL_S = 0.2
 # Time for the last frames to leave before the connections are closed.
 FLUSH_S = 0.1
+# Until the configuration arrives; an outcome must not be forgotten too early.
+DEFAULT_RETENTION_S = 86400
 
 _log = logs.Part("sidecar")
 
@@ -33,6 +36,7 @@
     Attributes:
         lifecycle: Starts the drain and the end of the process.
         peers: Connections to entries and other sidecars.
+        spread: Configuration of the process.
         work: `request.stages.Stages` or `request.claims.Claims`.
     """
 
@@ -40,7 +44,8 @@
         self,
         values: settings.SidecarSettings,
         network: network_module.Network,
-        table=None,
+        spread: spread_module.Spread,
+        make_claims=None,
         incarnation: int | None = None,
     ):
         """Composes the process.
@@ -48,10 +53,13 @@
         Args:
             values: Settings.
             network: Where it dials and listens.
-            table: Client of the table service; only for a plain service.
+            spread: Configuration of the process.
+            make_claims: Function from this sidecar to a
+                `request.claims.Claims`; only for a plain service.
             incarnation: Random for each start, unless a test sets it.
         """
         self._values = values
+        self.spread = spread
         self._incarnation = incarnation or random.getrandbits(62)
         self._sequence = 0
         self._changed = trio.Event()
@@ -66,13 +74,7 @@
             self.engine = engines.Engine.from_config(values, network, self)
             self.work.engine = self.engine
         else:
-            # Imported here: a model's sidecar has no use for HTTP clients.
-            claims = importlib.import_module(
-                "peridotyard_daemon.request.claims"
-            )
-            self.work = claims.Claims.from_config(
-                values, network, table, self.notify_changed
-            )
+            self.work = make_claims(self)
 
     async def run(self, task_status=trio.TASK_STATUS_IGNORED) -> int:
         """Serves until it has drained and returns the exit status."""
@@ -82,6 +84,7 @@
             if self.engine is not None:
                 nursery.start_soon(self.engine.run)
             nursery.start_soon(self._post_offers)
+            nursery.start_soon(self.spread.run)
             task_status.started()
             _log.info("started", address=self._values.peer_address)
             await self.lifecycle.draining.wait()
@@ -161,7 +164,7 @@
 
     def make_hello(self) -> ttypes.Hello:
         """Returns the first message for a peer."""
-        return ttypes.Hello(
+        hello = ttypes.Hello(
             instance=self._values.instance,
             zone=self._values.zone,
             role="sidecar",
@@ -169,13 +172,18 @@
             incarnation=self._incarnation,
             protocol=peers.PROTOCOL_VERSION,
         )
+        self.spread.fill_hello(hello)
+        return hello
 
     def make_heartbeat(self) -> ttypes.Heartbeat:
-        """Returns a heartbeat."""
-        return ttypes.Heartbeat()
+        """Returns a heartbeat with the configuration revision."""
+        heartbeat = ttypes.Heartbeat()
+        self.spread.fill_heartbeat(heartbeat)
+        return heartbeat
 
     def handle_connected(self, connection: peers.Connection) -> None:
         """Sends the offer to an entry."""
+        self.spread.handle_connected(connection)
         if connection.peer.role != "entry":
             return
         connection.post(ttypes.Frame(offer=self.make_offer()))
@@ -187,7 +195,10 @@
 
     def handle_frame(self, connection: peers.Connection, frame) -> None:
         """Hands a frame to the part that it is for."""
-        if not self.work.handle_frame(connection, frame):
+        if not (
+            self.work.handle_frame(connection, frame)
+            or self.spread.handle_frame(connection, frame)
+        ):
             _log.debug("ignored a frame", peer=connection.peer.instance)
 
     def handle_closed(self, connection: peers.Connection, reason: str) -> None:
@@ -213,7 +224,7 @@
     """Runs the process until it is stopped and returns its exit status."""
 
     async def serve() -> int:
-        process = Sidecar(values, network_module.TcpNetwork())
+        process = make(values, network_module.TcpNetwork())
         async with trio.open_nursery() as nursery:
             await nursery.start(process.lifecycle.watch_signals)
             status = await process.run()
@@ -221,3 +232,42 @@
         return status
 
     return trio.run(serve)
+
+
+def make(
+    values: settings.SidecarSettings, network: network_module.Network
+) -> Sidecar:
+    """Composes the process of the settings."""
+    if values.backend_kind == "model":
+        # It takes the configuration from entries, which poll the table: the
+        # reads of the table then do not grow with the number of servers.
+        spread = spread_module.Spread.from_config(values, "sidecar", None)
+        return Sidecar(values, network, spread)
+    return _make_service_sidecar(values, network)
+
+
+def _make_service_sidecar(values, network) -> Sidecar:
+    # Imported here: a model's sidecar needs no HTTP client, which takes 6 MB.
+    load = importlib.import_module
+    backends = load("peridotyard_daemon.connection.backends")
+    claims = load("peridotyard_daemon.request.claims")
+    tables = load("peridotyard_daemon.process.tables")
+    table = None
+    if values.table is not None:
+        table = tables.Table(values.table, values.table_timeout_s)
+    spread = spread_module.Spread.from_config(values, "sidecar", None)
+
+    def find_retention(name: str) -> float:
+        service = spread.catalog.find_service(name)
+        return service.retention_s if service else DEFAULT_RETENTION_S
+
+    def make_claims(process: Sidecar):
+        return claims.Claims(
+            backends.Backend(values.backend, values.concurrency),
+            table,
+            find_retention,
+            concurrency=values.concurrency,
+            notify_changed=process.notify_changed,
+        )
+
+    return Sidecar(values, network, spread, make_claims)
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/calls.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/calls.py
@@ -37,7 +37,7 @@
     def record_success(self) -> None:
         """Counts a request that succeeded."""
 
-    def try_spend(self) -> bool:
+    def spend(self) -> bool:
         """Returns whether one more retry is allowed, and counts it."""
 
 
@@ -195,7 +195,7 @@
             connection = self._pick(call.service_name, tried)
             if connection is None:
                 break
-            if tried and not self._budget.try_spend():
+            if tried and not self._budget.spend():
                 break
             tried.add(connection)
             sent, reply = await self._send_call(connection, call, deadline)
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/chains.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/chains.py
@@ -168,6 +168,7 @@
         failure: Why it ended early, or None.
         recoveries: Generations after the first.
         is_done: Whether it has ended.
+        events: What happened to it, as JSON values, for its trace.
     """
 
     def __init__(self, job: Job, fleet: Fleet):
@@ -177,6 +178,7 @@
         self.failure: verdicts.Failure | None = None
         self.recoveries = 0
         self.is_done = False
+        self.events: list[dict] = []
         self._fleet = fleet
         self._ready: list[int] = []
         self._arrived = trio.Event()
@@ -299,6 +301,15 @@
     def _begin(self, chain: pipelines.Chain) -> None:
         before = self.state.chain
         generation = self.state.begin(chain)
+        self._note(
+            "opened",
+            generation=generation,
+            stages=[
+                f"{stage.offer.instance}"
+                f"[{stage.first_layer}:{stage.end_layer}]"
+                for stage in chain
+            ],
+        )
         self._failing.clear()
         # The first chain was counted when the request was admitted.
         if generation > 1:
@@ -512,6 +523,12 @@
             generation=self.state.generation,
             position=self.state.next_position,
         )
+        self._note(
+            "recovering",
+            reason=reason,
+            stages=names,
+            position=self.state.next_position,
+        )
         self._fleet.metrics.increment("streams.recoveries")
         if self.recoveries > self._fleet.timing.recovery_limit:
             self._fail(
@@ -552,6 +569,10 @@
         self._changed.set()
         self._arrived.set()
 
+    def _note(self, event: str, **fields) -> None:
+        at_ms = round((trio.current_time() - self._started_at) * 1000)
+        self.events.append({"event": event, "at_ms": at_ms, **fields})
+
     def _describe_end(self) -> str:
         if self.failure is not None:
             return self.failure.code
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/claims.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/claims.py
@@ -19,6 +19,9 @@
 # many waiting duplicates below the read limit of the table.
 POLL_FIRST_S = 0.02
 POLL_LAST_S = 0.5
+# A service that stops accepting connections gets no new call after this.
+PROBE_S = 0.5
+PROBE_TIMEOUT_S = 1.0
 # Pauses between attempts to write an outcome or a release during an outage.
 SETTLE_FIRST_S = 0.1
 SETTLE_LAST_S = 5.0
@@ -32,6 +35,9 @@
 
     Idempotent calls go straight to the service. Any other call claims its key
     in the table first, so that it runs at most once in the whole fleet.
+
+    Attributes:
+        is_ready: Whether the service accepted connections when last probed.
     """
 
     def __init__(
@@ -41,6 +47,7 @@
         find_retention: typing.Callable[[str], float],
         *,
         concurrency: int,
+        notify_changed: typing.Callable[[], None] = lambda: None,
         make_nonce: typing.Callable[[], str] = lambda: secrets.token_hex(16),
         read_time: typing.Callable[[], float] = time.time,
     ):
@@ -52,6 +59,7 @@
             find_retention: Seconds for which the outcome of a call of the
                 named service is kept.
             concurrency: Calls at the same time.
+            notify_changed: Called when `is_ready` or `in_flight` changes.
             make_nonce: Returns a text that no other attempt ever has.
             read_time: Returns the Unix time, which is compared with that of
                 other instances only for retention.
@@ -60,6 +68,8 @@
         self._table = table
         self._find_retention = find_retention
         self._concurrency = concurrency
+        self._notify_changed = notify_changed
+        self.is_ready = False
         self._make_nonce = make_nonce
         self._read_time = read_time
         self._nursery: trio.Nursery | None = None
@@ -78,7 +88,14 @@
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
             task_status.started()
-            await trio.sleep_forever()
+            while True:
+                self._set_ready(await self._backend.probe(PROBE_TIMEOUT_S))
+                await trio.sleep(PROBE_S)
+
+    def _set_ready(self, is_ready: bool) -> None:
+        if is_ready != self.is_ready:
+            self.is_ready = is_ready
+            self._notify_changed()
 
     def start_drain(self) -> None:
         """Rejects new calls from now on."""
@@ -142,6 +159,7 @@
                 reply = await self._run_once(call, deadline)
         finally:
             self._running -= 1
+            self._notify_changed()
         if reply is not None:
             _post(connection, reply)
 
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/completions.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/completions.py
@@ -18,6 +18,7 @@
 from peridotyard_daemon.process import logs
 from peridotyard_daemon.request import chains
 from peridotyard_daemon.request import parameters
+from peridotyard_daemon.request import traces
 from peridotyard_daemon.wire.generated import ttypes
 
 CHAT_PATH = "/v1/chat/completions"
@@ -73,6 +74,7 @@
         self._clock = clock
         self._queues: dict[tuple[str, str], admission.Queue] = {}
         self._responses: dict[int, chains.Response] = {}
+        self._traces = traces.Traces()
         self.fleet = chains.Fleet(
             peers,
             table,
@@ -92,6 +94,13 @@
         """Responses that run."""
         return len(self._responses)
 
+    def find_trace(self, request_id: str) -> dict | None:
+        """Returns the JSON value of a running or recent request."""
+        for response in self._responses.values():
+            if response.job.request_id == request_id:
+                return make_trace(response, "running")
+        return self._traces.find(request_id)
+
     def handle_connected(self, connection) -> None:
         """Is called for each new connection."""
         self.fleet.closes.handle_connected(connection)
@@ -335,6 +344,9 @@
                 "tokens": len(response.state.accepted),
                 "recoveries": response.recoveries,
             }
+            self._traces.record(
+                exchange.request_id, make_trace(response, exchange.outcome)
+            )
         _log.info(
             "request ended",
             request=exchange.request_id,
@@ -346,6 +358,22 @@
         )
 
 
+def make_trace(response: chains.Response, outcome: str) -> dict:
+    """Returns the JSON value of a response for operators."""
+    job = response.job
+    return {
+        "request_id": job.request_id,
+        "workspace": job.workspace,
+        "priority": admission.PRIORITIES[job.priority],
+        "model": job.model,
+        "version": job.version,
+        "outcome": outcome,
+        "prompt_tokens": len(job.prompt),
+        "tokens": len(response.state.accepted),
+        "events": list(response.events),
+    }
+
+
 def list_models(catalog, workspace) -> list[str]:
     """Returns the names that a workspace may use in the field "model"."""
     names = []
--- a/tests/unit/test_calls.py
+++ b/tests/unit/test_calls.py
@@ -29,9 +29,7 @@
 SLOW = {"id": "b1", "mark": "slow"}
 SERVICE = types.SimpleNamespace(idempotent_methods=("GET", "HEAD"))
 WORKSPACE = types.SimpleNamespace(name="kea", services=("bookings",))
-BUDGET = types.SimpleNamespace(
-    record_success=lambda: None, try_spend=lambda: True
-)
+BUDGET = types.SimpleNamespace(record_success=lambda: None, spend=lambda: True)
 
 
 class End:
@@ -84,6 +82,9 @@
         with self.scope:
             await self.claims.run(task_status)
 
+    async def probe(self, timeout_s):
+        return True
+
     async def call(self, method, path, headers, body, timeout_s):
         self.headers = dict(headers)
         try:
--- a/tests/unit/test_stages.py
+++ b/tests/unit/test_stages.py
@@ -6,6 +6,7 @@
 from peridotyard_core import settings
 from peridotyard_daemon.connection import peers
 from peridotyard_daemon.process import sidecar
+from peridotyard_daemon.version import spread
 from peridotyard_daemon.wire.generated import ttypes
 from peridotyard_emulator import engine
 from peridotyard_emulator import layers
@@ -81,7 +82,12 @@
                 **sidecar_options,
             )
             network = self.network.join(str(address))
-            item = sidecar.Sidecar(values, network, incarnation=1)
+            item = sidecar.Sidecar(
+                values,
+                network,
+                spread.Spread(values.instance, "sidecar", None, 1.0),
+                incarnation=1,
+            )
             self.sidecars.append(item)
 
     async def start(self):
