--- a/tests/unit/test_spread.py
+++ b/tests/unit/test_spread.py
@@ -3,7 +3,7 @@
 import contextlib
 import random
 
-from hypothesis import settings
+import hypothesis
 from hypothesis import stateful
 from hypothesis import strategies as st
 from peridotyard_core import addresses
@@ -499,7 +499,7 @@
 
 
 TestSpreadMachine = SpreadMachine.TestCase
-TestSpreadMachine.settings = settings(
+TestSpreadMachine.settings = hypothesis.settings(
     derandomize=True,
     max_examples=40,
     stateful_step_count=16,
