--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 PACKAGES := core daemon emulator cli
 
-.PHONY: help install format lint generate test demo local bench lock
+.PHONY: help install format lint generate document test demo local bench lock
 
 help:
 	@echo "make install   install into .venv"
@@ -15,6 +15,7 @@
 	@echo "make bench     measure; prints tables"
 	@echo "make format    format the code"
 	@echo "make generate  generate the thrift code"
+	@echo "make document  write the settings reference of docs/operators.md"
 
 install: $(VENV)/installed
 
@@ -38,11 +39,15 @@
 	$(BIN)/ruff check -q .
 	$(BIN)/python tools/imports.py
 	$(BIN)/lint-imports
+	$(BIN)/python tools/document_options.py --check
 	tools/generate.sh --check
 
 generate:
 	tools/generate.sh
 
+document: install
+	$(BIN)/python tools/document_options.py
+
 test: install
 	$(BIN)/python tools/run_tests.py
 
--- a/packages/peridotyard-core/src/peridotyard_core/options.py
+++ b/packages/peridotyard-core/src/peridotyard_core/options.py
@@ -46,9 +46,9 @@
             "names": "names separated by commas",
         }[self.kind]
         if self.minimum is not None:
-            text += f" from {self.minimum:g}"
+            text += f" from {self.minimum}"
         if self.maximum is not None:
-            text += f" to {self.maximum:g}"
+            text += f" to {self.maximum}"
         return text
 
     def parse(self, text: str) -> typing.Any:
--- /dev/null
+++ b/tests/unit/test_logs.py
@@ -0,0 +1,96 @@
+"""Tests of process.logs."""
+
+import io
+import json
+import sys
+
+import logbook
+from peridotyard_core import settings
+from peridotyard_daemon.process import logs
+import pytest
+
+
+@pytest.fixture
+def start(monkeypatch):
+    """Returns a function that starts logs and gives their output."""
+    handlers = []
+
+    def start_logs(**values) -> io.StringIO:
+        output = io.StringIO()
+        monkeypatch.setattr(sys, "stderr", output)
+        before = list(logbook.Handler.stack_manager.iter_context_objects())
+        logs.start(
+            settings.ProcessSettings(
+                instance="a", zone="b", **DEFAULTS | values
+            )
+        )
+        after = logbook.Handler.stack_manager.iter_context_objects()
+        handlers.extend(item for item in after if item not in before)
+        return output
+
+    yield start_logs
+    for handler in handlers:
+        handler.pop_application()
+
+
+DEFAULTS = {
+    "log_level": "info",
+    "log_format": "text",
+    "debug": (),
+    "statsd": None,
+    "metrics_interval_s": 1.0,
+}
+
+
+def test_text_line_has_part_and_fields(start):
+    """Guards against lines that a search for a request cannot find."""
+    output = start()
+    logs.Part("chains").warning("a stage was replaced", request="r1", stage=2)
+    (line,) = output.getvalue().splitlines()
+    time, rest = line.split(" ", 1)
+    assert time.endswith("Z")
+    assert rest == ("warning chains: a stage was replaced request=r1 stage=2")
+
+
+@pytest.mark.parametrize(
+    "value", ["two words", 'a "quote"', "a=b", "line\nbreak", "", "\x1b[31m"]
+)
+def test_field_values_cannot_forge_a_line(start, value):
+    """Guards against a caller's text that looks like another log line."""
+    output = start()
+    logs.Part("calls").info("refused", path=value)
+    (line,) = output.getvalue().splitlines()
+    assert line.endswith(f"path={json.dumps(value)}")
+
+
+def test_json_line(start):
+    """Guards against a field that overwrites the time or the level."""
+    output = start(log_format="json")
+    logs.Part("calls").error("refused", path="a\nb", level="forged", count=3)
+    (line,) = output.getvalue().splitlines()
+    value = json.loads(line)
+    assert value.pop("time").endswith("Z")
+    assert value == {
+        "level": "error",
+        "part": "calls",
+        "message": "refused",
+        "path": "a\nb",
+        "count": 3,
+    }
+
+
+def test_level_and_debug_parts(start):
+    """Guards against debug lines of every part when one part is asked for."""
+    output = start(log_level="warning", debug=("chains",))
+    for name in ("chains", "calls"):
+        part = logs.Part(name)
+        part.debug("details")
+        part.info("event")
+        part.warning("refusal")
+    got = [line.split(" ", 1)[1] for line in output.getvalue().splitlines()]
+    assert got == [
+        "debug chains: details",
+        "info chains: event",
+        "warning chains: refusal",
+        "warning calls: refusal",
+    ]
