--- /dev/null
+++ b/packages/peridotyard-cli/src/peridotyard_cli/local.py
@@ -0,0 +1,774 @@
+"""A trial deployment on this machine, each process started as its own."""
+
+import argparse
+import collections
+import collections.abc
+import dataclasses
+import hashlib
+import json
+import os
+import pathlib
+import random
+import secrets
+import shutil
+import signal
+import socket
+import subprocess
+import sys
+import sysconfig
+import tempfile
+import time
+import typing
+
+import httpcore
+from peridotyard_core import errors
+
+HOST = "127.0.0.1"
+# Ports from 32768 are given to outgoing connections, so that a chosen port
+# there could be taken before the process listens on it.
+FIRST_PORT = 10240
+END_PORT = 32768
+ZONES = ("superior-north", "huron-west", "erie-south")
+MODEL = "plot-summary"
+MODEL_VERSION = "1"
+LAYERS = 12
+STAGES = 4
+HOLDERS = "ab"
+SERVICES = {"ledger": 2, "bookings": 2}
+ENTRIES = 2
+# Each workspace with its service.
+WORKSPACES = {"survey": "ledger", "travel": "bookings"}
+# An entry waits this long for its streams when the deployment stops.
+DRAIN_S = 10.0
+START_TIMEOUT_S = 60.0
+# Time for a process to end after its drain or, without one, after SIGTERM.
+STOP_TIMEOUT_S = 5.0
+# Guards against a process that fails at once and is started in a busy loop.
+RESTART_DELAY_S = 1.0
+# The wait between two looks at a condition.
+POLL_S = 0.05
+LOG_TAIL_LINES = 20
+
+
+class DeploymentError(errors.PeridotyardError):
+    """The deployment could not be started, or a process is not known."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Plan:
+    """What is started for one process.
+
+    Attributes:
+        name: Unique name, such as "sidecar-engine-1a".
+        role: "entry", "sidecar" or a role of the emulator.
+        zone: Availability zone.
+        sections: Settings file, values by option by section.
+    """
+
+    name: str
+    role: str
+    zone: str
+    sections: dict[str, dict[str, typing.Any]]
+
+    @property
+    def is_daemon(self) -> bool:
+        """Whether the process is one of peridotyard and drains."""
+        return self.role in ("entry", "sidecar")
+
+    @property
+    def address(self) -> str:
+        """Where other processes reach this one."""
+        listen = self.sections["listen"]
+        return str(listen["peers" if self.is_daemon else "address"])
+
+    def render(self) -> str:
+        """Returns the settings file."""
+        lines = []
+        for section, values in self.sections.items():
+            lines.append(f"[{section}]")
+            lines += [f"{name} = {value}" for name, value in values.items()]
+            lines.append("")
+        return "\n".join(lines)
+
+
+def choose_addresses(count: int) -> list[str]:
+    """Returns free loopback addresses below the ephemeral port range.
+
+    All ports are held until the last one is found, so that none is returned
+    twice.
+
+    Raises:
+        DeploymentError: Too few ports are free.
+    """
+    held = []
+    size = END_PORT - FIRST_PORT
+    start = random.randrange(size)
+    try:
+        for offset in range(size):
+            if len(held) == count:
+                break
+            port = FIRST_PORT + (start + offset) % size
+            item = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+            try:
+                item.bind((HOST, port))
+            except OSError:
+                item.close()
+            else:
+                held.append(item)
+        if len(held) < count:
+            raise DeploymentError(
+                f"only {len(held)} of {count} ports are free from"
+                f" {FIRST_PORT} to {END_PORT - 1}"
+            )
+        return [f"{HOST}:{item.getsockname()[1]}" for item in held]
+    finally:
+        for item in held:
+            item.close()
+
+
+def plan_processes(admin_token: str) -> list[Plan]:
+    """Returns all processes in the order in which they are started."""
+    engines = [
+        (f"engine-{stage + 1}{holder}", stage, index)
+        for stage in range(STAGES)
+        for index, holder in enumerate(HOLDERS)
+    ]
+    services = [
+        (f"{service}-{number + 1}", service, number)
+        for service, count in SERVICES.items()
+        for number in range(count)
+    ]
+    free = iter(
+        choose_addresses(4 + 3 * len(engines) + 2 * len(services) + 3 * ENTRIES)
+    )
+    platform = [
+        _plan(role, role, ZONES[0], {"listen": {"address": next(free)}})
+        for role in ("table", "instances", "objects", "weights")
+    ]
+    table, instances = platform[0].address, platform[1].address
+    backends = []
+    for name, stage, index in engines:
+        # The holders of one layer range are in different zones.
+        zone = ZONES[(stage + index) % len(ZONES)]
+        backends.append(_plan_engine(name, stage, zone, next(free), next(free)))
+    for name, service, number in services:
+        backends.append(
+            _plan(
+                name,
+                "service",
+                ZONES[number % len(ZONES)],
+                {
+                    "listen": {"address": next(free)},
+                    "service": {"name": service},
+                },
+            )
+        )
+    sidecars = [_plan_sidecar(plan, next(free), table) for plan in backends]
+    digest = hashlib.sha256(admin_token.encode()).hexdigest()
+    entries = [
+        _plan(
+            f"entry-{number + 1}",
+            "entry",
+            ZONES[number % len(ZONES)],
+            {
+                "listen": {
+                    "peers": next(free),
+                    "callers": next(free),
+                    "admin": next(free),
+                },
+                "platform": {
+                    "table": table,
+                    "instances": instances,
+                    "instance_poll_s": 0.5,
+                },
+                "admin": {"token_sha256": digest},
+            },
+        )
+        for number in range(ENTRIES)
+    ]
+    return platform + backends + sidecars + entries
+
+
+def _plan(name, role, zone, sections) -> Plan:
+    process = {"instance": name, "zone": zone}
+    if role in ("entry", "sidecar"):
+        process["drain_s"] = DRAIN_S
+    return Plan(name, role, zone, {"process": process, **sections})
+
+
+def _plan_engine(name, stage, zone, address, control) -> Plan:
+    width = LAYERS // STAGES
+    return _plan(
+        name,
+        "engine",
+        zone,
+        {
+            "listen": {"address": address, "control": control},
+            "engine": {
+                "model": MODEL,
+                "version": MODEL_VERSION,
+                "layers": LAYERS,
+                "first_layer": stage * width,
+                "end_layer": (stage + 1) * width,
+            },
+        },
+    )
+
+
+def _plan_sidecar(backend: Plan, address: str, table: str) -> Plan:
+    values = {"address": backend.address, "kind": "model"}
+    if backend.role == "service":
+        values["kind"] = "service"
+        values["service"] = backend.sections["service"]["name"]
+    return _plan(
+        f"sidecar-{backend.name}",
+        "sidecar",
+        backend.zone,
+        {
+            "listen": {"peers": address},
+            "backend": values,
+            "platform": {"table": table},
+        },
+    )
+
+
+def make_objects(keys: dict[str, str]) -> list[tuple[str, dict]]:
+    """Returns the first configuration as (kind, JSON value) pairs.
+
+    Args:
+        keys: API key by workspace.
+    """
+    objects = [
+        (
+            "model",
+            {
+                "name": MODEL,
+                "version": MODEL_VERSION,
+                "layers": LAYERS,
+                "adapters": [],
+                "tokenizer": "bytes",
+                "max_tokens": 4096,
+                "context_tokens": 8192,
+                "activation_bytes": 4,
+            },
+        )
+    ]
+    for service in SERVICES:
+        objects.append(
+            (
+                "service",
+                {
+                    "name": service,
+                    "idempotent_methods": ["GET", "HEAD"],
+                    "retention_s": 86400,
+                },
+            )
+        )
+    for name, service in WORKSPACES.items():
+        digest = hashlib.sha256(keys[name].encode()).hexdigest()
+        objects.append(
+            (
+                "workspace",
+                {
+                    "name": name,
+                    "key_hashes": [digest],
+                    "models": [MODEL],
+                    "adapters": [],
+                    "services": [service],
+                    "priority": "normal",
+                    "weight": 1,
+                },
+            )
+        )
+    return objects
+
+
+def make_command(plan: Plan) -> list[str]:
+    """Returns the command of a process, without its settings file."""
+    if plan.is_daemon:
+        scripts = pathlib.Path(sysconfig.get_path("scripts"))
+        return [str(scripts / "peridotyardd"), plan.role]
+    return [sys.executable, "-m", "peridotyard_emulator", plan.role]
+
+
+class _Process:
+    """One started process, owned by the deployment."""
+
+    def __init__(self, plan: Plan, directory: pathlib.Path):
+        self.plan = plan
+        self.settings = directory / f"{plan.name}.ini"
+        self.log = directory / f"{plan.name}.log"
+        self.child = None
+        # Whether its end is wanted, and so is not reported.
+        self.is_expected_to_end = False
+
+    def start(self) -> None:
+        self.settings.write_text(self.plan.render(), encoding="utf-8")
+        self.is_expected_to_end = False
+        with open(self.log, "ab") as log:
+            self.child = subprocess.Popen(
+                [*make_command(self.plan), "--settings", str(self.settings)],
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+                # Ctrl-C in the terminal reaches only this process, which then
+                # stops the others in order.
+                start_new_session=True,
+            )
+
+    @property
+    def is_running(self) -> bool:
+        return self.child is not None and self.child.poll() is None
+
+    def signal(self, number: int) -> None:
+        if self.is_running:
+            self.child.send_signal(number)
+
+    def wait(self, timeout_s: float) -> int | None:
+        """Returns the exit status, or None if it is still running."""
+        try:
+            return self.child.wait(timeout_s)
+        except subprocess.TimeoutExpired:
+            return None
+
+    def read_tail(self) -> str:
+        try:
+            text = self.log.read_text(encoding="utf-8", errors="replace")
+        except OSError as error:
+            return str(error)
+        return "\n".join(text.splitlines()[-LOG_TAIL_LINES:])
+
+
+class Deployment:
+    """A trial deployment, owned by the program that starts it.
+
+    Processes are known by name, for example "engine-1a", "sidecar-engine-1a",
+    "sidecar-ledger-2", "entry-1", "table".
+    """
+
+    def __init__(
+        self, directory: str | None = None, *, keep_logs: bool = False
+    ):
+        """Prepares the deployment; nothing is started yet.
+
+        Args:
+            directory: Where settings and logs are written; a new temporary
+                folder if None.
+            keep_logs: Whether a temporary folder stays after `stop`.
+        """
+        self._is_temporary = directory is None
+        self._keep_logs = keep_logs
+        if directory is not None:
+            os.makedirs(directory, exist_ok=True)
+        self.directory = pathlib.Path(
+            directory or tempfile.mkdtemp(prefix="peridotyard-")
+        )
+        self.admin_token = secrets.token_hex(16)
+        self.keys = {name: secrets.token_hex(16) for name in WORKSPACES}
+        plans = plan_processes(self.admin_token)
+        self._processes = {
+            plan.name: _Process(plan, self.directory) for plan in plans
+        }
+
+    @property
+    def plans(self) -> list[Plan]:
+        """All processes in the order in which they are started."""
+        return [item.plan for item in self._processes.values()]
+
+    @property
+    def entries(self) -> list[str]:
+        """URLs of the entries for callers."""
+        return [f"http://{a}" for a in self._list_listeners("callers")]
+
+    @property
+    def admin(self) -> str:
+        """URL of the first entry's administration API."""
+        return self.list_admin()[0]
+
+    def list_admin(self) -> list[str]:
+        """Returns the URL of each entry's administration API."""
+        return [f"http://{a}" for a in self._list_listeners("admin")]
+
+    def start(
+        self,
+        timeout_s: float = START_TIMEOUT_S,
+        is_interrupted: collections.abc.Callable[[], bool] = lambda: False,
+    ) -> None:
+        """Starts everything and waits until requests are served.
+
+        Args:
+            timeout_s: Longest time until requests are served.
+            is_interrupted: Ends the wait early when it returns True.
+
+        Raises:
+            DeploymentError: A process died, or the time is up; everything that
+                was started is stopped.
+        """
+        deadline = time.monotonic() + timeout_s
+        try:
+            for item in self._processes.values():
+                item.start()
+            waiter = _Waiter(self, deadline, is_interrupted)
+            self._publish_instances(waiter)
+            self._submit(waiter)
+            self._wait_until_served(waiter)
+        except BaseException:
+            self.stop()
+            raise
+
+    def stop(self) -> None:
+        """Stops everything, entries first, and removes a temporary folder."""
+        for role in ("entry", "sidecar", None):
+            items = [
+                item
+                for item in self._processes.values()
+                if item.is_running and role in (item.plan.role, None)
+            ]
+            for item in items:
+                item.is_expected_to_end = True
+                # A paused process would act on SIGTERM only when resumed.
+                item.signal(signal.SIGCONT)
+                item.signal(signal.SIGTERM)
+            limit_s = STOP_TIMEOUT_S + (DRAIN_S if role else 0)
+            deadline = time.monotonic() + limit_s
+            for item in items:
+                if item.wait(max(0, deadline - time.monotonic())) is None:
+                    _log(f"{item.plan.name} did not stop in {limit_s:g} s")
+                    item.signal(signal.SIGKILL)
+                    item.wait(STOP_TIMEOUT_S)
+        if self._is_temporary and not self._keep_logs:
+            shutil.rmtree(self.directory, ignore_errors=True)
+
+    def kill(self, name: str) -> None:
+        """Ends a process with SIGKILL, as a crash does."""
+        item = self._find(name)
+        item.is_expected_to_end = True
+        item.signal(signal.SIGKILL)
+        item.wait(STOP_TIMEOUT_S)
+
+    def pause(self, name: str) -> None:
+        """Stops a process from running until `resume`."""
+        self._find(name).signal(signal.SIGSTOP)
+
+    def resume(self, name: str) -> None:
+        """Continues a paused process."""
+        self._find(name).signal(signal.SIGCONT)
+
+    def terminate(self, name: str) -> None:
+        """Asks a process for a graceful shutdown and returns at once."""
+        item = self._find(name)
+        item.is_expected_to_end = True
+        item.signal(signal.SIGTERM)
+
+    def wait(self, name: str, timeout_s: float) -> int | None:
+        """Returns the exit status, or None if it is still running then."""
+        return self._find(name).wait(timeout_s)
+
+    def restart(self, name: str) -> None:
+        """Starts a process again with the same settings and addresses."""
+        item = self._find(name)
+        if item.is_running:
+            item.is_expected_to_end = True
+            item.signal(signal.SIGCONT)
+            item.signal(signal.SIGTERM)
+            if item.wait(STOP_TIMEOUT_S + DRAIN_S) is None:
+                self.kill(name)
+        item.start()
+
+    def is_running(self, name: str) -> bool:
+        """Returns whether a process has been started and has not ended."""
+        return self._find(name).is_running
+
+    def find_pid(self, name: str) -> int:
+        """Returns the process id."""
+        return self._find(name).child.pid
+
+    def list_dead(self) -> list[str]:
+        """Returns processes that ended although nobody asked them to.
+
+        Each one is returned once.
+        """
+        dead = []
+        for name, item in self._processes.items():
+            started = item.child is not None
+            if started and not item.is_running and not item.is_expected_to_end:
+                item.is_expected_to_end = True
+                dead.append(name)
+        return dead
+
+    def describe_end(self, name: str) -> str:
+        """Returns the exit status and the last log lines of a process."""
+        item = self._find(name)
+        return (
+            f"{name} ended with status {item.child.returncode}; last lines of"
+            f" {item.log}:\n{item.read_tail()}"
+        )
+
+    def describe(self) -> dict:
+        """Returns the content of the ready file."""
+        return {
+            "entries": self.entries,
+            "admin": self.admin,
+            "admin_token": self.admin_token,
+            "workspaces": dict(self.keys),
+            "models": [
+                {"name": MODEL, "version": MODEL_VERSION, "layers": LAYERS}
+            ],
+            "services": {
+                service: [w for w, s in WORKSPACES.items() if s == service]
+                for service in SERVICES
+            },
+            "processes": [
+                {
+                    "role": item.plan.role,
+                    "name": name,
+                    "zone": item.plan.zone,
+                    "pid": item.child.pid,
+                    "address": item.plan.address,
+                    "control": item.plan.sections["listen"].get("control", ""),
+                }
+                for name, item in self._processes.items()
+            ],
+        }
+
+    def _find(self, name: str) -> _Process:
+        if name not in self._processes:
+            names = ", ".join(self._processes)
+            raise DeploymentError(f"no process {name!r}; allowed: {names}")
+        return self._processes[name]
+
+    def _list_listeners(self, name: str) -> list[str]:
+        return [
+            plan.sections["listen"][name]
+            for plan in self.plans
+            if plan.role == "entry"
+        ]
+
+    def _publish_instances(self, waiter: "_Waiter") -> None:
+        address = self._processes["instances"].plan.address
+        body = {
+            "instances": [
+                {
+                    "instance": plan.name,
+                    "zone": plan.zone,
+                    "role": plan.role,
+                    "address": plan.address,
+                    "state": "live",
+                }
+                for plan in self.plans
+                if plan.is_daemon
+            ]
+        }
+        waiter.wait(
+            "the list of instances is accepted",
+            lambda: send(
+                "PUT", f"http://{address}/control/instances", value=body
+            ).status
+            in (200, 204),
+        )
+
+    def _submit(self, waiter: "_Waiter") -> None:
+        body = {
+            "changes": [
+                {
+                    "kind": kind,
+                    "name": value["name"],
+                    "expected": 0,
+                    "value": value,
+                }
+                for kind, value in make_objects(self.keys)
+            ]
+        }
+
+        def submit() -> bool:
+            reply = send(
+                "POST",
+                f"{self.admin}/admin/v1/config/changes",
+                self.admin_token,
+                body,
+            )
+            # The answer of an earlier try may have been lost.
+            return reply.status in (200, 201, 409)
+
+        waiter.wait("the first configuration is accepted", submit)
+
+    def _wait_until_served(self, waiter: "_Waiter") -> None:
+        for url in self.entries:
+            for name, service in WORKSPACES.items():
+                key = self.keys[name]
+                waiter.wait(
+                    f"{url} serves {MODEL} to {name}",
+                    lambda url=url, key=key: send(
+                        "POST",
+                        f"{url}/v1/completions",
+                        key,
+                        {"model": MODEL, "prompt": "ready?", "max_tokens": 1},
+                    ).status
+                    == 200,
+                )
+                waiter.wait(
+                    f"{url} serves {service} to {name}",
+                    lambda url=url, key=key, service=service: send(
+                        "GET", f"{url}/v1/services/{service}/{PROBE}", key
+                    ).status
+                    in (200, 404),
+                )
+
+
+# A record that no test submits.
+PROBE = "records/none"
+
+
+@dataclasses.dataclass(frozen=True)
+class Reply:
+    """Status and body of an HTTP answer; status 0 if there was none."""
+
+    status: int
+    body: bytes
+
+    @property
+    def json(self) -> typing.Any:
+        """The JSON value of the body."""
+        return json.loads(self.body)
+
+
+def send(
+    method: str,
+    url: str,
+    token: str = "",
+    value: typing.Any = None,
+    headers: collections.abc.Mapping[str, str] | None = None,
+    timeout_s: float = 10.0,
+) -> Reply:
+    """Sends one request on a new connection and returns the whole answer."""
+    pairs = dict(headers or {})
+    if token:
+        pairs["authorization"] = f"Bearer {token}"
+    content = b""
+    if value is not None:
+        content = json.dumps(value).encode()
+        pairs["content-type"] = "application/json"
+    limits = dict.fromkeys(("connect", "read", "write", "pool"), timeout_s)
+    try:
+        answer = httpcore.request(
+            method,
+            url,
+            headers=pairs,
+            content=content,
+            extensions={"timeout": limits},
+        )
+    except (
+        httpcore.NetworkError,
+        httpcore.ProtocolError,
+        httpcore.TimeoutException,
+    ) as error:
+        return Reply(0, type(error).__name__.encode())
+    return Reply(answer.status, answer.content)
+
+
+class _Waiter:
+    """Waits for conditions of a starting deployment until a deadline."""
+
+    def __init__(self, deployment: Deployment, deadline: float, is_interrupted):
+        self._deployment = deployment
+        self._deadline = deadline
+        self._is_interrupted = is_interrupted
+
+    def wait(self, condition: str, check) -> None:
+        """Repeats `check` until it returns True.
+
+        Raises:
+            DeploymentError: A process died, the time is up, or a signal came.
+        """
+        while not check():
+            dead = self._deployment.list_dead()
+            if dead:
+                raise DeploymentError(
+                    "\n".join(map(self._deployment.describe_end, dead))
+                )
+            if self._is_interrupted():
+                raise DeploymentError("stopped by a signal during the start")
+            if time.monotonic() > self._deadline:
+                raise DeploymentError(f"not in time: {condition}")
+            time.sleep(POLL_S)
+
+
+def _log(message: str) -> None:
+    print(f"peridotyard local: {message}", file=sys.stderr, flush=True)
+
+
+def add_arguments(parser: argparse.ArgumentParser) -> None:
+    """Adds the options of `peridotyard local`."""
+    parser.add_argument(
+        "--ready-file",
+        metavar="F",
+        help="JSON file that is written when requests are served",
+    )
+    parser.add_argument(
+        "--directory",
+        metavar="D",
+        help="where settings and logs are written (default: a temporary one)",
+    )
+    parser.add_argument(
+        "--keep-logs",
+        action="store_true",
+        help="keep the temporary directory",
+    )
+    parser.add_argument(
+        "--restart",
+        action="store_true",
+        help="start a process again when it ends unexpectedly",
+    )
+
+
+def run(options: argparse.Namespace) -> int:
+    """Runs a deployment until SIGINT or SIGTERM; returns the exit status."""
+    received = []
+    for number in (signal.SIGINT, signal.SIGTERM):
+        signal.signal(number, lambda number, _: received.append(number))
+    deployment = Deployment(options.directory, keep_logs=options.keep_logs)
+    _log(f"settings and logs are in {deployment.directory}")
+    try:
+        deployment.start(is_interrupted=lambda: bool(received))
+    except DeploymentError as error:
+        _log(str(error))
+        return 0 if received else 1
+    try:
+        _log("requests are served by " + ", ".join(deployment.entries))
+        if options.ready_file:
+            write_ready_file(options.ready_file, deployment.describe())
+        _watch(deployment, options, received)
+    finally:
+        _log("stopping")
+        deployment.stop()
+        if options.ready_file:
+            pathlib.Path(options.ready_file).unlink(missing_ok=True)
+    return 0
+
+
+def _watch(deployment: Deployment, options, received: list[int]) -> None:
+    restarts = collections.Counter()
+    while not received:
+        for name in deployment.list_dead():
+            _log(deployment.describe_end(name))
+            if options.restart:
+                restarts[name] += 1
+                time.sleep(RESTART_DELAY_S)
+                _log(f"{name} is started again ({restarts[name]})")
+                deployment.restart(name)
+                if options.ready_file:
+                    write_ready_file(options.ready_file, deployment.describe())
+        time.sleep(POLL_S)
+
+
+def write_ready_file(path: str, value: dict) -> None:
+    """Writes a JSON file that readers see whole or not at all.
+
+    It holds keys, so only its owner can read it.
+    """
+    target = pathlib.Path(path)
+    partial = target.with_name(f"{target.name}.{os.getpid()}.tmp")
+    with open(os.open(partial, os.O_WRONLY | os.O_CREAT, 0o600), "w") as file:
+        json.dump(value, file, indent=2)
+        file.write("\n")
+    os.replace(partial, target)
