--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks; `python -m bench NAME...` runs them and prints tables."""
--- /dev/null
+++ b/packages/peridotyard-cli/src/peridotyard_cli/demo.py
@@ -0,0 +1,254 @@
+"""A demonstration: a stream, a repeated tally and the loss of a stage."""
+
+import argparse
+import collections.abc
+import sys
+import time
+import uuid
+
+from peridotyard_emulator import callers
+import trio
+
+from peridotyard_cli import local
+
+SUMMARY_TOKENS = 120
+# Long enough that the kill certainly comes in mid-stream.
+LONG_TOKENS = 400
+KILL_AFTER_TOKENS = 60
+# The stage whose holder is killed, counted from 1; neither the first nor the
+# last, so that its neighbours on both sides have to be connected again.
+KILLED_STAGE = 2
+TALLY = {"plot": "cedar-ridge-12", "species": "fir", "count": 41}
+
+
+class DemoError(local.DeploymentError):
+    """What was seen differs from what was expected."""
+
+
+def add_arguments(parser: argparse.ArgumentParser) -> None:
+    """Adds the options of `peridotyard demo`."""
+    parser.add_argument(
+        "--keep-logs",
+        action="store_true",
+        help="keep the logs of the processes",
+    )
+
+
+def run(options: argparse.Namespace) -> int:
+    """Runs the demonstration; the status is 1 if something differed."""
+    start_s = time.monotonic()
+    deployment = local.Deployment(keep_logs=options.keep_logs)
+    try:
+        deployment.start()
+        _say(f"{len(deployment.plans)} processes are running")
+        trio.run(_show, deployment)
+    except local.DeploymentError as error:
+        print(f"peridotyard demo: {error}", file=sys.stderr)
+        return 1
+    finally:
+        deployment.stop()
+    _say(f"all as expected, in {time.monotonic() - start_s:.0f} s")
+    return 0
+
+
+async def _show(deployment: local.Deployment) -> None:
+    url = deployment.entries[0]
+    async with callers.Caller(url, deployment.keys["survey"]) as caller:
+        await _show_stream(caller)
+        await _show_tally(deployment, caller)
+        await _show_failure(deployment, caller)
+
+
+async def _show_stream(caller: callers.Caller) -> None:
+    prompt = make_prompt("Summarize plot cedar-ridge-12.", SUMMARY_TOKENS)
+    answer = await caller.stream(prompt)
+    check_stream(prompt, answer)
+    first_ms = (answer.arrivals_s[0] - answer.sent_s) * 1000
+    _say(
+        f"stream: {prompt.max_tokens} tokens through {local.STAGES} stages,"
+        f" first after {first_ms:.0f} ms, equal to the expected text"
+    )
+
+
+async def _show_tally(
+    deployment: local.Deployment, caller: callers.Caller
+) -> None:
+    key = uuid.uuid4().hex
+    path = "/v1/services/ledger/tallies"
+    replies = []
+    for _ in range(2):
+        reply = await caller.call("POST", path, TALLY, key)
+        if not reply.is_success:
+            raise DemoError(f"tally: {reply.status} {reply.code}")
+        replies.append(reply.body)
+    count = count_executions(deployment, "ledger", key)
+    _say(f"tally: submitted twice with one key, counted {count} time(s)")
+    if count != 1 or replies[0] != replies[1]:
+        raise DemoError(f"tally: counted {count} times, answers {replies}")
+
+
+async def _show_failure(
+    deployment: local.Deployment, caller: callers.Caller
+) -> None:
+    prompt = make_prompt("Summarize every plot of the ridge.", LONG_TOKENS)
+    killer = StageKiller(deployment, KILLED_STAGE, KILL_AFTER_TOKENS)
+    answer = await caller.stream(prompt, killer.handle_text)
+    if not killer.killed:
+        raise DemoError(f"no stage was killed; {answer.code}")
+    check_stream(prompt, answer)
+    pairs = zip(answer.arrivals_s, answer.arrivals_s[1:], strict=False)
+    gap_ms = max(later - earlier for earlier, later in pairs) * 1000
+    _say(
+        f"failure: {' and '.join(killer.killed)} killed after"
+        f" {killer.characters} characters, longest gap {gap_ms:.0f} ms,"
+        f" all {prompt.max_tokens} tokens equal to the expected text"
+    )
+
+
+class StepWatch:
+    """Step counts of all engines before a stream, to see which it uses.
+
+    Owned by the caller that reads the stream; no other stream may run.
+    """
+
+    def __init__(self, deployment: local.Deployment):
+        self._deployment = deployment
+        self._before = {
+            plan.name: self._count(plan.name)
+            for plan in deployment.plans
+            if plan.role == "engine"
+        }
+
+    def find_holder(self, stage: int) -> str:
+        """Returns the engine that runs a stage of the stream.
+
+        Args:
+            stage: Counted from 1.
+
+        Raises:
+            DemoError: None or several of the holders have run steps.
+        """
+        names = [f"engine-{stage}{holder}" for holder in local.HOLDERS]
+        used = [
+            name for name in names if self._count(name) > self._before[name]
+        ]
+        if len(used) != 1:
+            raise DemoError(f"stage {stage}: steps were run by {used}")
+        return used[0]
+
+    def _count(self, name: str) -> int:
+        return read_state(self._deployment, name)["steps_run"]
+
+
+class StageKiller:
+    """Kills the holder of a stage that a stream uses, once.
+
+    Owned by the caller that reads the stream.
+    """
+
+    def __init__(
+        self, deployment: local.Deployment, stage: int, after_characters: int
+    ):
+        self._deployment = deployment
+        self._stage = stage
+        self._after = after_characters
+        self._watch = StepWatch(deployment)
+        self.killed = []
+        self.characters = 0
+
+    def handle_text(self, text: str) -> None:
+        """Takes the text of the stream so far; see `callers.Caller.stream`."""
+        if self.killed or len(text) < self._after:
+            return
+        name = self._watch.find_holder(self._stage)
+        self.characters = len(text)
+        self.killed = [name, f"sidecar-{name}"]
+        for victim in self.killed:
+            self._deployment.kill(victim)
+
+
+def make_prompt(text: str, max_tokens: int, seed: int = 7) -> callers.Prompt:
+    """Returns a request for the model of the trial deployment."""
+    return callers.Prompt(local.MODEL, local.LAYERS, text, seed, max_tokens)
+
+
+def check_stream(prompt: callers.Prompt, answer: callers.Answer) -> None:
+    """Compares a response with the expected tokens.
+
+    Raises:
+        DemoError: The response is incomplete or differs.
+    """
+    if not answer.is_success or not answer.is_complete:
+        raise DemoError(
+            f"stream: status {answer.status}, error {answer.code!r}"
+            f" {answer.verdict}, after {len(answer.text)} characters"
+        )
+    expected = prompt.generate()
+    if answer.text != expected:
+        same = find_difference(answer.text, expected)
+        raise DemoError(
+            f"stream: {len(answer.text)} characters, expected"
+            f" {len(expected)}; they differ from character {same}"
+        )
+
+
+def find_difference(
+    first: collections.abc.Sequence, second: collections.abc.Sequence
+) -> int:
+    """Returns the first index at which two sequences differ."""
+    for index, (one, other) in enumerate(zip(first, second, strict=False)):
+        if one != other:
+            return index
+    return min(len(first), len(second))
+
+
+def read_state(deployment: local.Deployment, name: str) -> dict:
+    """Returns `/control/state` of an emulated backend server."""
+    reply = local.send(
+        "GET", f"http://{find_control(deployment, name)}/control/state"
+    )
+    if reply.status != 200:
+        raise DemoError(f"{name}: no state, status {reply.status}")
+    return reply.json
+
+
+def find_control(deployment: local.Deployment, name: str) -> str:
+    """Returns the address of the control interface of an emulated server."""
+    for plan in deployment.plans:
+        if plan.name == name:
+            return plan.sections["listen"].get("control", plan.address)
+    raise DemoError(f"no process {name!r}")
+
+
+def count_executions(
+    deployment: local.Deployment, service: str, key: str
+) -> int:
+    """Returns how often all servers of a service ran a call."""
+    count = 0
+    for plan in deployment.plans:
+        is_holder = plan.sections.get("service", {}).get("name") == service
+        if plan.role == "service" and is_holder:
+            count += read_state(deployment, plan.name)["executed"].get(key, 0)
+    return count
+
+
+def list_ready(deployment: local.Deployment, entry: int) -> set[str]:
+    """Returns the sidecars whose backend servers an entry can use now.
+
+    Args:
+        deployment: The deployment.
+        entry: Index of the entry.
+    """
+    url = deployment.list_admin()[entry]
+    reply = local.send("GET", f"{url}/admin/v1/status", deployment.admin_token)
+    if reply.status != 200:
+        return set()
+    return {
+        peer["instance"]
+        for peer in reply.json["peers"]
+        if peer["ready"] and not peer["draining"]
+    }
+
+
+def _say(line: str) -> None:
+    print(line, flush=True)
--- a/packages/peridotyard-cli/src/peridotyard_cli/local.py
+++ b/packages/peridotyard-cli/src/peridotyard_cli/local.py
@@ -4,7 +4,7 @@
 import collections
 import collections.abc
 import dataclasses
-import hashlib
+import functools
 import json
 import os
 import pathlib
@@ -21,6 +21,7 @@
 import typing
 
 import httpcore
+from peridotyard_core import configuration
 from peridotyard_core import errors
 
 HOST = "127.0.0.1"
@@ -33,6 +34,9 @@
 MODEL_VERSION = "1"
 LAYERS = 12
 STAGES = 4
+# Seconds of one iteration of an emulated engine. Four stages then take 8 ms for
+# a token, so that a stream of 400 tokens lasts at least 3 s.
+ITERATION_S = 0.002
 HOLDERS = "ab"
 SERVICES = {"ledger": 2, "bookings": 2}
 ENTRIES = 2
@@ -164,7 +168,7 @@
             )
         )
     sidecars = [_plan_sidecar(plan, next(free), table) for plan in backends]
-    digest = hashlib.sha256(admin_token.encode()).hexdigest()
+    digest = configuration.hash_secret(admin_token)
     entries = [
         _plan(
             f"entry-{number + 1}",
@@ -204,8 +208,9 @@
         zone,
         {
             "listen": {"address": address, "control": control},
-            "engine": {
-                "model": MODEL,
+            "engine": {"base_s": ITERATION_S},
+            "model": {
+                "name": MODEL,
                 "version": MODEL_VERSION,
                 "layers": LAYERS,
                 "first_layer": stage * width,
@@ -232,55 +237,33 @@
     )
 
 
-def make_objects(keys: dict[str, str]) -> list[tuple[str, dict]]:
-    """Returns the first configuration as (kind, JSON value) pairs.
+def make_change(keys: dict[str, str]) -> dict:
+    """Returns the first configuration as a change for the administration API.
 
     Args:
         keys: API key by workspace.
     """
     objects = [
-        (
-            "model",
-            {
-                "name": MODEL,
-                "version": MODEL_VERSION,
-                "layers": LAYERS,
-                "adapters": [],
-                "tokenizer": "bytes",
-                "max_tokens": 4096,
-                "context_tokens": 8192,
-                "activation_bytes": 4,
-            },
-        )
-    ]
-    for service in SERVICES:
-        objects.append(
-            (
-                "service",
-                {
-                    "name": service,
-                    "idempotent_methods": ["GET", "HEAD"],
-                    "retention_s": 86400,
-                },
-            )
-        )
-    for name, service in WORKSPACES.items():
-        digest = hashlib.sha256(keys[name].encode()).hexdigest()
-        objects.append(
-            (
-                "workspace",
-                {
-                    "name": name,
-                    "key_hashes": [digest],
-                    "models": [MODEL],
-                    "adapters": [],
-                    "services": [service],
-                    "priority": "normal",
-                    "weight": 1,
-                },
+        configuration.Model(MODEL, MODEL_VERSION, LAYERS),
+        *(configuration.Service(name) for name in SERVICES),
+        *(
+            configuration.Workspace(
+                name,
+                key_hashes=(configuration.hash_secret(keys[name]),),
+                models=(MODEL,),
+                services=(service,),
             )
-        )
-    return objects
+            for name, service in WORKSPACES.items()
+        ),
+    ]
+    values = [configuration.render_object(item) for item in objects]
+    return {
+        # The same for each try, so that one whose answer was lost is not
+        # refused as a conflict when it is repeated.
+        "change_id": "first-configuration",
+        "expected": {f"{v['kind']}/{v['name']}": 0 for v in values},
+        "put": values,
+    }
 
 
 def make_command(plan: Plan) -> list[str]:
@@ -563,55 +546,40 @@
             "the list of instances is accepted",
             lambda: send(
                 "PUT", f"http://{address}/control/instances", value=body
-            ).status
-            in (200, 204),
+            ),
+            lambda reply: reply.status in (200, 204),
         )
 
     def _submit(self, waiter: "_Waiter") -> None:
-        body = {
-            "changes": [
-                {
-                    "kind": kind,
-                    "name": value["name"],
-                    "expected": 0,
-                    "value": value,
-                }
-                for kind, value in make_objects(self.keys)
-            ]
-        }
-
-        def submit() -> bool:
-            reply = send(
-                "POST",
-                f"{self.admin}/admin/v1/config/changes",
-                self.admin_token,
-                body,
-            )
-            # The answer of an earlier try may have been lost.
-            return reply.status in (200, 201, 409)
-
-        waiter.wait("the first configuration is accepted", submit)
+        path = f"{self.admin}/admin/v1/config"
+        change = make_change(self.keys)
+        reply = waiter.wait(
+            "the first configuration is accepted",
+            lambda: send("POST", f"{path}/changes", self.admin_token, change),
+        )
+        query = f"revision={reply.json['revision']}"
+        waiter.wait(
+            "the first configuration is in effect",
+            lambda: send("GET", f"{path}/status?{query}", self.admin_token),
+            lambda reply: reply.status == 200 and reply.json["in_effect"],
+        )
 
     def _wait_until_served(self, waiter: "_Waiter") -> None:
+        prompt = {"model": MODEL, "prompt": "ready?", "max_tokens": 1}
         for url in self.entries:
             for name, service in WORKSPACES.items():
                 key = self.keys[name]
                 waiter.wait(
                     f"{url} serves {MODEL} to {name}",
-                    lambda url=url, key=key: send(
-                        "POST",
-                        f"{url}/v1/completions",
-                        key,
-                        {"model": MODEL, "prompt": "ready?", "max_tokens": 1},
-                    ).status
-                    == 200,
+                    functools.partial(
+                        send, "POST", f"{url}/v1/completions", key, prompt
+                    ),
                 )
+                path = f"/v1/services/{service}/{PROBE}"
                 waiter.wait(
                     f"{url} serves {service} to {name}",
-                    lambda url=url, key=key, service=service: send(
-                        "GET", f"{url}/v1/services/{service}/{PROBE}", key
-                    ).status
-                    in (200, 404),
+                    functools.partial(send, "GET", url + path, key),
+                    lambda reply: reply.status in (200, 404),
                 )
 
 
@@ -674,13 +642,23 @@
         self._deadline = deadline
         self._is_interrupted = is_interrupted
 
-    def wait(self, condition: str, check) -> None:
-        """Repeats `check` until it returns True.
+    def wait(
+        self,
+        condition: str,
+        request: collections.abc.Callable[[], Reply],
+        accept: collections.abc.Callable[[Reply], bool] = (
+            lambda reply: reply.status == 200
+        ),
+    ) -> Reply:
+        """Repeats a request until its answer is accepted, and returns that.
 
         Raises:
             DeploymentError: A process died, the time is up, or a signal came.
         """
-        while not check():
+        while True:
+            reply = request()
+            if accept(reply):
+                return reply
             dead = self._deployment.list_dead()
             if dead:
                 raise DeploymentError(
@@ -689,7 +667,11 @@
             if self._is_interrupted():
                 raise DeploymentError("stopped by a signal during the start")
             if time.monotonic() > self._deadline:
-                raise DeploymentError(f"not in time: {condition}")
+                text = reply.body[:500].decode(errors="replace")
+                raise DeploymentError(
+                    f"not in time: {condition}; last answer: {reply.status}"
+                    f" {text}"
+                )
             time.sleep(POLL_S)
 
 
--- /dev/null
+++ b/packages/peridotyard-emulator/src/peridotyard_emulator/load.py
@@ -0,0 +1,272 @@
+"""Load tool: open-loop arrivals that rise as after a broadcast."""
+
+import argparse
+import collections
+import dataclasses
+import json
+import math
+import random
+import sys
+import uuid
+
+import trio
+
+from peridotyard_emulator import callers
+
+# The load after a broadcast, relative to the quiet load.
+RAMP_FACTOR = 20
+# Shares of the duration: quiet, then rising; the rest stays at the top.
+QUIET_SHARE = 0.3
+RISE_SHARE = 0.2
+PERCENTILES = (50, 95, 99)
+
+
+@dataclasses.dataclass(frozen=True)
+class Profile:
+    """Arrivals over time.
+
+    Attributes:
+        quiet_per_s: Requests a second before the broadcast.
+        duration_s: Length of the whole profile in seconds.
+    """
+
+    quiet_per_s: float
+    duration_s: float
+
+    def compute_rate(self, at_s: float) -> float:
+        """Returns requests per second at a time after the start."""
+        share = at_s / self.duration_s
+        rise = min(max((share - QUIET_SHARE) / RISE_SHARE, 0), 1)
+        return self.quiet_per_s * (1 + (RAMP_FACTOR - 1) * rise)
+
+    def list_arrivals(self, source: random.Random) -> list[float]:
+        """Returns Poisson arrivals in seconds after the start.
+
+        They are drawn at the highest rate and thinned to the rate of their
+        time.
+        """
+        top = self.quiet_per_s * RAMP_FACTOR
+        arrivals = []
+        at_s = source.expovariate(top)
+        while at_s < self.duration_s:
+            if source.random() * top < self.compute_rate(at_s):
+                arrivals.append(at_s)
+            at_s += source.expovariate(top)
+        return arrivals
+
+
+@dataclasses.dataclass(frozen=True)
+class Target:
+    """One workspace at one entry."""
+
+    caller: callers.Caller
+    workspace: str
+    service: str
+
+
+class Results:
+    """What the load tool has measured, owned by one run."""
+
+    def __init__(self):
+        self.sent = collections.Counter()
+        self.completed = collections.Counter()
+        self.refused = collections.Counter()
+        self.wrong = []
+        self.tokens = 0
+        self.first_s = []
+        self.between_s = []
+        self.call_s = []
+
+    def add_stream(self, prompt: callers.Prompt, answer: callers.Answer):
+        """Adds one stream and compares it with the expected text."""
+        expected = prompt.generate()
+        if not answer.is_success:
+            self._refuse(answer)
+            # What was sent before the error is part of the response.
+            if not expected.startswith(answer.text):
+                self._report(prompt.text, "text before the error differs")
+            return
+        if answer.text != expected or not answer.is_complete:
+            self._report(
+                prompt.text,
+                f"{len(answer.text)} of {len(expected)} characters,"
+                f" complete: {answer.is_complete}",
+            )
+            return
+        self.completed["streams"] += 1
+        self.tokens += prompt.max_tokens
+        arrivals = answer.arrivals_s
+        self.first_s.append(arrivals[0] - answer.sent_s)
+        # Tokens that were pending together arrive in one chunk, so the gap is
+        # the time that the caller waits for more text.
+        self.between_s += [
+            later - earlier
+            for earlier, later in zip(arrivals, arrivals[1:], strict=False)
+        ]
+
+    def add_call(self, name: str, answer: callers.Answer, problem: str):
+        """Adds one service call; `problem` is empty if it is as expected."""
+        if not answer.is_success:
+            self._refuse(answer)
+        elif problem:
+            self._report(name, problem)
+        else:
+            self.completed["calls"] += 1
+            self.call_s.append(answer.arrivals_s[-1] - answer.sent_s)
+
+    def _refuse(self, answer: callers.Answer) -> None:
+        self.refused[(answer.code, answer.verdict or "-")] += 1
+
+    def _report(self, name: str, problem: str) -> None:
+        self.wrong.append(f"{name}: {problem}")
+
+    def render(self, duration_s: float) -> str:
+        """Returns the report in lines for people."""
+        done = self.completed
+        lines = [
+            f"sent: {self.sent['streams']} streams, {self.sent['calls']} calls"
+            f" in {duration_s:.1f} s",
+            f"completed: {done['streams']} streams, {done['calls']} calls;"
+            f" {self.tokens / duration_s:.0f} tokens/s,"
+            f" {sum(done.values()) / duration_s:.1f} requests/s",
+        ]
+        for name, values in (
+            ("first token", self.first_s),
+            ("between chunks", self.between_s),
+            ("service call", self.call_s),
+        ):
+            texts = [
+                f"p{percent} {compute_percentile(values, percent) * 1000:.1f}"
+                for percent in PERCENTILES
+                if values
+            ]
+            lines.append(f"{name}, ms: {', '.join(texts) or 'none'}")
+        lines.append(f"refused: {sum(self.refused.values())}")
+        for (code, verdict), count in sorted(self.refused.items()):
+            lines.append(f"  {code} ({verdict}): {count}")
+        lines.append(f"wrong: {len(self.wrong)}")
+        lines += [f"  {item}" for item in self.wrong[:10]]
+        return "\n".join(lines)
+
+
+def compute_percentile(values: list[float], percent: float) -> float:
+    """Returns the smallest value that so many percent do not exceed."""
+    ordered = sorted(values)
+    rank = math.ceil(len(ordered) * percent / 100)
+    return ordered[max(rank, 1) - 1]
+
+
+async def run_load(ready: dict, profile: Profile, options) -> Results:
+    """Sends all requests of the profile and waits for their ends.
+
+    Arrivals are open-loop: a slow answer does not delay later requests.
+    """
+    results = Results()
+    source = random.Random(options.seed)
+    service_of = {
+        workspace: service
+        for service, names in ready["services"].items()
+        for workspace in names
+    }
+    targets = [
+        Target(callers.Caller(url, key), name, service_of[name])
+        for url in ready["entries"]
+        for name, key in ready["workspaces"].items()
+    ]
+    model = ready["models"][0]
+    start_s = trio.current_time()
+    async with trio.open_nursery() as nursery:
+        for number, at_s in enumerate(profile.list_arrivals(source)):
+            await trio.sleep_until(start_s + at_s)
+            target = source.choice(targets)
+            if source.random() < options.stream_share:
+                prompt = callers.Prompt(
+                    model["name"],
+                    model["layers"],
+                    f"Briefing {number} for {target.workspace}.",
+                    source.randrange(1 << 31),
+                    options.tokens,
+                )
+                results.sent["streams"] += 1
+                nursery.start_soon(_stream, target, prompt, results)
+            else:
+                results.sent["calls"] += 1
+                nursery.start_soon(_call, target, number, results)
+    for target in targets:
+        await target.caller.__aexit__()
+    return results
+
+
+async def _stream(target: Target, prompt, results: Results) -> None:
+    results.add_stream(prompt, await target.caller.stream(prompt))
+
+
+async def _call(target: Target, number: int, results: Results) -> None:
+    # The same call is made twice under one key: the second answer has to be
+    # the kept outcome of the first.
+    key = uuid.uuid4().hex
+    path, value = make_submission(target.service, number)
+    first = await target.caller.call("POST", path, value, key)
+    results.add_call(path, first, "")
+    if not first.is_success:
+        return
+    results.sent["calls"] += 1
+    second = await target.caller.call("POST", path, value, key)
+    same = second.body == first.body
+    problem = "" if same else "the repeated call has another outcome"
+    results.add_call(path, second, problem)
+
+
+def make_submission(service: str, number: int) -> tuple[str, dict]:
+    """Returns the path and body of a non-repeatable call of a service."""
+    if service == "ledger":
+        value = {"plot": f"load-{number}", "species": "fir", "count": 1}
+        return "/v1/services/ledger/tallies", value
+    value = {"trip": f"load-{number}", "seats": 1}
+    return "/v1/services/bookings/bookings", value
+
+
+def main(arguments: list[str] | None = None) -> int:
+    """Runs the load tool; the status is 1 if a response was wrong."""
+    parser = argparse.ArgumentParser(
+        prog="python -m peridotyard_emulator.load", description=__doc__
+    )
+    parser.add_argument("--ready-file", required=True, metavar="F")
+    parser.add_argument(
+        "--rate", type=float, default=1.0, help="quiet requests per second"
+    )
+    parser.add_argument(
+        "--duration", type=float, default=30.0, help="length in seconds"
+    )
+    parser.add_argument(
+        "--tokens", type=int, default=50, help="tokens of each stream"
+    )
+    parser.add_argument(
+        "--stream-share", type=float, default=0.7, help="share of streams"
+    )
+    parser.add_argument("--seed", type=int, default=1, help="of the arrivals")
+    options = parser.parse_args(arguments)
+    _check(parser, options)
+    try:
+        with open(options.ready_file, encoding="utf-8") as file:
+            ready = json.load(file)
+    except (OSError, ValueError) as error:
+        parser.error(f"{options.ready_file}: {error}")
+    profile = Profile(options.rate, options.duration)
+    results = trio.run(run_load, ready, profile, options)
+    print(results.render(options.duration))
+    return 1 if results.wrong else 0
+
+
+def _check(parser, options) -> None:
+    # "not >" instead of "<=" also rejects NaN.
+    for name in ("rate", "duration", "tokens"):
+        value = getattr(options, name)
+        if not 0 < value < math.inf:
+            parser.error(f"--{name}: {value}; allowed: a number above 0")
+    if not 0 <= options.stream_share <= 1:
+        parser.error(f"--stream-share: {options.stream_share}; allowed: 0 to 1")
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/features/environment.py
@@ -0,0 +1,26 @@
+"""Starts one deployment for all scenarios."""
+
+from peridotyard_cli import local
+
+from tests.support import acceptance
+
+
+def before_all(context):
+    context.deployment = local.Deployment()
+    context.deployment.start()
+
+
+def after_all(context):
+    if hasattr(context, "deployment"):
+        context.deployment.stop()
+
+
+def before_scenario(context, scenario):
+    # A scenario may stop processes, and each one starts with all of them.
+    acceptance.repair(context.deployment)
+
+
+def after_scenario(context, scenario):
+    if scenario.status == "failed":
+        for name in context.deployment.list_dead():
+            print(context.deployment.describe_end(name))
--- /dev/null
+++ b/tests/features/steps/services.py
@@ -0,0 +1,105 @@
+"""Steps of calls of plain services."""
+
+import uuid
+
+import behave
+from peridotyard_cli import demo
+from peridotyard_cli import local
+
+from tests.support import acceptance
+
+PATH = "/v1/services/ledger/tallies"
+
+
+def submit(context, entry, value, key):
+    return acceptance.call(
+        context.deployment.entries[entry],
+        context.deployment.keys["survey"],
+        "POST",
+        PATH,
+        value,
+        key,
+    )
+
+
+def submit_each(context, submissions):
+    context.key = uuid.uuid4().hex
+    context.answers = [
+        submit(context, entry, value, context.key)
+        for entry, value in submissions
+    ]
+
+
+@behave.when("a crew submits a tally twice with the same key")
+def submit_twice(context):
+    submit_each(context, [(0, demo.TALLY), (0, demo.TALLY)])
+
+
+@behave.when("a crew submits a tally through each entry with the same key")
+def submit_through_each_entry(context):
+    submit_each(context, [(0, demo.TALLY), (1, demo.TALLY)])
+
+
+@behave.when("a crew submits two different tallies with the same key")
+def submit_different(context):
+    submit_each(context, [(0, demo.TALLY), (0, demo.TALLY | {"count": 42})])
+    assert context.answers[0].is_success, context.answers[0]
+
+
+@behave.then("both answers are the same")
+def check_same(context):
+    first, second = context.answers
+    assert first.is_success, first
+    assert second.is_success, second
+    assert second.body == first.body
+
+
+@behave.then("the ledger counted the tally once")
+def check_counted_once(context):
+    count = demo.count_executions(context.deployment, "ledger", context.key)
+    assert count == 1, f"counted {count} times"
+
+
+@behave.when("a crew submits a tally without a key")
+def submit_without_key(context):
+    context.answers = [submit(context, 0, demo.TALLY, "")]
+
+
+@behave.when("a caller with an unknown API key requests a model and a service")
+def request_with_unknown_key(context):
+    url = context.deployment.entries[0]
+    body = {"model": local.MODEL, "prompt": "a", "max_tokens": 1}
+    context.answers = [
+        acceptance.call(url, "unknown", "POST", "/v1/completions", body),
+        acceptance.call(url, "unknown", "POST", PATH, demo.TALLY, "k"),
+    ]
+
+
+@behave.when("a crew calls the service of another workspace")
+def call_foreign_service(context):
+    path = f"/v1/services/bookings/{local.PROBE}"
+    context.answers = [
+        acceptance.call(
+            context.deployment.entries[0],
+            context.deployment.keys["survey"],
+            "GET",
+            path,
+        )
+    ]
+
+
+@behave.then('it is refused with {status:d} "{code}" as {verdict}')
+@behave.then('both are refused with {status:d} "{code}" as {verdict}')
+def check_all_refused(context, status, code, verdict):
+    for answer in context.answers:
+        check_refusal(answer, status, code, verdict)
+
+
+@behave.then('the second is refused with {status:d} "{code}" as {verdict}')
+def check_second_refused(context, status, code, verdict):
+    check_refusal(context.answers[1], status, code, verdict)
+
+
+def check_refusal(answer, status, code, verdict):
+    got = (answer.status, answer.code, answer.verdict)
+    assert got == (status, code, verdict), got
--- /dev/null
+++ b/tests/features/steps/streams.py
@@ -0,0 +1,146 @@
+"""Steps of streamed responses and planned stops."""
+
+import behave
+import openai
+from peridotyard_cli import demo
+from peridotyard_cli import local
+
+from tests.support import acceptance
+
+
+@behave.when("a crew requests a briefing of {count:d} tokens")
+def request_briefing(context, count):
+    (url, *_), key = context.deployment.entries, context.deployment.keys
+    context.prompts = [demo.make_prompt("Summarize plot 7.", count)]
+    context.answers = acceptance.stream_all(url, key["survey"], context.prompts)
+
+
+@behave.when(
+    "{crews:d} crews each request a briefing of {count:d} tokens from one entry"
+)
+def request_briefings(context, crews, count):
+    context.prompts = [
+        demo.make_prompt(f"Summarize plot {number}.", count, seed=number)
+        for number in range(crews)
+    ]
+    context.answers = acceptance.stream_all(
+        context.deployment.entries[0],
+        context.deployment.keys["survey"],
+        context.prompts,
+    )
+
+
+@behave.then("each response is complete and as expected")
+def check_responses(context):
+    texts = {prompt.generate() for prompt in context.prompts}
+    # Equal responses could not show that one caller got another's.
+    assert len(texts) == len(context.prompts)
+    for prompt, answer in zip(context.prompts, context.answers, strict=True):
+        demo.check_stream(prompt, answer)
+
+
+@behave.when("the openai client requests a briefing of {count:d} tokens")
+def request_with_openai(context, count):
+    context.prompt = demo.make_prompt("Summarize plot 9.", count)
+    with openai.OpenAI(
+        base_url=f"{context.deployment.entries[1]}/v1",
+        api_key=context.deployment.keys["travel"],
+        timeout=acceptance.LIMIT_S,
+        max_retries=0,
+    ) as client:
+        chunks = client.completions.create(
+            model=local.MODEL,
+            prompt=context.prompt.text,
+            seed=context.prompt.seed,
+            max_tokens=count,
+            stream=True,
+        )
+        parts = []
+        for chunk in chunks:
+            parts += [choice.text for choice in chunk.choices]
+        context.text = "".join(parts)
+        context.model_names = [item.id for item in client.models.list()]
+
+
+@behave.then("its text is as expected")
+def check_text(context):
+    assert context.text == context.prompt.generate()
+    assert context.model_names == [local.MODEL]
+
+
+@behave.given("a stream of {count:d} tokens is in progress")
+def start_stream(context, count):
+    prompt = demo.make_prompt("Summarize the whole ridge.", count)
+    context.watch = demo.StepWatch(context.deployment)
+    context.stream = acceptance.Background(
+        context.deployment.entries[0],
+        context.deployment.keys["survey"],
+        prompt,
+    )
+    context.stream.wait_for_text(20)
+
+
+@behave.when("the holder of stage {stage:d} that the stream uses is killed")
+def kill_stage(context, stage):
+    name = context.watch.find_holder(stage)
+    context.deployment.kill(name)
+    context.deployment.kill(f"sidecar-{name}")
+    assert context.stream.answer is None, "the kill came after the stream"
+
+
+@behave.when(
+    "the sidecar of stage {stage:d} that the stream uses is asked to stop"
+)
+def stop_sidecar(context, stage):
+    context.stopped = f"sidecar-{context.watch.find_holder(stage)}"
+    context.deployment.terminate(context.stopped)
+    assert context.stream.answer is None, "the stop came after the stream"
+
+
+@behave.when("its entry is asked to stop")
+def stop_entry(context):
+    context.stopped = "entry-1"
+    context.deployment.terminate(context.stopped)
+    assert context.stream.answer is None, "the stop came after the stream"
+
+
+@behave.then("the entry is not ready")
+def check_not_ready(context):
+    url = f"{context.deployment.entries[0]}/readyz"
+    # Status 0: the entry has closed its listener, as at its end.
+    acceptance.wait_until(
+        "/readyz fails", lambda: local.send("GET", url).status != 200
+    )
+
+
+@behave.then("the response is complete and as expected")
+def check_response(context):
+    if "stream" in context:
+        answer = context.stream.wait_for_end()
+        demo.check_stream(context.stream.prompt, answer)
+        return
+    demo.check_stream(context.prompts[0], context.answers[0])
+
+
+@behave.then("the process exits with status 0")
+def check_exit(context):
+    status = context.deployment.wait(context.stopped, acceptance.LIMIT_S)
+    assert status == 0, f"{context.stopped}: status {status}"
+
+
+@behave.then("new streams are complete and as expected")
+def check_new_streams(context):
+    stream_through(context, context.deployment.entries[0])
+
+
+@behave.then("the other entry serves new streams")
+def check_other_entry(context):
+    stream_through(context, context.deployment.entries[1])
+
+
+def stream_through(context, url):
+    prompts = [demo.make_prompt(f"Plot {n}.", 20, n) for n in range(10)]
+    key = context.deployment.keys["survey"]
+    answers = acceptance.stream_all(url, key, prompts)
+    for prompt, answer in zip(prompts, answers, strict=True):
+        demo.check_stream(prompt, answer)
--- /dev/null
+++ b/tests/support/acceptance.py
@@ -0,0 +1,103 @@
+"""Helpers of the acceptance tests, which run in real time."""
+
+import threading
+import time
+
+from peridotyard_cli import demo
+from peridotyard_cli import local
+from peridotyard_emulator import callers
+import trio
+
+# Generous, since the machine may be busy; conditions are polled, so a passing
+# run does not take this long.
+LIMIT_S = 60.0
+POLL_S = 0.05
+
+
+def wait_until(condition: str, check, limit_s: float = LIMIT_S):
+    """Returns the first true value of `check`, or fails after the limit."""
+    deadline = time.monotonic() + limit_s
+    while True:
+        value = check()
+        if value:
+            return value
+        assert time.monotonic() < deadline, f"not in {limit_s:g} s: {condition}"
+        time.sleep(POLL_S)
+
+
+def repair(deployment: local.Deployment) -> None:
+    """Starts processes that are down, and waits until all are in use."""
+    for plan in deployment.plans:
+        if not deployment.is_running(plan.name):
+            deployment.restart(plan.name)
+    wait_until(
+        "every entry knows every ready backend server",
+        lambda: all(
+            demo.list_ready(deployment, number)
+            == {p.name for p in deployment.plans if p.role == "sidecar"}
+            for number in range(local.ENTRIES)
+        ),
+    )
+
+
+class Background:
+    """A stream that is read in a thread while a scenario goes on."""
+
+    def __init__(self, url: str, key: str, prompt: callers.Prompt):
+        self.prompt = prompt
+        self.text = ""
+        self.answer = None
+        self._thread = threading.Thread(
+            target=trio.run, args=(self._read, url, key), daemon=True
+        )
+        self._thread.start()
+
+    def wait_for_text(self, characters: int) -> None:
+        """Waits until so much text has arrived and the stream goes on."""
+        wait_until(
+            f"{characters} characters of the stream",
+            lambda: len(self.text) >= characters or self.answer,
+        )
+        assert self.answer is None, f"the stream has ended: {self.answer}"
+
+    def wait_for_end(self) -> callers.Answer:
+        """Returns the whole answer."""
+        self._thread.join(LIMIT_S)
+        assert self.answer is not None, f"no end, {len(self.text)} characters"
+        return self.answer
+
+    async def _read(self, url, key):
+        async with callers.Caller(url, key, LIMIT_S) as caller:
+            self.answer = await caller.stream(self.prompt, self._take)
+
+    def _take(self, text):
+        self.text = text
+
+
+def stream_all(
+    url: str, key: str, prompts: list[callers.Prompt]
+) -> list[callers.Answer]:
+    """Reads streams that run at the same time, in the order of the prompts."""
+    answers = [None] * len(prompts)
+
+    async def read_one(caller, index):
+        answers[index] = await caller.stream(prompts[index])
+
+    async def read_all():
+        async with callers.Caller(url, key, LIMIT_S) as caller:
+            async with trio.open_nursery() as nursery:
+                for index in range(len(prompts)):
+                    nursery.start_soon(read_one, caller, index)
+
+    trio.run(read_all)
+    return answers
+
+
+def call(url, key, method, path, value=None, idempotency_key=""):
+    """Sends one request; see `callers.Caller.call`."""
+
+    async def send():
+        async with callers.Caller(url, key, LIMIT_S) as caller:
+            return await caller.call(method, path, value, idempotency_key)
+
+    return trio.run(send)
--- a/tests/unit/test_local.py
+++ b/tests/unit/test_local.py
@@ -68,7 +68,7 @@
     zones = collections.defaultdict(list)
     for plan in local.plan_processes("token"):
         if plan.role == "engine":
-            model = plan.sections["engine"]
+            model = plan.sections["model"]
             for layer in range(model["first_layer"], model["end_layer"]):
                 zones[layer].append(plan.zone)
     assert sorted(zones) == list(range(local.LAYERS))
