--- /dev/null
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/connection/engines.py
@@ -0,0 +1,284 @@
+"""Client of the model engine beside a sidecar."""
+
+import dataclasses
+import typing
+
+from peridotyard_core import addresses
+import trio
+
+from peridotyard_daemon.connection import frames
+from peridotyard_daemon.process import logs
+from peridotyard_daemon.process import network as network_module
+from peridotyard_daemon.wire.generated import ttypes
+
+REDIAL_FIRST_S = 0.05
+REDIAL_LAST_S = 1.0
+# Fraction of the step timeout between two checks for stalled steps; bounds
+# the delay of the detection.
+CHECKS_PER_TIMEOUT = 10
+
+_log = logs.Part("engines")
+
+
+@dataclasses.dataclass(frozen=True)
+class Lost:
+    """The connection to the engine ended; what ran there is gone."""
+
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True)
+class Stalled:
+    """Steps of these streams have had no result for the step timeout."""
+
+    streams: tuple[int, ...]
+
+
+@dataclasses.dataclass(frozen=True)
+class Refused:
+    """The engine is alive but did not run one step."""
+
+    result: ttypes.StepResult
+
+
+Problem = Lost | Stalled | Refused
+
+
+class Handler(typing.Protocol):
+    """What a sidecar does with its engine; the methods must not block."""
+
+    def handle_engine_changed(self) -> None:
+        """Is called when `Engine.hello` or `Engine.is_ready` changed."""
+
+    def handle_results(self, results: list[ttypes.StepResult]) -> None:
+        """Is called with the results of steps that ran."""
+
+    def handle_problem(self, problem: Problem) -> None:
+        """Is called for each problem; see the classes."""
+
+
+@dataclasses.dataclass(frozen=True)
+class _Outstanding:
+    generation: int
+    position: int
+    since: float
+
+
+class Engine:
+    """The connection to one engine, owned by the sidecar.
+
+    Attributes:
+        hello: What the engine holds, None while it is not connected.
+        load: The last load report, which lags.
+    """
+
+    def __init__(
+        self,
+        network: network_module.Network,
+        address: addresses.Address,
+        handler: Handler,
+        *,
+        dial_s: float,
+        step_timeout_s: float,
+    ):
+        self.hello: ttypes.EngineHello | None = None
+        self.load: ttypes.EngineLoad | None = None
+        self._network = network
+        self._address = address
+        self._handler = handler
+        self._dial_s = dial_s
+        self._step_timeout_s = step_timeout_s
+        self._queue: list[bytes] = []
+        self._wakeup = trio.Event()
+        self._outstanding: dict[int, _Outstanding] = {}
+        self._result_at = 0.0
+        self._is_stalled = False
+
+    @classmethod
+    def from_config(cls, settings, network, handler) -> "Engine":
+        """Makes the client of a `settings.SidecarSettings`."""
+        return cls(
+            network,
+            settings.backend,
+            handler,
+            dial_s=settings.dial_timeout_s,
+            step_timeout_s=settings.step_timeout_s,
+        )
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether streams can be opened now."""
+        return (
+            self.hello is not None and self.hello.ready and not self._is_stalled
+        )
+
+    def open(self, request: ttypes.EngineOpen) -> None:
+        """Opens a stream, or a later generation of it."""
+        self._outstanding.pop(request.stream, None)
+        self._post(ttypes.Frame(engine_open=request))
+
+    def run_steps(self, steps: list[ttypes.Step]) -> None:
+        """Runs steps, at most one per stream, with one frame."""
+        now = trio.current_time()
+        for step in steps:
+            self._outstanding[step.stream] = _Outstanding(
+                step.generation, step.position, now
+            )
+        self._post(ttypes.Frame(engine_run=ttypes.EngineRun(steps)))
+
+    def close(self, stream: int, generation: int) -> None:
+        """Frees a stream and cancels its step."""
+        self._outstanding.pop(stream, None)
+        request = ttypes.EngineClose(stream, generation)
+        self._post(ttypes.Frame(engine_close=request))
+
+    async def run(self) -> None:
+        """Keeps the connection until cancelled."""
+        pause_s = REDIAL_FIRST_S
+        while True:
+            stream = await self._dial()
+            if stream is not None:
+                try:
+                    if await self._exchange(stream):
+                        pause_s = REDIAL_FIRST_S
+                finally:
+                    with trio.CancelScope(shield=True):
+                        await trio.aclose_forcefully(stream)
+            await trio.sleep(pause_s)
+            pause_s = min(2 * pause_s, REDIAL_LAST_S)
+
+    def _post(self, frame: ttypes.Frame) -> None:
+        # Without a connection nothing is kept: the streams have failed.
+        if self.hello is not None:
+            self._queue.append(frames.encode(frame))
+            self._wakeup.set()
+
+    async def _dial(self):
+        try:
+            with trio.move_on_after(self._dial_s):
+                return await self._network.dial(self._address)
+        except OSError as error:
+            _log.debug("cannot reach the engine", reason=error)
+        return None
+
+    async def _exchange(self, stream) -> bool:
+        """Exchanges frames until the connection ends.
+
+        Returns:
+            Whether the engine had said hello.
+        """
+        reader = frames.FrameReader(stream)
+        reason = "the engine closed the connection"
+        try:
+            with trio.move_on_after(self._dial_s):
+                first = await reader.receive()
+                if first is None or first.engine_hello is None:
+                    raise frames.FrameError("the first frame is not a hello")
+                self._queue.clear()
+                self._set_hello(first.engine_hello)
+            if self.hello is None:
+                return False
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._write, stream)
+                nursery.start_soon(self._watch)
+                while (frame := await reader.receive()) is not None:
+                    self._handle_frame(frame)
+                nursery.cancel_scope.cancel()
+        except* (trio.BrokenResourceError, trio.ClosedResourceError):
+            reason = "the connection failed"
+        except* frames.FrameError as group:
+            reason = str(group.exceptions[0])
+        if self.hello is None:
+            _log.warning("no hello from the engine", reason=reason)
+            return False
+        self._lose(reason)
+        return True
+
+    def _lose(self, reason: str) -> None:
+        _log.error("lost the engine", reason=reason)
+        self.hello = None
+        self.load = None
+        self._is_stalled = False
+        self._outstanding.clear()
+        self._handler.handle_problem(Lost(reason))
+        self._handler.handle_engine_changed()
+
+    def _set_hello(self, hello: ttypes.EngineHello) -> None:
+        self.hello = hello
+        _log.info(
+            "the engine said hello",
+            model=hello.model,
+            version=hello.version,
+            first_layer=hello.first_layer,
+            end_layer=hello.end_layer,
+            ready=hello.ready,
+        )
+        self._handler.handle_engine_changed()
+
+    def _handle_frame(self, frame: ttypes.Frame) -> None:
+        if frame.engine_done is not None:
+            self._handle_done(frame.engine_done)
+        elif frame.engine_load is not None:
+            self.load = frame.engine_load
+        elif frame.engine_hello is not None:
+            self._set_hello(frame.engine_hello)
+
+    def _handle_done(self, done: ttypes.EngineDone) -> None:
+        self._result_at = trio.current_time()
+        if self._is_stalled:
+            self._is_stalled = False
+            self._handler.handle_engine_changed()
+        results = []
+        for result in done.results:
+            known = self._outstanding.get(result.stream)
+            # A result of a closed stream or an older generation is late.
+            if known is None or (known.generation, known.position) != (
+                result.generation,
+                result.position,
+            ):
+                continue
+            del self._outstanding[result.stream]
+            if result.error:
+                self._handler.handle_problem(Refused(result))
+            else:
+                results.append(result)
+        if results:
+            self._handler.handle_results(results)
+
+    async def _write(self, stream) -> None:
+        while True:
+            await self._wakeup.wait()
+            self._wakeup = trio.Event()
+            while self._queue:
+                data = b"".join(self._queue)
+                self._queue.clear()
+                await stream.send_all(data)
+
+    async def _watch(self) -> None:
+        interval_s = self._step_timeout_s / CHECKS_PER_TIMEOUT
+        woken_at = trio.current_time()
+        while True:
+            await trio.sleep(interval_s)
+            now = trio.current_time()
+            late_s = now - woken_at - interval_s
+            woken_at = now
+            # After a pause of this process results may be unread, so the
+            # engine cannot be judged yet.
+            if late_s > interval_s:
+                continue
+            limit = now - self._step_timeout_s
+            overdue = tuple(
+                stream
+                for stream, step in self._outstanding.items()
+                if step.since <= limit
+            )
+            if not overdue:
+                continue
+            _log.error("steps are stalled", count=len(overdue))
+            for stream in overdue:
+                del self._outstanding[stream]
+            # An engine that still finishes other steps only delays these.
+            if self._result_at <= limit and not self._is_stalled:
+                self._is_stalled = True
+                self._handler.handle_engine_changed()
+            self._handler.handle_problem(Stalled(overdue))
--- /dev/null
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/lifecycle.py
@@ -0,0 +1,50 @@
+"""Signals and the drain of a process."""
+
+import signal
+
+import trio
+
+
+class Lifecycle:
+    """The end of one process, owned by the process.
+
+    Attributes:
+        draining: Set by the first request to stop.
+        stopped: Set by the second one: the process ends at once.
+    """
+
+    def __init__(self):
+        self.draining = trio.Event()
+        self.stopped = trio.Event()
+
+    def request_stop(self) -> None:
+        """Starts the drain; a second call ends the process at once."""
+        if self.draining.is_set():
+            self.stopped.set()
+        self.draining.set()
+
+    async def watch_signals(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
+        """Requests a stop for each SIGTERM and SIGINT until cancelled."""
+        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as got:
+            task_status.started()
+            async for _ in got:
+                self.request_stop()
+
+    async def wait_drained(self, is_idle, limit_s: float, poll_s=0.02) -> bool:
+        """Waits until the process is idle.
+
+        Args:
+            is_idle: Function that returns whether no work is in progress.
+            limit_s: Longest time to wait.
+            poll_s: Seconds between two calls of `is_idle`.
+
+        Returns:
+            False if the time ran out or a second stop was requested.
+        """
+        with trio.move_on_after(limit_s):
+            while not self.stopped.is_set():
+                if is_idle():
+                    return True
+                with trio.move_on_after(poll_s):
+                    await self.stopped.wait()
+        return False
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/sidecar.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/sidecar.py
@@ -1,8 +1,223 @@
 """The sidecar process."""
 
+import importlib
+import random
+
 from peridotyard_core import settings
+import trio
+
+from peridotyard_daemon.connection import engines
+from peridotyard_daemon.connection import peers
+from peridotyard_daemon.process import lifecycle
+from peridotyard_daemon.process import logs
+from peridotyard_daemon.process import network as network_module
+from peridotyard_daemon.request import stages
+from peridotyard_daemon.wire.generated import ttypes
+
+EXIT_OK = 0
+EXIT_FAILED = 1
+# The number of streams changes with each request; offers that differ only in
+# it are limited to this rate, since entries count their own streams.
+OFFER_INTERVAL_S = 0.2
+# Time for the last frames to leave before the connections are closed.
+FLUSH_S = 0.1
+
+_log = logs.Part("sidecar")
+
+
+class Sidecar:
+    """The process beside one backend server; composes its parts.
+
+    Implements `connection.peers.Handler` and `connection.engines.Handler`.
+
+    Attributes:
+        lifecycle: Starts the drain and the end of the process.
+        peers: Connections to entries and other sidecars.
+        work: `request.stages.Stages` or `request.claims.Claims`.
+    """
+
+    def __init__(
+        self,
+        values: settings.SidecarSettings,
+        network: network_module.Network,
+        table=None,
+        incarnation: int | None = None,
+    ):
+        """Composes the process.
+
+        Args:
+            values: Settings.
+            network: Where it dials and listens.
+            table: Client of the table service; only for a plain service.
+            incarnation: Random for each start, unless a test sets it.
+        """
+        self._values = values
+        self._incarnation = incarnation or random.getrandbits(62)
+        self._sequence = 0
+        self._changed = trio.Event()
+        self._state = None
+        self.lifecycle = lifecycle.Lifecycle()
+        self.peers = peers.Peers.from_config(values, network, self)
+        self.engine: engines.Engine | None = None
+        if values.backend_kind == "model":
+            self.work = stages.Stages.from_config(
+                values, self.peers, self.notify_changed
+            )
+            self.engine = engines.Engine.from_config(values, network, self)
+            self.work.engine = self.engine
+        else:
+            # Imported here: a model's sidecar has no use for HTTP clients.
+            claims = importlib.import_module(
+                "peridotyard_daemon.request.claims"
+            )
+            self.work = claims.Claims.from_config(
+                values, network, table, self.notify_changed
+            )
+
+    async def run(self, task_status=trio.TASK_STATUS_IGNORED) -> int:
+        """Serves until it has drained and returns the exit status."""
+        async with trio.open_nursery() as nursery:
+            await nursery.start(self.work.run)
+            await nursery.start(self.peers.run, self._values.peer_address)
+            if self.engine is not None:
+                nursery.start_soon(self.engine.run)
+            nursery.start_soon(self._post_offers)
+            task_status.started()
+            _log.info("started", address=self._values.peer_address)
+            await self.lifecycle.draining.wait()
+            status = await self._drain()
+            nursery.cancel_scope.cancel()
+        return status
+
+    async def _drain(self) -> int:
+        _log.info("draining", in_flight=self.work.in_flight)
+        self.work.start_drain()
+        self._post_offer()
+        leaving = ttypes.Leaving(self._values.instance)
+        self.peers.broadcast(ttypes.Frame(leaving=leaving))
+        drained = await self.lifecycle.wait_drained(
+            lambda: self.work.in_flight == 0, self._values.drain_s
+        )
+        if not drained:
+            _log.warning("stopped early", in_flight=self.work.in_flight)
+            return EXIT_FAILED
+        await trio.sleep(FLUSH_S)
+        _log.info("drained")
+        return EXIT_OK
+
+    def notify_changed(self) -> None:
+        """Has an offer sent soon, at once if more than the load changed."""
+        self._changed.set()
+        if self._make_state() != self._state:
+            self._post_offer()
+
+    async def _post_offers(self) -> None:
+        while True:
+            await self._changed.wait()
+            self._changed = trio.Event()
+            self._post_offer()
+            await trio.sleep(OFFER_INTERVAL_S)
+
+    def _post_offer(self) -> None:
+        self._state = self._make_state()
+        frame = ttypes.Frame(offer=self.make_offer())
+        self.peers.broadcast(frame, "entry")
+
+    def _make_state(self) -> tuple:
+        draining = self.lifecycle.draining.is_set()
+        return draining, self._is_ready(), self.engine and self.engine.hello
+
+    def _is_ready(self) -> bool:
+        if self.engine is not None:
+            return self.engine.is_ready
+        return self.work.is_ready
+
+    def make_offer(self) -> ttypes.Offer:
+        """Returns what the backend server can do now."""
+        self._sequence += 1
+        offer = ttypes.Offer(
+            instance=self._values.instance,
+            zone=self._values.zone,
+            kind=self._values.backend_kind,
+            service_name=self._values.service,
+            ready=self._is_ready(),
+            draining=self.lifecycle.draining.is_set(),
+            in_flight=self.work.in_flight,
+            limit=self._values.concurrency,
+            sequence=self._sequence,
+        )
+        hello = self.engine.hello if self.engine is not None else None
+        if hello is not None:
+            offer.model = hello.model
+            offer.version = hello.version
+            offer.adapters = hello.adapters
+            offer.first_layer = hello.first_layer
+            offer.end_layer = hello.end_layer
+            offer.tokens_per_s = hello.tokens_per_s
+            offer.accelerator = hello.accelerator
+        return offer
+
+    # connection.peers.Handler
+
+    def make_hello(self) -> ttypes.Hello:
+        """Returns the first message for a peer."""
+        return ttypes.Hello(
+            instance=self._values.instance,
+            zone=self._values.zone,
+            role="sidecar",
+            address=str(self._values.peer_address),
+            incarnation=self._incarnation,
+            protocol=peers.PROTOCOL_VERSION,
+        )
+
+    def make_heartbeat(self) -> ttypes.Heartbeat:
+        """Returns a heartbeat."""
+        return ttypes.Heartbeat()
+
+    def handle_connected(self, connection: peers.Connection) -> None:
+        """Sends the offer to an entry."""
+        if connection.peer.role != "entry":
+            return
+        connection.post(ttypes.Frame(offer=self.make_offer()))
+        if self.lifecycle.draining.is_set():
+            leaving = ttypes.Leaving(self._values.instance)
+            connection.post(ttypes.Frame(leaving=leaving))
+        if self.engine is not None:
+            self.work.handle_connected(connection)
+
+    def handle_frame(self, connection: peers.Connection, frame) -> None:
+        """Hands a frame to the part that it is for."""
+        if not self.work.handle_frame(connection, frame):
+            _log.debug("ignored a frame", peer=connection.peer.instance)
+
+    def handle_closed(self, connection: peers.Connection, reason: str) -> None:
+        """Tells the requests that their connection has ended."""
+        self.work.handle_closed(connection)
+
+    # connection.engines.Handler
+
+    def handle_engine_changed(self) -> None:
+        """Sends an offer."""
+        self.notify_changed()
+
+    def handle_results(self, results: list[ttypes.StepResult]) -> None:
+        """Hands results to the streams."""
+        self.work.handle_results(results)
+
+    def handle_problem(self, problem: engines.Problem) -> None:
+        """Hands a problem to the streams."""
+        self.work.handle_problem(problem)
 
 
 def run(values: settings.SidecarSettings) -> int:
     """Runs the process until it is stopped and returns its exit status."""
-    raise NotImplementedError(values.instance)
+
+    async def serve() -> int:
+        process = Sidecar(values, network_module.TcpNetwork())
+        async with trio.open_nursery() as nursery:
+            await nursery.start(process.lifecycle.watch_signals)
+            status = await process.run()
+            nursery.cancel_scope.cancel()
+        return status
+
+    return trio.run(serve)
--- /dev/null
+++ b/tests/support/defaults.py
@@ -0,0 +1,10 @@
+"""Settings for tests without a file."""
+
+from peridotyard_core import options
+
+
+def make(settings_class: type, **values):
+    """Returns settings whose other options have their defaults."""
+    table = options.list_options(settings_class)
+    defaults = {name: option.default for name, option in table.items()}
+    return settings_class(**{**defaults, "zone": "z", **values})
--- /dev/null
+++ b/tests/unit/test_engine.py
@@ -0,0 +1,239 @@
+"""Tests of the emulated engine."""
+
+import json
+
+from peridotyard_core import addresses
+from peridotyard_daemon.connection import frames
+from peridotyard_daemon.wire.generated import ttypes
+from peridotyard_emulator import engine
+from peridotyard_emulator import layers
+import pytest
+import trio
+
+from tests.support import defaults
+from tests.support import memory
+from tests.support import virtual
+
+ADDRESS = addresses.Address("127.0.0.1", 9)
+PROMPT = list(b"forty positions of a prompt, in blocks..")
+
+
+class Client:
+    """A sidecar's end of a connection to the engine."""
+
+    def __init__(self, stream):
+        self.stream = stream
+        self.reader = frames.FrameReader(stream)
+
+    async def send(self, **field):
+        await self.stream.send_all(frames.encode(ttypes.Frame(**field)))
+
+    async def receive(self, name):
+        with trio.fail_after(30):
+            while True:
+                frame = await self.reader.receive()
+                if getattr(frame, name) is not None:
+                    return getattr(frame, name)
+
+    async def open(self, stream=1, generation=1, **fields):
+        fields = {"max_tokens": 100, "prompt_tokens": len(PROMPT)} | fields
+        request = ttypes.EngineOpen(stream, generation, **fields)
+        await self.send(engine_open=request)
+
+    async def run(self, *steps):
+        await self.send(engine_run=ttypes.EngineRun(list(steps)))
+        return await self.receive("engine_done")
+
+
+def make_step(tokens, stream=1, generation=1, position=0):
+    return ttypes.Step(
+        stream, generation, position, len(tokens), tokens, activations=b""
+    )
+
+
+def run_with_engine(check, **changes):
+    """Runs `check(engine, client)` against an engine in memory."""
+    fields = {"address": ADDRESS, "model": "m", "layers": 4} | changes
+    values = defaults.make(engine.Settings, instance="e", **fields)
+
+    async def main():
+        network = memory.MemoryNetwork()
+        async with trio.open_nursery() as nursery:
+            item = engine.Engine(values, incarnation=1)
+            await nursery.start(item.run, network.join(str(ADDRESS)))
+            stream = await network.join("client").dial(ADDRESS)
+            client = Client(stream)
+            await client.receive("engine_hello")
+            await check(item, client)
+            nursery.cancel_scope.cancel()
+
+    virtual.run(main)
+
+
+def test_tokens_are_those_of_the_oracle_up_to_the_limit():
+    """Guards against an engine whose stream never ends."""
+
+    async def check(item, client):
+        await client.open(seed=5, max_tokens=3)
+        tokens, finishes = [], []
+        inputs, position = PROMPT, 0
+        for _ in range(3):
+            done = await client.run(make_step(inputs, position=position))
+            position += len(inputs)
+            inputs = [done.results[0].token]
+            tokens += inputs
+            finishes.append(done.results[0].finish)
+        assert tokens == layers.generate(PROMPT, 5, 3, 4)
+        assert finishes == ["", "", "length"]
+        (runs,) = item.describe_state()["runs"]
+        assert runs["runs"] == [[0, len(PROMPT) + 2, 1]]
+
+    run_with_engine(check)
+
+
+def test_batch_respects_limit_and_priority():
+    """Guards against a low priority that delays a higher one."""
+
+    async def check(item, client):
+        for stream, priority in ((1, 2), (2, 0), (3, 1)):
+            await client.open(stream, priority=priority)
+        steps = [make_step(PROMPT, stream) for stream in (1, 2, 3)]
+        first = await client.run(*steps)
+        second = await client.receive("engine_done")
+        assert [r.stream for r in first.results] == [2, 3]
+        assert [r.stream for r in second.results] == [1]
+
+    run_with_engine(check, max_batch=2)
+
+
+def test_cached_prefix_is_faster_until_it_is_evicted():
+    """Guards against a cache without limit and events without gaps."""
+
+    async def check(item, client):
+        async def measure(stream, tokens):
+            await client.open(stream, seed=1)
+            before = trio.current_time()
+            done = await client.run(make_step(tokens, stream))
+            return done.results[0].token, trio.current_time() - before
+
+        token, cold_s = await measure(1, PROMPT)
+        again, warm_s = await measure(2, PROMPT)
+        assert token == again
+        assert cold_s - warm_s == pytest.approx(0.32)
+        await measure(3, PROMPT[::-1])
+        _, evicted_s = await measure(4, PROMPT)
+        assert evicted_s == pytest.approx(cold_s)
+        event = await client.receive("engine_cache_event")
+        assert len(event.stored) == 6 and len(event.evicted) == 4
+
+    options = {"cache_block": 16, "cache_blocks": 2, "per_token_s": 0.01}
+    run_with_engine(check, load_interval_s=5, **options)
+
+
+@pytest.mark.parametrize("checks", [True, False])
+def test_outdated_generation_and_order(checks):
+    """Guards against a stand-in that always hides a missing fence."""
+
+    async def check(item, client):
+        await client.open(generation=2)
+        done = await client.run(make_step(PROMPT, generation=1))
+        assert done.results[0].error == checks * "outdated-generation"
+        errors = []
+        for fencing in (8, 7):
+            order = ttypes.EngineOrder(
+                fencing, fencing, "load-adapter", adapter=f"a{fencing}"
+            )
+            await client.send(engine_order=order)
+            reply = await client.receive("engine_order_reply")
+            errors.append(bool(reply.error))
+        assert errors == [False, checks]
+        assert item.adapters == (["a8"] if checks else ["a8", "a7"])
+
+    run_with_engine(check, checks_fencing=checks)
+
+
+def test_kv_cache_moves_to_another_stream():
+    """Guards against an import that changes later tokens."""
+
+    async def check(item, client):
+        await client.open(1, seed=3)
+        token = (await client.run(make_step(PROMPT))).results[0].token
+        await client.send(kv_export=ttypes.KvExport(1, 1))
+        data = (await client.receive("kv_import")).data
+        await client.open(2, seed=3)
+        await client.send(kv_import=ttypes.KvImport(2, 1, data=data))
+        reply = await client.receive("kv_import")
+        assert (reply.positions, reply.error) == (len(PROMPT), "")
+        done = await client.run(make_step([token], 2, position=len(PROMPT)))
+        assert done.results[0].token == layers.generate(PROMPT, 3, 2, 4)[1]
+        await client.send(kv_import=ttypes.KvImport(2, 1, data=data[:-4]))
+        assert "allowed" in (await client.receive("kv_import")).error
+
+    run_with_engine(check)
+
+
+def test_cancelled_step_does_not_run():
+    """Guards against work for a caller that has gone."""
+
+    async def check(item, client):
+        item.faults.freeze = True
+        await client.open()
+        run = ttypes.EngineRun([make_step(PROMPT)])
+        await client.send(engine_run=run)
+        await client.send(engine_close=ttypes.EngineClose(1, 1))
+        await trio.sleep(1)
+        item.faults.freeze = False
+        await client.open(2)
+        await client.run(make_step(PROMPT, 2))
+        assert item.describe_state()["steps"] == 1
+
+    run_with_engine(check)
+
+
+@pytest.mark.parametrize(
+    "fault", [{"crash_fingerprints": [77]}, {"crash_marker": "in blocks"}]
+)
+def test_marked_request_crashes_the_engine(fault):
+    """Guards against a crash that leaves the connection open."""
+
+    async def check(item, client):
+        item.faults.update(fault)
+        await client.open(fingerprint=77)
+        run = ttypes.EngineRun([make_step(PROMPT)])
+        await client.send(engine_run=run)
+        assert await client.reader.receive() is None
+        assert item.crashed.is_set()
+
+    run_with_engine(check)
+
+
+@pytest.mark.parametrize(
+    ("body", "status", "text"),
+    [
+        (b'{"slow": 3, "refuse": true}', 200, '"slow": 3'),
+        (b'{"slow": 0}', 400, "slow = 0; allowed: a number above 0"),
+        (b'{"fast": 1}', 400, "unknown fault 'fast'; allowed: slow"),
+        (b"{", 400, "line 1, column 2"),
+    ],
+)
+def test_control_sets_faults_or_names_the_allowed_values(body, status, text):
+    """Guards against a fault that a test believes to be set."""
+    sent = []
+
+    async def check(item, client):
+        async def receive():
+            return {"type": "http.request", "body": body}
+
+        async def send(message):
+            sent.append(message)
+
+        scope = {"type": "http", "method": "POST", "headers": []}
+        scope["path"] = "/control/faults"
+        await item.handle_control(scope, receive, send)
+        assert sent[0]["status"] == status
+        assert text in json.dumps(json.loads(sent[1]["body"]))
+        await client.open()
+        done = await client.run(make_step(PROMPT))
+        assert done.results[0].error == ("refused" if status == 200 else "")
+
+    run_with_engine(check)
--- /dev/null
+++ b/tests/unit/test_stages.py
@@ -0,0 +1,444 @@
+"""Tests of request.stages, process.sidecar and connection.engines."""
+
+import collections
+
+from peridotyard_core import addresses
+from peridotyard_core import settings
+from peridotyard_daemon.connection import peers
+from peridotyard_daemon.process import sidecar
+from peridotyard_daemon.wire.generated import ttypes
+from peridotyard_emulator import engine
+from peridotyard_emulator import layers
+import pytest
+import trio
+
+from tests.support import defaults
+from tests.support import memory
+from tests.support import virtual
+
+TIMING = peers.Timing(heartbeat_s=0.2, misses=3, dial_s=0.5)
+ENTRY = addresses.Address("127.0.0.1", 1)
+PROMPT = list(b"count the north plot")
+RANGES = ((0, 2), (2, 5), (5, 6))
+FIELDS = (
+    "offer",
+    "stream_opened",
+    "stream_refused",
+    "stream_failed",
+    "leaving",
+)
+
+
+class Entry:
+    """An entry that keeps what it receives, by the field of the frame."""
+
+    def __init__(self, network):
+        self.got = collections.defaultdict(list)
+        self.tokens = {}
+        self.peers = peers.Peers(network.join(str(ENTRY)), self, TIMING)
+
+    def make_hello(self):
+        return ttypes.Hello(
+            "entry", role="entry", address=str(ENTRY), incarnation=1, protocol=1
+        )
+
+    def make_heartbeat(self):
+        return ttypes.Heartbeat()
+
+    def handle_connected(self, connection):
+        pass
+
+    def handle_closed(self, connection, reason):
+        pass
+
+    def handle_frame(self, connection, frame):
+        for name in FIELDS:
+            if getattr(frame, name) is not None:
+                self.got[name].append(getattr(frame, name))
+        for token in frame.token_batch.tokens if frame.token_batch else ():
+            kept = self.tokens.setdefault((token.stream, token.generation), {})
+            assert kept.setdefault(token.position, token) == token
+
+
+class Chain:
+    """Three sidecars with their engines and one entry, in memory."""
+
+    def __init__(self, nursery, engine_options, sidecar_options):
+        self.nursery = nursery
+        self.network = memory.MemoryNetwork()
+        self.entry = Entry(self.network)
+        self.sidecars, self.engines, self.scopes = [], [], []
+        self.stages = []
+        for index, (first, end) in enumerate(RANGES):
+            backend = addresses.Address("127.0.0.1", 20 + index)
+            address = addresses.Address("127.0.0.1", 10 + index)
+            self.stages.append(
+                ttypes.Stage(f"s{index}", str(address), first, end)
+            )
+            values = defaults.make(
+                engine.Settings,
+                instance=f"e{index}",
+                address=backend,
+                model="m",
+                layers=6,
+                first_layer=first,
+                end_layer=end,
+                **engine_options,
+            )
+            self.engines.append(engine.Engine(values, incarnation=1))
+            values = defaults.make(
+                settings.SidecarSettings,
+                instance=f"s{index}",
+                peer_address=address,
+                backend=backend,
+                backend_kind="model",
+                **sidecar_options,
+            )
+            network = self.network.join(str(address))
+            self.sidecars.append(
+                sidecar.Sidecar(values, network, incarnation=1)
+            )
+
+    async def start(self):
+        await self.nursery.start(self.entry.peers.run, ENTRY)
+        for index, item in enumerate(self.engines):
+            self.scopes.append(trio.CancelScope())
+            self.nursery.start_soon(self.run_engine, item, self.scopes[index])
+            self.nursery.start_soon(self.run_sidecar, index)
+        await trio.sleep(0.5)
+        for stage in self.stages:
+            self.entry.peers.keep(addresses.Address.from_text(stage.address))
+        await trio.sleep(0.5)
+
+    async def run_engine(self, item, scope):
+        with scope:
+            await item.run(self.network.join(str(item._values.address)))
+
+    async def run_sidecar(self, index):
+        self.sidecars[index].status = await self.sidecars[index].run()
+
+    def post(self, index, **field):
+        address = self.stages[index].address
+        return self.entry.peers.find(address).post(ttypes.Frame(**field))
+
+    async def open(self, stream=1, generation=1, count=12, tokens=PROMPT):
+        """Opens a stream on all stages and sends its prefix."""
+        for index in range(len(self.stages)):
+            request = ttypes.StreamOpen(
+                stream=stream,
+                generation=generation,
+                chain=self.stages,
+                index=index,
+                model="m",
+                version="1",
+                seed=stream,
+                max_tokens=count,
+                prompt_tokens=len(PROMPT),
+                resume_position=len(tokens),
+            )
+            self.post(index, stream_open=request)
+        await trio.sleep(0.01)
+        self.post(0, step_batch=self.make_batch(stream, generation, tokens))
+
+    def make_batch(self, stream, generation, tokens, position=0):
+        step = ttypes.Step(
+            stream, generation, position, len(tokens), tokens, b""
+        )
+        return ttypes.StepBatch([step])
+
+    def close(self, stream=1, generation=1):
+        for index in range(len(self.stages)):
+            request = ttypes.StreamClose(stream, generation)
+            self.post(index, stream_close=request)
+
+    def check_tokens(self, stream=1, generation=1, count=12, prefix=0):
+        """Checks that all tokens after a prefix arrived and ran once."""
+        tokens = self.entry.tokens[stream, generation]
+        first = len(PROMPT) + prefix
+        assert sorted(tokens) == list(range(first, len(PROMPT) + count))
+        got = [tokens[position].token for position in sorted(tokens)]
+        assert got == layers.generate(PROMPT, stream, count, 6)[prefix:]
+        assert tokens[max(tokens)].finish == "length"
+        self.check_runs(stream, generation, len(PROMPT) + count - 1)
+
+    def check_runs(self, stream, generation, end):
+        for item in self.engines:
+            for runs in item.describe_state()["runs"]:
+                if (runs["stream"], runs["generation"]) == (stream, generation):
+                    assert runs["runs"] == [[0, end, 1]]
+
+    def silence(self, first, second):
+        """Loses the state of open connections between two hosts."""
+        for stream in self.network.streams:
+            if stream.ends == {first, second}:
+                stream._deliver = lambda data, latency_s: None
+
+    def take_failures(self):
+        return [
+            (f.stream, f.generation, f.index, f.reason)
+            for f in self.entry.got["stream_failed"]
+        ]
+
+
+def run_chain(check, engine_options=None, **sidecar_options):
+    async def main():
+        async with trio.open_nursery() as nursery:
+            chain = Chain(nursery, engine_options or {}, sidecar_options)
+            await chain.start()
+            await check(chain)
+            nursery.cancel_scope.cancel()
+
+    virtual.run(main)
+
+
+def test_streams_generate_the_expected_tokens():
+    """Guards against results that are mixed up between streams."""
+
+    async def check(chain):
+        for stream in range(1, 9):
+            await chain.open(stream)
+        await trio.sleep(5)
+        for stream in range(1, 9):
+            chain.check_tokens(stream)
+            chain.close(stream)
+        await trio.sleep(0.1)
+        assert [item.work.in_flight for item in chain.sidecars] == [0, 0, 0]
+        assert not any(e.describe_state()["streams"] for e in chain.engines)
+        assert len(chain.entry.got["stream_opened"]) == 24
+
+    run_chain(check)
+
+
+def test_streams_that_are_ready_together_share_frames():
+    """Guards against one frame per stream, which costs 138 us each."""
+
+    async def check(chain):
+        counts = collections.Counter()
+        handle = chain.sidecars[1].handle_frame
+
+        def count(connection, frame):
+            if frame.step_batch is not None:
+                counts["frames"] += 1
+                counts["steps"] += len(frame.step_batch.steps)
+            handle(connection, frame)
+
+        chain.sidecars[1].handle_frame = count
+        for stream in range(1, 17):
+            await chain.open(stream, count=40)
+        await trio.sleep(10)
+        assert counts["steps"] == 16 * 40
+        assert counts["frames"] <= counts["steps"] / 4
+
+    run_chain(check, {"base_s": 0.05})
+
+
+def test_repeated_and_outdated_steps_do_not_run():
+    """Guards against a violation of R1 where the engine has no fence."""
+
+    async def check(chain):
+        await chain.open()
+        for _ in range(3):
+            chain.post(0, step_batch=chain.make_batch(1, 1, PROMPT))
+            await trio.sleep(0.004)
+        await trio.sleep(2)
+        prefix = layers.generate(PROMPT, 1, 4, 6)
+        await chain.open(generation=2, tokens=PROMPT + prefix)
+        chain.post(0, step_batch=chain.make_batch(1, 1, PROMPT))
+        wrong = chain.make_batch(1, 2, [65], len(PROMPT) + 11)
+        chain.post(0, step_batch=wrong)
+        await trio.sleep(2)
+        chain.check_tokens()
+        chain.check_tokens(generation=2, prefix=4)
+        # A delayed StreamOpen must not bring an older generation back.
+        chain.close(generation=2)
+        await trio.sleep(0.1)
+        await chain.open(generation=1)
+        await trio.sleep(0.1)
+        codes = [r.code for r in chain.entry.got["stream_refused"]]
+        assert codes == ["stage-refused"] * 3
+
+    run_chain(check, {"checks_fencing": False})
+
+
+@pytest.mark.parametrize("pair", [(0, 1), (1, 2), (2, 0)])
+def test_silent_connection_between_stages_is_replaced(pair):
+    """Guards against a stream that hangs on a forgotten connection."""
+
+    async def check(chain):
+        await chain.open(count=60)
+        await trio.sleep(0.2)
+        chain.silence(*(chain.stages[index].address for index in pair))
+        await trio.sleep(5)
+        chain.check_tokens(count=60)
+        assert not chain.take_failures()
+
+    run_chain(check)
+
+
+def test_unreachable_stage_is_reported():
+    """Guards against a step that waits for a dead stage."""
+
+    async def check(chain):
+        await chain.open(count=1000)
+        await trio.sleep(0.2)
+        chain.network.cut(chain.stages[0].address, chain.stages[1].address)
+        await trio.sleep(2)
+        assert chain.take_failures() == [(1, 1, 1, "unreachable")]
+
+    run_chain(check)
+
+
+def test_restarted_stage_is_reported():
+    """Guards against steps that a new process drops silently."""
+
+    async def check(chain):
+        await chain.open(count=1000)
+        await trio.sleep(0.2)
+        work = chain.sidecars[1].work
+        work._streams.clear()
+        await trio.sleep(1)
+        assert chain.take_failures() == [(1, 1, 1, "unknown-stream")]
+
+    run_chain(check)
+
+
+def test_killed_engine_fails_its_streams_and_comes_back():
+    """Guards against a sidecar that offers an engine which is gone."""
+
+    async def check(chain):
+        await chain.open(count=1000)
+        await trio.sleep(0.2)
+        chain.scopes[1].cancel()
+        await trio.sleep(0.1)
+        assert chain.take_failures() == [(1, 1, 1, "engine-lost")]
+        offer = chain.entry.got["offer"][-1]
+        assert (offer.instance, offer.ready) == ("s1", False)
+        await chain.open(2)
+        await trio.sleep(0.1)
+        (refused,) = chain.entry.got["stream_refused"]
+        assert (refused.index, refused.code) == (1, "backend-unavailable")
+        values = chain.engines[1]._values
+        chain.engines[1] = engine.Engine(values, incarnation=2)
+        scope = trio.CancelScope()
+        chain.nursery.start_soon(chain.run_engine, chain.engines[1], scope)
+        await trio.sleep(2)
+        prefix = layers.generate(PROMPT, 1, 3, 6)
+        await chain.open(generation=2, tokens=PROMPT + prefix)
+        await trio.sleep(2)
+        chain.check_tokens(generation=2, prefix=3)
+
+    run_chain(check)
+
+
+@pytest.mark.parametrize(
+    ("fault", "reason", "ready"),
+    [("freeze", "engine-stalled", False), ("refuse", "engine-refused", True)],
+)
+def test_stalled_and_refused_steps_are_told_apart(fault, reason, ready):
+    """Guards against a refusal that takes a working engine out of service."""
+
+    async def check(chain):
+        await chain.open(count=1000)
+        await trio.sleep(0.2)
+        setattr(chain.engines[2].faults, fault, True)
+        await trio.sleep(2.5)
+        assert chain.take_failures() == [(1, 1, 2, reason)]
+        last = [o for o in chain.entry.got["offer"] if o.instance == "s2"][-1]
+        assert last.ready is ready
+
+    run_chain(check)
+
+
+def test_drain_refuses_new_streams_and_finishes_open_ones():
+    """Guards against a stop that interrupts a request (R6)."""
+
+    async def check(chain):
+        await chain.open(count=40)
+        await trio.sleep(0.1)
+        chain.sidecars[1].lifecycle.request_stop()
+        await trio.sleep(0.1)
+        assert chain.entry.got["leaving"][0].instance == "s1"
+        assert chain.entry.got["offer"][-1].draining
+        await chain.open(2)
+        await trio.sleep(3)
+        (refused,) = chain.entry.got["stream_refused"]
+        assert (refused.stream, refused.code) == (2, "draining")
+        chain.check_tokens(count=40)
+        assert not hasattr(chain.sidecars[1], "status")
+        chain.close()
+        await trio.sleep(0.5)
+        assert chain.sidecars[1].status == sidecar.EXIT_OK
+
+    run_chain(check)
+
+
+def test_second_stop_ends_at_once():
+    """Guards against a process that cannot be stopped during its drain."""
+
+    async def check(chain):
+        await chain.open(count=1000)
+        chain.sidecars[1].lifecycle.request_stop()
+        await trio.sleep(0.1)
+        chain.sidecars[1].lifecycle.request_stop()
+        await trio.sleep(0.1)
+        assert chain.sidecars[1].status == sidecar.EXIT_FAILED
+
+    run_chain(check)
+
+
+def test_limit_and_wrong_layers_are_refused():
+    """Guards against an overload and against a chain that skips layers."""
+
+    async def check(chain):
+        await chain.open(1)
+        await chain.open(2)
+        chain.stages[1].end_layer = 4
+        chain.close()
+        await trio.sleep(0.1)
+        await chain.open(3)
+        await trio.sleep(0.1)
+        refused = chain.entry.got["stream_refused"]
+        assert [r.code for r in refused if r.stream == 2] == ["overloaded"] * 3
+        (wrong,) = [r for r in refused if r.stream == 3]
+        assert wrong.message == "asked for m 1 [2, 4); allowed: m 1 [2, 5)"
+
+    run_chain(check, concurrency=1)
+
+
+def test_orphaned_stream_is_freed_after_its_time():
+    """Guards against a lost entry that fills all slots."""
+
+    async def check(chain):
+        await chain.open(count=100000)
+        await trio.sleep(1)
+        chain.network.reset(str(ENTRY))
+        for stage in chain.stages:
+            chain.network.cut(str(ENTRY), stage.address)
+        await trio.sleep(9)
+        assert [item.work.in_flight for item in chain.sidecars] == [1, 1, 1]
+        await trio.sleep(3)
+        assert [item.work.in_flight for item in chain.sidecars] == [0, 0, 0]
+
+    run_chain(check)
+
+
+def test_entry_attaches_again_and_gets_missing_tokens():
+    """Guards against tokens lost with the entry's connection."""
+
+    async def check(chain):
+        await chain.open(count=100)
+        await trio.sleep(0.5)
+        for stage in chain.stages:
+            chain.silence(str(ENTRY), stage.address)
+        await trio.sleep(5)
+        received = max(chain.entry.tokens[1, 1])
+        attach = ttypes.StreamAttach(1, 1, received + 1)
+        chain.post(2, stream_attach=attach)
+        chain.post(2, stream_attach=ttypes.StreamAttach(9, 1, 0))
+        await trio.sleep(0.1)
+        chain.check_tokens(count=100)
+        assert chain.take_failures() == [(9, 1, -1, "unknown-stream")]
+        await trio.sleep(12)
+        assert [item.work.in_flight for item in chain.sidecars] == [1, 1, 1]
+
+    run_chain(check)
