--- a/packages/peridotyard-cli/src/peridotyard_cli/demo.py
+++ b/packages/peridotyard-cli/src/peridotyard_cli/demo.py
@@ -137,7 +137,7 @@
         return used[0]
 
     def _count(self, name: str) -> int:
-        return read_state(self._deployment, name)["steps_run"]
+        return read_state(self._deployment, name)["steps"]
 
 
 class StageKiller:
