--- /dev/null
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/version/storage.py
@@ -0,0 +1,47 @@
+"""The table service as the store of the configuration."""
+
+from peridotyard_core import verdicts
+from returns import result
+
+from peridotyard_daemon.process import platform
+from peridotyard_daemon.process import tables
+
+
+class Storage:
+    """Translates the failures of a table client into verdicts.
+
+    Owned by the process; implements `spread.Table`.
+    """
+
+    def __init__(self, table: tables.Table):
+        self._table = table
+
+    async def transact(self, conditions, puts, deletes) -> result.Result:
+        """Writes all or nothing; see `tables.Table.transact`."""
+        reply = await self._table.transact(conditions, puts, deletes)
+        return reply.alt(_translate)
+
+    async def read(self, key: str) -> result.Result:
+        """Returns a row; see `tables.Table.read`."""
+        return (await self._table.read(key)).alt(_translate)
+
+    async def scan(self, prefix: str) -> result.Result:
+        """Returns rows by prefix; see `tables.Table.scan`."""
+        return (await self._table.scan(prefix)).alt(_translate)
+
+
+def _translate(failure) -> verdicts.Failure:
+    match failure:
+        case tables.Conflict(rows):
+            return verdicts.refuse(
+                "conflict", "Changed meanwhile: " + ", ".join(sorted(rows))
+            )
+        case platform.Lost(reason):
+            return verdicts.doubt("store-unavailable", reason)
+        case platform.Unavailable(status):
+            return verdicts.refuse("store-unavailable", f"status {status}")
+        case platform.Rejected(status, message):
+            return verdicts.refuse("internal", f"status {status}: {message}")
+        case platform.Unsent(reason):
+            return verdicts.refuse("store-unavailable", reason)
+    raise TypeError(failure)
