--- a/packages/peridotyard-cli/src/peridotyard_cli/local.py
+++ b/packages/peridotyard-cli/src/peridotyard_cli/local.py
@@ -163,7 +163,7 @@
                 ZONES[number % len(ZONES)],
                 {
                     "listen": {"address": next(free)},
-                    "service": {"name": service},
+                    "service": {"kind": service},
                 },
             )
         )
@@ -224,7 +224,7 @@
     values = {"address": backend.address, "kind": "model"}
     if backend.role == "service":
         values["kind"] = "service"
-        values["service"] = backend.sections["service"]["name"]
+        values["service"] = backend.sections["service"]["kind"]
     return _plan(
         f"sidecar-{backend.name}",
         "sidecar",
--- a/packages/peridotyard-core/src/peridotyard_core/membership.py
+++ b/packages/peridotyard-core/src/peridotyard_core/membership.py
@@ -164,21 +164,16 @@
             )
         return found
 
-    def find_services(self, service: str) -> list[str]:
-        """Returns the addresses that may take calls of a service."""
+    def find_services(self, service: str) -> list[tuple[str, int]]:
+        """Returns the addresses that may take calls, with reported loads."""
         return [
-            address
+            (address, route.offer.stage.load)
             for address, route in self._routes.items()
             if route.is_usable
             and route.offer.kind == "service"
             and route.offer.service == service
         ]
 
-    def find_offer(self, address: str) -> Offer | None:
-        """Returns the last offer of a connected sidecar."""
-        route = self._routes.get(address)
-        return route.offer if route else None
-
     def describe(self) -> list[dict]:
         """Returns the JSON value of the table for operators."""
         rows = []
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/entry.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/entry.py
@@ -479,17 +479,16 @@
 
 
 def _make_calls(entry: Entry) -> calls.Calls:
-    def list_offers(service: str):
+    def list_servers(service: str):
         found = []
-        for address in entry.table.find_services(service):
+        for address, load in entry.table.find_services(service):
             connection = entry.peers.find(address)
-            offer = entry.table.find_offer(address)
-            if connection is not None and offer is not None:
-                found.append((connection, offer))
+            if connection is not None:
+                found.append((connection, load))
         return found
 
     return calls.Calls(
-        list_offers,
+        list_servers,
         lambda name: entry.spread.catalog.find_service(name),
         budgets.RetryBudget(),
         timeout_s=entry.settings.request_timeout_s,
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/calls.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/calls.py
@@ -58,7 +58,7 @@
 
     def __init__(
         self,
-        list_offers: collections.abc.Callable,
+        list_servers: collections.abc.Callable,
         find_service: collections.abc.Callable,
         budget: Budget,
         *,
@@ -69,8 +69,8 @@
         """Makes the calls.
 
         Args:
-            list_offers: Takes a service name and returns pairs of an open
-                connection and the `Offer` last received on it.
+            list_servers: Takes a service name and returns pairs of a
+                connection to a usable sidecar and the load that it reported.
             find_service: Takes a service name and returns the
                 `configuration.Service` or None.
             budget: Retry budget of the entry.
@@ -78,7 +78,7 @@
             body_limit_bytes: Largest request body.
             body_timeout_s: Longest time for a caller to send its body.
         """
-        self._list_offers = list_offers
+        self._list_servers = list_servers
         self._find_service = find_service
         self._budget = budget
         self._timeout_s = timeout_s
@@ -224,14 +224,11 @@
 
     def _pick(self, service: str, tried):
         choices = [
-            (self._in_flight[connection], offer.in_flight, number, connection)
-            for number, (connection, offer) in enumerate(
-                self._list_offers(service)
+            (self._in_flight[connection], load, number, connection)
+            for number, (connection, load) in enumerate(
+                self._list_servers(service)
             )
-            if connection not in tried
-            and connection.is_open
-            and offer.ready
-            and not offer.draining
+            if connection not in tried and connection.is_open
         ]
         return (
             min(choices, key=lambda choice: choice[:3])[3] if choices else None
--- a/tests/unit/test_calls.py
+++ b/tests/unit/test_calls.py
@@ -110,7 +110,7 @@
         )
         self.store.nursery = nursery
         self.calls = calls.Calls(
-            self.list_offers,
+            self.list_servers,
             lambda name: SERVICE,
             BUDGET,
             timeout_s=5.0,
@@ -118,9 +118,9 @@
             body_timeout_s=1.0,
         )
 
-    def list_offers(self, name):
+    def list_servers(self, name):
         return [
-            (sidecar.connection, ttypes.Offer(in_flight=index, ready=True))
+            (sidecar.connection, index)
             for index, sidecar in enumerate(self.sidecars)
         ]
 
--- a/tests/unit/test_membership.py
+++ b/tests/unit/test_membership.py
@@ -93,5 +93,5 @@
     assert (count(table, "x"), count(table, "y")) == (1, 0)
     offer = make_offer(kind="service", service="ledger", sequence=1)
     table.record_offer("a", offer)
-    assert table.find_services("ledger") == ["a"]
+    assert table.find_services("ledger") == [("a", 0)]
     assert not table.find_services("bookings") and not count(table)
