Split large step batches and try a stalled engine again

Cause: long prefixes of several streams together can pass the limit of a frame, which closes the connection or ends the process. An engine that thaws after its steps were cancelled has no result to send and stayed not ready for good. Change: steps are grouped up to half the limit of a frame; a stalled engine is tried again after 10 step timeouts. Conclusion: neither case needs an operator.

--- a/packages/peridotyard-daemon/src/peridotyard_daemon/connection/engines.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/connection/engines.py
@@ -1,5 +1,6 @@
 """Client of the model engine beside a sidecar."""
 
+import collections.abc
 import dataclasses
 import typing
 
@@ -16,6 +17,16 @@
 # Fraction of the step timeout between two checks for stalled steps; bounds
 # the delay of the detection.
 CHECKS_PER_TIMEOUT = 10
+# Step timeouts after which a stalled engine is tried again. It may have thawed
+# without a result to send, since its steps were cancelled.
+STALLED_TIMEOUTS = 10
+# Long prefixes of several streams together can pass the limit of a frame; a
+# single step fits, since it arrived in one.
+STEPS_BYTES = frames.FRAME_LIMIT_BYTES // 2
+# Upper bounds of the encoded sizes of a step without its content and of a
+# token id.
+STEP_BYTES = 64
+TOKEN_BYTES = 5
 
 _log = logs.Part("engines")
 
@@ -64,6 +75,25 @@
     since: float
 
 
+def split_steps(
+    steps: list[ttypes.Step],
+) -> collections.abc.Iterator[list[ttypes.Step]]:
+    """Yields the steps in order in groups that each fit in one frame."""
+    group = []
+    size = 0
+    for step in steps:
+        step_size = STEP_BYTES + len(step.activations or b"")
+        step_size += TOKEN_BYTES * len(step.tokens or ())
+        if group and size + step_size > STEPS_BYTES:
+            yield group
+            group = []
+            size = 0
+        group.append(step)
+        size += step_size
+    if group:
+        yield group
+
+
 class Engine:
     """The connection to one engine, owned by the sidecar.
 
@@ -93,6 +123,7 @@
         self._outstanding: dict[int, _Outstanding] = {}
         self._result_at = 0.0
         self._is_stalled = False
+        self._stalled_at = 0.0
 
     @classmethod
     def from_config(cls, settings, network, handler) -> "Engine":
@@ -118,13 +149,14 @@
         self._post(ttypes.Frame(engine_open=request))
 
     def run_steps(self, steps: list[ttypes.Step]) -> None:
-        """Runs steps, at most one per stream, with one frame."""
+        """Runs steps, at most one per stream, with one frame if they fit."""
         now = trio.current_time()
         for step in steps:
             self._outstanding[step.stream] = _Outstanding(
                 step.generation, step.position, now
             )
-        self._post(ttypes.Frame(engine_run=ttypes.EngineRun(steps)))
+        for group in split_steps(steps):
+            self._post(ttypes.Frame(engine_run=ttypes.EngineRun(group)))
 
     def close(self, stream: int, generation: int) -> None:
         """Frees a stream and cancels its step."""
@@ -272,6 +304,12 @@
                 for stream, step in self._outstanding.items()
                 if step.since <= limit
             )
+            retry_at = self._stalled_at + STALLED_TIMEOUTS * (
+                self._step_timeout_s
+            )
+            if self._is_stalled and not self._outstanding and now >= retry_at:
+                self._is_stalled = False
+                self._handler.handle_engine_changed()
             if not overdue:
                 continue
             _log.error("steps are stalled", count=len(overdue))
@@ -280,5 +318,6 @@
             # An engine that still finishes other steps only delays these.
             if self._result_at <= limit and not self._is_stalled:
                 self._is_stalled = True
+                self._stalled_at = now
                 self._handler.handle_engine_changed()
             self._handler.handle_problem(Stalled(overdue))
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/stages.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/stages.py
@@ -434,10 +434,12 @@
             self._waiting[address] += batch
             return
         connection = self._peers.find(address)
-        frame = ttypes.Frame(step_batch=ttypes.StepBatch(batch))
         # A connection that closes now is reported to `handle_closed`, which
         # sends the last step of each stream again.
-        if connection is not None and connection.post(frame):
+        if connection is not None and all(
+            connection.post(ttypes.Frame(step_batch=ttypes.StepBatch(group)))
+            for group in engines.split_steps(batch)
+        ):
             return
         # The connections of a process that ends are closed after this part.
         if self._nursery is None:
--- a/tests/unit/test_stages.py
+++ b/tests/unit/test_stages.py
@@ -4,6 +4,8 @@
 
 from peridotyard_core import addresses
 from peridotyard_core import settings
+from peridotyard_daemon.connection import engines
+from peridotyard_daemon.connection import frames
 from peridotyard_daemon.connection import peers
 from peridotyard_daemon.process import sidecar
 from peridotyard_daemon.wire.generated import ttypes
@@ -205,6 +207,15 @@
     assert counts["frames"] <= counts["steps"] / 4
 
 
+def test_long_prefixes_are_split_over_frames():
+    """Guards against a frame over the limit, which ends the connection."""
+    batch = [ttypes.Step(n, activations=bytes(5 << 20)) for n in range(4)]
+    groups = list(engines.split_steps(batch))
+    for group in groups:
+        frames.encode(ttypes.Frame(step_batch=ttypes.StepBatch(group)))
+    assert [step for group in groups for step in group] == batch
+
+
 @with_chain({"checks_fencing": False})
 async def test_repeated_and_outdated_steps_do_not_run(chain):
     """Guards against a violation of R1 where the engine has no fence."""
@@ -315,6 +326,19 @@
     assert last.ready is ready
 
 
+@with_chain()
+async def test_engine_that_thaws_without_a_result_is_tried_again(chain):
+    """Guards against an engine that stays out of service for good."""
+    chain.engines[2].faults.freeze = True
+    await chain.open()
+    await trio.sleep(3)
+    chain.engines[2].faults.freeze = False
+    await trio.sleep(20)
+    await chain.open(2)
+    await trio.sleep(2)
+    chain.check_tokens(2)
+
+
 @with_chain()
 async def test_drain_refuses_new_streams_and_finishes_open_ones(chain):
     """Guards against a stop that interrupts a request (R6)."""
