Start copies of the last step in the stateful test of StepGuard

Cause: random positions seldom hit the step that is running, so the stateful test did not notice a guard that runs such a copy again. Change: a rule starts the step that ran last.

--- a/tests/unit/test_steps.py
+++ b/tests/unit/test_steps.py
@@ -21,7 +21,10 @@
 
 
 class GuardMachine(stateful.RuleBasedStateMachine):
-    """Compares the guard with a list of all steps that were ever run."""
+    """Guards against a step that runs twice or in a wrong place.
+
+    Compares the guard with a list of all steps that were ever run.
+    """
 
     def __init__(self):
         super().__init__()
@@ -39,7 +42,15 @@
         self.generation = max(self.generation, generation)
 
     @stateful.rule(generation=SMALL, position=SMALL, count=SMALL)
-    def start(self, generation, position, count):
+    def start_any(self, generation, position, count):
+        self.check_start(generation, position, count)
+
+    @stateful.precondition(lambda self: self.ran)
+    @stateful.rule()
+    def start_last(self):
+        self.check_start(*self.ran[-1])
+
+    def check_start(self, generation, position, count):
         step = (generation, position, count)
         current = self.list_current()
         decision = self.guard.start(*step)
