Replace the log handler on a second start

Cause: a second start of the logs in one process left the first handler, which wrote to a closed output and printed a traceback among the log lines; seen in test_level_and_debug_parts after the emulator's tests. Conclusion: start removes the handler of an earlier start.

--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/logs.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/logs.py
@@ -5,6 +5,10 @@
 
 import logbook
 
+# The handler of the process; a second start replaces it, so that one line
+# never goes to two outputs.
+_installed: list[logbook.Handler] = []
+
 
 def start(settings) -> None:
     """Installs the log handler of the process.
@@ -12,6 +16,7 @@
     Args:
         settings: A `settings.ProcessSettings`.
     """
+    stop()
     level = logbook.lookup_level(settings.log_level.upper())
     handler = logbook.StreamHandler(sys.stderr, level="DEBUG")
     form = _format_json if settings.log_format == "json" else _format_text
@@ -20,6 +25,13 @@
         record.level >= level or record.channel in settings.debug
     )
     handler.push_application()
+    _installed.append(handler)
+
+
+def stop() -> None:
+    """Removes the log handler of the process, if there is one."""
+    while _installed:
+        _installed.pop().pop_application()
 
 
 class Part:
--- a/tests/unit/test_calls.py
+++ b/tests/unit/test_calls.py
@@ -14,7 +14,6 @@
 from peridotyard_daemon.process import tables
 from peridotyard_daemon.request import calls
 from peridotyard_daemon.request import claims
-from peridotyard_daemon.wire.generated import ttypes
 from peridotyard_emulator import faults
 from peridotyard_emulator import service
 from peridotyard_emulator import table
--- a/tests/unit/test_logs.py
+++ b/tests/unit/test_logs.py
@@ -4,7 +4,6 @@
 import json
 import sys
 
-import logbook
 from peridotyard_core import settings
 from peridotyard_daemon.process import logs
 import pytest
@@ -13,24 +12,19 @@
 @pytest.fixture
 def start(monkeypatch):
     """Returns a function that starts logs and gives their output."""
-    handlers = []
 
     def start_logs(**values) -> io.StringIO:
         output = io.StringIO()
         monkeypatch.setattr(sys, "stderr", output)
-        before = list(logbook.Handler.stack_manager.iter_context_objects())
         logs.start(
             settings.ProcessSettings(
                 instance="a", zone="b", **DEFAULTS | values
             )
         )
-        after = logbook.Handler.stack_manager.iter_context_objects()
-        handlers.extend(item for item in after if item not in before)
         return output
 
     yield start_logs
-    for handler in handlers:
-        handler.pop_application()
+    logs.stop()
 
 
 DEFAULTS = {
@@ -94,3 +88,12 @@
         "warning chains: refusal",
         "warning calls: refusal",
     ]
+
+
+def test_second_start_replaces_the_first(start):
+    """Guards against a line in two outputs, one of them closed."""
+    first = start()
+    second = start()
+    logs.Part("calls").info("started")
+    assert not first.getvalue()
+    assert second.getvalue()
