Accept sampling parameters of completion requests

Cause: clients of the OpenAI-compatible interface usually send temperature, which was refused as 400 because no message carried it. Change: temperature, top_p and the two penalties are checked, part of the fingerprint, and passed to the engine with the stream. The emulated engine ignores them.

--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/chains.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/chains.py
@@ -45,6 +45,7 @@
         seed: Seed of the sampling.
         fingerprint: 64-bit signed hash of the request.
         deadline: trio time at which the entry gives up.
+        sampling: JSON object of the sampling parameters, or empty.
     """
 
     request_id: str
@@ -59,6 +60,7 @@
     seed: int
     fingerprint: int
     deadline: float
+    sampling: str = ""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -358,6 +360,7 @@
                     deadline_ms=int(left_s * 1000),
                     request=job.request_id,
                     fingerprint=job.fingerprint,
+                    sampling=job.sampling,
                     resume_position=self.state.next_position,
                 )
             )
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/completions.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/completions.py
@@ -308,6 +308,7 @@
             seed,
             values.hash_content(),
             trio.current_time() + self._settings.request_timeout_s,
+            values.sampling,
         )
 
     def _find(self, connection, message) -> chains.Response | None:
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/parameters.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/parameters.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import hashlib
+import json
 import typing
 
 from peridotyard_core import tokens
@@ -13,7 +14,16 @@
 STOP_LIMIT = 4
 STOP_LENGTH = 256
 SEED_LIMIT = 1 << 63
+# Sampling parameters with their lowest and highest value. The engines apply
+# them; here they are only checked.
+SAMPLING_FIELDS = {
+    "temperature": (0, 2),
+    "top_p": (0, 1),
+    "presence_penalty": (-2, 2),
+    "frequency_penalty": (-2, 2),
+}
 COMMON_FIELDS = (
+    *SAMPLING_FIELDS,
     "model",
     "max_tokens",
     "n",
@@ -40,6 +50,7 @@
         stops: Stop sequences.
         is_streamed: Whether tokens are sent as they arrive.
         has_usage: Whether a stream ends with its usage.
+        sampling: JSON object of the sampling parameters, empty without any.
     """
 
     model: str
@@ -50,6 +61,7 @@
     stops: tuple[str, ...]
     is_streamed: bool
     has_usage: bool
+    sampling: str = ""
 
     @classmethod
     def from_body(cls, body: typing.Any, is_chat: bool) -> "Parameters":
@@ -91,11 +103,13 @@
                 (options or {}).get("include_usage"),
                 "stream_options.include_usage",
             ),
+            _render_sampling(body),
         )
 
     def hash_content(self) -> int:
         """Returns a signed 64-bit fingerprint of what the engines see."""
-        text = f"{self.model}\0{self.max_tokens}\0{self.seed}\0".encode()
+        values = (self.model, self.max_tokens, self.seed, self.sampling)
+        text = "".join(f"{value}\0" for value in values).encode()
         data = text + b",".join(str(token).encode() for token in self.prompt)
         digest = hashlib.blake2b(data, digest_size=8).digest()
         return int.from_bytes(digest, "big", signed=True)
@@ -123,6 +137,19 @@
     return value
 
 
+def _render_sampling(body) -> str:
+    values = {}
+    for name, (lowest, highest) in SAMPLING_FIELDS.items():
+        value = body.get(name)
+        if value is None:
+            continue
+        is_number = isinstance(value, int | float) and value is not True
+        if not is_number or value is False or not lowest <= value <= highest:
+            raise reject(name, f"a number from {lowest} to {highest}")
+        values[name] = value
+    return json.dumps(values) if values else ""
+
+
 def _parse_max_tokens(body) -> int | None:
     old = _parse_int(body, "max_tokens", 1, None)
     new = _parse_int(body, "max_completion_tokens", 1, None)
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/stages.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/stages.py
@@ -286,6 +286,7 @@
                 prompt_tokens=request.prompt_tokens,
                 adapter=request.adapter,
                 fingerprint=request.fingerprint,
+                sampling=request.sampling,
             )
         )
 
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/wire/peridotyard.thrift
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/wire/peridotyard.thrift
@@ -89,6 +89,8 @@
   /** Position at which the generation starts to emit tokens. */
   16: i32 resume_position = 0,
   17: bool suspect = false,
+  /** JSON object of the sampling parameters, empty for the defaults. */
+  20: string sampling = "",
 }
 
 struct StreamOpened {
@@ -281,6 +283,8 @@
   6: i32 prompt_tokens = 0,
   7: string adapter = "",
   8: i64 fingerprint = 0,
+  /** See StreamOpen. */
+  20: string sampling = "",
 }
 
 struct EngineRun {
