--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -7,6 +7,8 @@
 # Name and module of each benchmark; its main() prints a table and returns an
 # exit status.
 BENCHMARKS = {
+    "connections": "bench.connections",
+    "memory": "bench.memory",
     "sidecar": "bench.sidecar",
     "processes": "bench.processes",
 }
