--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -11,6 +11,7 @@
     "memory": "bench.memory",
     "sidecar": "bench.sidecar",
     "processes": "bench.processes",
+    "capacity": "bench.capacity",
 }
 
 
