Let calls read the load of an offer in the routing table

Cause: request.calls reads in_flight of an offer, as of a wire message, but the entry hands it the offer of the routing table, so every service call ended with 500 "internal" (AttributeError). Change: membership.Offer has the property in_flight.

--- a/packages/peridotyard-core/src/peridotyard_core/membership.py
+++ b/packages/peridotyard-core/src/peridotyard_core/membership.py
@@ -38,6 +38,11 @@
     draining: bool = False
     sequence: int = 0
 
+    @property
+    def in_flight(self) -> int:
+        """Streams or calls in flight, as the sidecar reported them."""
+        return self.stage.load
+
 
 @dataclasses.dataclass
 class _Route:
