--- a/packages/peridotyard-cli/src/peridotyard_cli/demo.py
+++ b/packages/peridotyard-cli/src/peridotyard_cli/demo.py
@@ -18,7 +18,6 @@
 # The stage whose holder is killed, counted from 1; neither the first nor the
 # last, so that its neighbours on both sides have to be connected again.
 KILLED_STAGE = 2
-TALLY = {"plot": "cedar-ridge-12", "species": "fir", "count": 41}
 
 
 class DemoError(local.DeploymentError):
@@ -74,14 +73,15 @@
     deployment: local.Deployment, caller: callers.Caller
 ) -> None:
     key = uuid.uuid4().hex
-    path = "/v1/services/ledger/tallies"
+    tally = make_tally()
     replies = []
     for _ in range(2):
-        reply = await caller.call("POST", path, TALLY, key)
+        path = local.make_path("ledger")
+        reply = await caller.call("POST", path, tally, key)
         if not reply.is_success:
             raise DemoError(f"tally: {reply.status} {reply.code}")
         replies.append(reply.body)
-    count = count_executions(deployment, "ledger", key)
+    count = count_executions(deployment, "ledger", tally["id"])
     _say(f"tally: submitted twice with one key, counted {count} time(s)")
     if count != 1 or replies[0] != replies[1]:
         raise DemoError(f"tally: counted {count} times, answers {replies}")
@@ -167,6 +167,16 @@
             self._deployment.kill(victim)
 
 
+def make_tally(count: int = 41) -> dict:
+    """Returns a tally that has not been submitted before."""
+    return {
+        "id": uuid.uuid4().hex,
+        "plot": "cedar-ridge-12",
+        "species": "fir",
+        "count": count,
+    }
+
+
 def make_prompt(text: str, max_tokens: int, seed: int = 7) -> callers.Prompt:
     """Returns a request for the model of the trial deployment."""
     return callers.Prompt(local.MODEL, local.LAYERS, text, seed, max_tokens)
@@ -221,14 +231,16 @@
 
 
 def count_executions(
-    deployment: local.Deployment, service: str, key: str
+    deployment: local.Deployment, service: str, record: str
 ) -> int:
-    """Returns how often all servers of a service ran a call."""
+    """Returns how often all servers of a service ran a submission."""
     count = 0
     for plan in deployment.plans:
-        is_holder = plan.sections.get("service", {}).get("name") == service
+        is_holder = plan.sections.get("service", {}).get("kind") == service
         if plan.role == "service" and is_holder:
-            count += read_state(deployment, plan.name)["executed"].get(key, 0)
+            count += read_state(deployment, plan.name)["executions"].get(
+                record, 0
+            )
     return count
 
 
@@ -244,9 +256,7 @@
     if reply.status != 200:
         return set()
     return {
-        peer["instance"]
-        for peer in reply.json["peers"]
-        if peer["ready"] and not peer["draining"]
+        route["instance"] for route in reply.json["routes"] if route["usable"]
     }
 
 
--- a/packages/peridotyard-cli/src/peridotyard_cli/local.py
+++ b/packages/peridotyard-cli/src/peridotyard_cli/local.py
@@ -39,6 +39,8 @@
 ITERATION_S = 0.002
 HOLDERS = "ab"
 SERVICES = {"ledger": 2, "bookings": 2}
+# Path of the records of each service.
+RECORDS = {"ledger": "tallies", "bookings": "bookings"}
 ENTRIES = 2
 # Each workspace with its service.
 WORKSPACES = {"survey": "ledger", "travel": "bookings"}
@@ -163,7 +165,7 @@
                 ZONES[number % len(ZONES)],
                 {
                     "listen": {"address": next(free)},
-                    "service": {"name": service},
+                    "service": {"kind": service},
                 },
             )
         )
@@ -224,7 +226,7 @@
     values = {"address": backend.address, "kind": "model"}
     if backend.role == "service":
         values["kind"] = "service"
-        values["service"] = backend.sections["service"]["name"]
+        values["service"] = backend.sections["service"]["kind"]
     return _plan(
         f"sidecar-{backend.name}",
         "sidecar",
@@ -575,16 +577,22 @@
                         send, "POST", f"{url}/v1/completions", key, prompt
                     ),
                 )
-                path = f"/v1/services/{service}/{PROBE}"
+                path = make_path(service, "none")
                 waiter.wait(
                     f"{url} serves {service} to {name}",
                     functools.partial(send, "GET", url + path, key),
-                    lambda reply: reply.status in (200, 404),
+                    # The service has no such record; an answer with a verdict
+                    # would be one of the entry.
+                    lambda reply: (
+                        reply.status == 404 and b'"verdict"' not in reply.body
+                    ),
                 )
 
 
-# A record that no test submits.
-PROBE = "records/none"
+def make_path(service: str, record: str = "") -> str:
+    """Returns the path of a record at an entry, or of all records."""
+    path = f"/v1/services/{service}/{RECORDS[service]}"
+    return f"{path}/{record}" if record else path
 
 
 @dataclasses.dataclass(frozen=True)
--- a/packages/peridotyard-emulator/src/peridotyard_emulator/load.py
+++ b/packages/peridotyard-emulator/src/peridotyard_emulator/load.py
@@ -12,6 +12,7 @@
 import trio
 
 from peridotyard_emulator import callers
+from peridotyard_emulator import service as service_module
 
 # The load after a broadcast, relative to the quiet load.
 RAMP_FACTOR = 20
@@ -94,7 +95,8 @@
             )
             return
         self.completed["streams"] += 1
-        self.tokens += prompt.max_tokens
+        # The emulated model has one character for each token.
+        self.tokens += len(expected)
         arrivals = answer.arrivals_s
         self.first_s.append(arrivals[0] - answer.sent_s)
         # Tokens that were pending together arrive in one chunk, so the gap is
@@ -219,11 +221,8 @@
 
 def make_submission(service: str, number: int) -> tuple[str, dict]:
     """Returns the path and body of a non-repeatable call of a service."""
-    if service == "ledger":
-        value = {"plot": f"load-{number}", "species": "fir", "count": 1}
-        return "/v1/services/ledger/tallies", value
-    value = {"trip": f"load-{number}", "seats": 1}
-    return "/v1/services/bookings/bookings", value
+    value = {"id": f"load-{uuid.uuid4().hex}", "number": number}
+    return f"/v1/services/{service}{service_module.KINDS[service]}", value
 
 
 def main(arguments: list[str] | None = None) -> int:
--- a/tests/features/steps/services.py
+++ b/tests/features/steps/services.py
@@ -8,7 +8,7 @@
 
 from tests.support import acceptance
 
-PATH = "/v1/services/ledger/tallies"
+PATH = local.make_path("ledger")
 
 
 def submit(context, entry, value, key):
@@ -22,27 +22,29 @@
     )
 
 
-def submit_each(context, submissions):
-    context.key = uuid.uuid4().hex
+def submit_each(context, entries, tallies):
+    context.tally = tallies[0]["id"]
+    key = uuid.uuid4().hex
     context.answers = [
-        submit(context, entry, value, context.key)
-        for entry, value in submissions
+        submit(context, entry, tally, key)
+        for entry, tally in zip(entries, tallies, strict=True)
     ]
 
 
 @behave.when("a crew submits a tally twice with the same key")
 def submit_twice(context):
-    submit_each(context, [(0, demo.TALLY), (0, demo.TALLY)])
+    submit_each(context, (0, 0), [demo.make_tally()] * 2)
 
 
 @behave.when("a crew submits a tally through each entry with the same key")
 def submit_through_each_entry(context):
-    submit_each(context, [(0, demo.TALLY), (1, demo.TALLY)])
+    submit_each(context, (0, 1), [demo.make_tally()] * 2)
 
 
 @behave.when("a crew submits two different tallies with the same key")
 def submit_different(context):
-    submit_each(context, [(0, demo.TALLY), (0, demo.TALLY | {"count": 42})])
+    tally = demo.make_tally()
+    submit_each(context, (0, 0), [tally, tally | {"count": 42}])
     assert context.answers[0].is_success, context.answers[0]
 
 
@@ -56,13 +58,13 @@
 
 @behave.then("the ledger counted the tally once")
 def check_counted_once(context):
-    count = demo.count_executions(context.deployment, "ledger", context.key)
+    count = demo.count_executions(context.deployment, "ledger", context.tally)
     assert count == 1, f"counted {count} times"
 
 
 @behave.when("a crew submits a tally without a key")
 def submit_without_key(context):
-    context.answers = [submit(context, 0, demo.TALLY, "")]
+    context.answers = [submit(context, 0, demo.make_tally(), "")]
 
 
 @behave.when("a caller with an unknown API key requests a model and a service")
@@ -71,13 +73,13 @@
     body = {"model": local.MODEL, "prompt": "a", "max_tokens": 1}
     context.answers = [
         acceptance.call(url, "unknown", "POST", "/v1/completions", body),
-        acceptance.call(url, "unknown", "POST", PATH, demo.TALLY, "k"),
+        acceptance.call(url, "unknown", "POST", PATH, demo.make_tally(), "k"),
     ]
 
 
 @behave.when("a crew calls the service of another workspace")
 def call_foreign_service(context):
-    path = f"/v1/services/bookings/{local.PROBE}"
+    path = local.make_path("bookings", "none")
     context.answers = [
         acceptance.call(
             context.deployment.entries[0],
