--- a/packages/peridotyard-cli/src/peridotyard_cli/local.py
+++ b/packages/peridotyard-cli/src/peridotyard_cli/local.py
@@ -44,8 +44,9 @@
 ENTRIES = 2
 # Each workspace with its service.
 WORKSPACES = {"survey": "ledger", "travel": "bookings"}
-# An entry waits this long for its streams when the deployment stops.
-DRAIN_S = 10.0
+# A stream of 600 tokens takes up to 15 s on a busy machine, and a planned stop
+# has to outlast it.
+DRAIN_S = 40.0
 START_TIMEOUT_S = 60.0
 # Time for a process to end after its drain or, without one, after SIGTERM.
 STOP_TIMEOUT_S = 5.0
