--- a/packages/peridotyard-cli/src/peridotyard_cli/local.py
+++ b/packages/peridotyard-cli/src/peridotyard_cli/local.py
@@ -39,11 +39,14 @@
 ITERATION_S = 0.002
 HOLDERS = "ab"
 SERVICES = {"ledger": 2, "bookings": 2}
+# Path of the records of each service.
+RECORDS = {"ledger": "tallies", "bookings": "bookings"}
 ENTRIES = 2
 # Each workspace with its service.
 WORKSPACES = {"survey": "ledger", "travel": "bookings"}
-# An entry waits this long for its streams when the deployment stops.
-DRAIN_S = 10.0
+# A stream of 600 tokens takes up to 15 s on a busy machine, and a planned stop
+# has to outlast it.
+DRAIN_S = 40.0
 START_TIMEOUT_S = 60.0
 # Time for a process to end after its drain or, without one, after SIGTERM.
 STOP_TIMEOUT_S = 5.0
@@ -575,16 +578,22 @@
                         send, "POST", f"{url}/v1/completions", key, prompt
                     ),
                 )
-                path = f"/v1/services/{service}/{PROBE}"
+                path = make_path(service, "none")
                 waiter.wait(
                     f"{url} serves {service} to {name}",
                     functools.partial(send, "GET", url + path, key),
-                    lambda reply: reply.status in (200, 404),
+                    # The service has no such record; an answer with a verdict
+                    # would be one of the entry.
+                    lambda reply: (
+                        reply.status == 404 and b'"verdict"' not in reply.body
+                    ),
                 )
 
 
-# A record that no test submits.
-PROBE = "records/none"
+def make_path(service: str, record: str = "") -> str:
+    """Returns the path of a record at an entry, or of all records."""
+    path = f"/v1/services/{service}/{RECORDS[service]}"
+    return f"{path}/{record}" if record else path
 
 
 @dataclasses.dataclass(frozen=True)
