--- a/Makefile
+++ b/Makefile
@@ -3,6 +3,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 PACKAGES := core daemon emulator cli
+MEMBERS := $(PACKAGES:%=packages/peridotyard-%) platform
 
 .PHONY: help install format lint generate document test demo local bench lock
 
@@ -19,11 +20,11 @@
 
 install: $(VENV)/installed
 
-$(VENV)/installed: requirements.lock $(PACKAGES:%=packages/peridotyard-%/pyproject.toml)
+$(VENV)/installed: requirements.lock $(MEMBERS:%=%/pyproject.toml)
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
 	$(BIN)/pip install -q -r requirements.lock
 	$(BIN)/pip install -q --no-deps --no-build-isolation \
-	  $(PACKAGES:%=-e packages/peridotyard-%)
+	  $(MEMBERS:%=-e ./%)
 	touch $@
 
 lock:
@@ -38,6 +39,7 @@
 	$(BIN)/pyink -q --check --diff .
 	$(BIN)/ruff check -q .
 	$(BIN)/python tools/imports.py
+	$(BIN)/python tools/platform_names.py
 	$(BIN)/lint-imports
 	$(BIN)/python tools/document_options.py --check
 	tools/generate.sh --check
--- a/packages/peridotyard-core/src/peridotyard_core/budgets.py
+++ b/packages/peridotyard-core/src/peridotyard_core/budgets.py
@@ -1,4 +1,6 @@
-"""Retry budget: retries as a fraction of successes."""
+"""Retry budgets: retries as a fraction of requests."""
+
+import collections
 
 # Below about one retry in ten, retries cannot multiply an overload.
 DEFAULT_FRACTION = 0.1
@@ -37,3 +39,51 @@
             return False
         self._balance -= 1
         return True
+
+
+class WindowBudget:
+    """Retries of one service within a sliding window, for one of many entries.
+
+    The bound holds for the sum over all entries: each entry uses its share of
+    the fixed part, and the fraction of the requests that it sent itself. Owned
+    by the process.
+    """
+
+    def __init__(self, fraction: float, reserve: float, window_s: float):
+        """Makes a budget.
+
+        Args:
+            fraction: Retries allowed per request of the window.
+            reserve: Retries allowed in a window besides, for all entries.
+            window_s: Length of the window, seconds.
+        """
+        self._fraction = fraction
+        self._reserve = reserve
+        self._window_s = window_s
+        self._requests = collections.deque()
+        self._retries = collections.deque()
+
+    def record_request(self, now: float) -> None:
+        """Counts the first attempt of a request."""
+        self._requests.append(now)
+        self._trim(now)
+
+    def spend(self, now: float, entries: int) -> bool:
+        """Takes one retry; False if there is none left.
+
+        Args:
+            now: Time, seconds.
+            entries: Entries that share the reserve.
+        """
+        self._trim(now)
+        share = self._reserve / max(1, entries)
+        allowed = self._fraction * len(self._requests) + share
+        if len(self._retries) + 1 > allowed:
+            return False
+        self._retries.append(now)
+        return True
+
+    def _trim(self, now: float) -> None:
+        for times in (self._requests, self._retries):
+            while times and times[0] <= now - self._window_s:
+                times.popleft()
--- a/packages/peridotyard-core/src/peridotyard_core/errors.py
+++ b/packages/peridotyard-core/src/peridotyard_core/errors.py
@@ -27,6 +27,7 @@
     "stream-lost": 502,
     "backend-lost": 502,
     "outcome-unknown": 502,
+    "backend-timeout": 504,
     "internal": 500,
 }
 
--- /dev/null
+++ b/packages/peridotyard-core/src/peridotyard_core/layouts.py
@@ -0,0 +1,267 @@
+"""Layout of a model's layers over the servers of a fleet.
+
+All functions are pure: the layout follows from the fleet as it is reported,
+so that a new holder of the placement duty needs no plan of the old one.
+"""
+
+import collections
+import collections.abc
+import dataclasses
+
+from peridotyard_core import fleet
+
+# Smallest room for KV cache that a server keeps beside its layers, in mean
+# requests. Below a handful of streams a server only adds a stage to the paths.
+SMALLEST_STREAMS = 6.0
+# Steps in which the room for KV cache is searched, as a factor.
+ROOM_STEP = 0.9
+
+
+@dataclasses.dataclass(frozen=True)
+class Placement:
+    """Layers that a server is to hold.
+
+    Attributes:
+        server: The server as last reported.
+        span: The layers.
+    """
+
+    server: fleet.Server
+    span: fleet.Span
+
+
+Servers = collections.abc.Sequence[fleet.Server]
+Spans = dict[str, fleet.Span]
+
+
+def list_uncovered(
+    spans: collections.abc.Iterable[fleet.Span], layers: int
+) -> list[fleet.Span]:
+    """Returns the ranges of layers that no span contains."""
+    missing = []
+    layer = 0
+    for span in sorted(spans):
+        if span.first > layer:
+            missing.append(fleet.Span(layer, span.first))
+        layer = max(layer, span.end)
+    if layer < layers:
+        missing.append(fleet.Span(layer, layers))
+    return missing
+
+
+def group_zones(servers: Servers, engine: fleet.Engine) -> list[list]:
+    """Groups servers such that each group can hold all layers.
+
+    A zone that can hold the model is a group of its own, since paths within a
+    zone do not use the links between zones. The others form one group; if
+    that is too small as well, it joins the smallest of the others.
+    """
+    by_zone = collections.defaultdict(list)
+    for server in servers:
+        if engine.find_card(server.card) is not None:
+            by_zone[server.zone].append(server)
+    groups, rest = [], []
+    for zone in sorted(by_zone):
+        members = by_zone[zone]
+        if _count_layers(members, engine, SMALLEST_STREAMS) >= engine.layers:
+            groups.append(members)
+        else:
+            rest.extend(members)
+    if rest:
+        enough = _count_layers(rest, engine, SMALLEST_STREAMS) >= engine.layers
+        if enough or not groups:
+            groups.append(rest)
+        else:
+            min(groups, key=len).extend(rest)
+    return groups
+
+
+def plan_group(servers: Servers, engine: fleet.Engine) -> Spans:
+    """Lays a group out from nothing.
+
+    One chain of servers holds each layer once, with as few stages as the
+    cards allow. The room for KV cache is the largest one at which the rest of
+    the group can take over the layers of any single server; the rest holds
+    second copies of the largest stages, which are the slowest to reload.
+    """
+    room = find_room(servers, engine)
+    sizes = {s.instance: _fit(s, engine, room) for s in servers}
+    ordered = sorted(servers, key=lambda s: (-sizes[s.instance], s.instance))
+    chain, held = [], 0
+    for server in ordered:
+        if held >= engine.layers:
+            break
+        if sizes[server.instance] > 0:
+            chain.append(server)
+            held += sizes[server.instance]
+    spans: Spans = {}
+    layer, left = 0, held
+    for server in chain:
+        # The surplus of the chain is spread over all its stages.
+        size = sizes[server.instance]
+        share = round((engine.layers - layer) * size / left)
+        share = min(max(share, 1), size, engine.layers - layer)
+        if share > 0:
+            spans[server.instance] = fleet.Span(layer, layer + share)
+        layer += share
+        left -= size
+    _fill_gap(spans, chain, sizes, engine.layers)
+    for server in ordered:
+        if server.instance not in spans and sizes[server.instance] > 0:
+            spans[server.instance] = _choose_copy(
+                spans, sizes[server.instance], engine.layers
+            )
+    return spans
+
+
+def find_room(servers: Servers, engine: fleet.Engine) -> float:
+    """Returns the room for KV cache of a plan, in mean requests a server."""
+    # All servers together cannot serve more than their slots.
+    room = float(max(engine.slots, SMALLEST_STREAMS))
+    while room > SMALLEST_STREAMS:
+        sizes = sorted(
+            (_fit(server, engine, room) for server in servers), reverse=True
+        )
+        chain, largest = 0, sizes[0] if sizes else 0
+        while sizes and chain < engine.layers:
+            chain += sizes.pop(0)
+        if chain >= engine.layers and sum(sizes) >= largest:
+            return room
+        room *= ROOM_STEP
+    return SMALLEST_STREAMS
+
+
+def repair_group(servers: Servers, spans: Spans, engine: fleet.Engine) -> Spans:
+    """Returns the spans to change so that every layer is held again.
+
+    Args:
+        servers: Servers that take work.
+        spans: What they hold, or were ordered to hold.
+        engine: The engine.
+
+    Returns:
+        New spans by instance; empty if nothing is to be done.
+    """
+    room = find_room(servers, engine)
+    held = {
+        s.instance: spans[s.instance] for s in servers if s.instance in spans
+    }
+    streams = room
+    while True:
+        current = dict(held)
+        changes = _cover(servers, current, engine, streams)
+        if not list_uncovered(current.values(), engine.layers):
+            break
+        if streams <= SMALLEST_STREAMS:
+            return _replan(servers, spans, engine) or changes
+        # A server with little room is better than a layer without a holder.
+        streams = max(streams / 2, SMALLEST_STREAMS)
+    for server in servers:
+        if server.instance not in current:
+            size = _fit(server, engine, room)
+            if size > 0:
+                span = _choose_copy(current, size, engine.layers)
+                current[server.instance] = span
+                changes[server.instance] = span
+    return changes
+
+
+def _replan(servers, spans: Spans, engine: fleet.Engine) -> Spans:
+    """Returns the changes to a layout from nothing, if that is complete.
+
+    It is for a group whose spare servers do not suffice. No path of the group
+    is whole then, so that moving all layers loses nothing more.
+    """
+    fresh = plan_group(servers, engine)
+    if list_uncovered(fresh.values(), engine.layers):
+        return {}
+    return {
+        name: span for name, span in fresh.items() if spans.get(name) != span
+    }
+
+
+def _cover(servers, current: Spans, engine, streams: float) -> Spans:
+    """Gives uncovered layers to servers that are free or hold a copy."""
+    changes: Spans = {}
+    while missing := list_uncovered(current.values(), engine.layers):
+        gap = max(missing, key=lambda span: span.size)
+        spare = [
+            server
+            for server in servers
+            if server.instance not in changes
+            and _is_spare(server.instance, current, engine.layers)
+            and _fit(server, engine, streams) > 0
+        ]
+        # An empty server gives up no copy, and a small one gives up less than
+        # a large one, which usually is the faster card too.
+        taker = min(
+            spare,
+            key=lambda s: (s.instance in current, _fit(s, engine, streams)),
+            default=None,
+        )
+        if taker is None:
+            return changes
+        size = min(_fit(taker, engine, streams), gap.size)
+        span = fleet.Span(gap.first, gap.first + size)
+        current[taker.instance] = span
+        changes[taker.instance] = span
+    return changes
+
+
+def _is_spare(instance: str, current: Spans, layers: int) -> bool:
+    if instance not in current:
+        return True
+    before = list_uncovered(current.values(), layers)
+    others = [span for name, span in current.items() if name != instance]
+    return list_uncovered(others, layers) == before
+
+
+def _fit(server, engine: fleet.Engine, streams: float) -> int:
+    """Returns the layers that fit beside the KV cache of some streams."""
+    card = engine.find_card(server.card)
+    if card is None:
+        return 0
+    tokens = streams * (engine.prompt_tokens + engine.answer_tokens)
+    kv_mb = tokens * engine.kv_token_mb / engine.layers
+    return min(int(card.memory_mb / (engine.layer_mb + kv_mb)), engine.layers)
+
+
+def _count_layers(servers, engine: fleet.Engine, streams: float) -> int:
+    return sum(_fit(server, engine, streams) for server in servers)
+
+
+def _fill_gap(spans: Spans, chain, sizes, layers: int) -> None:
+    """Grows the last stages where rounding left layers at the end."""
+    end = max((span.end for span in spans.values()), default=0)
+    missing = layers - end
+    for server in reversed(chain):
+        if missing <= 0:
+            return
+        span = spans.get(server.instance)
+        if span is None:
+            continue
+        grown = min(missing, sizes[server.instance] - span.size)
+        for name, other in list(spans.items()):
+            if other.first >= span.end:
+                spans[name] = fleet.Span(other.first + grown, other.end + grown)
+        spans[server.instance] = fleet.Span(span.first, span.end + grown)
+        missing -= grown
+
+
+def _choose_copy(spans: Spans, size: int, layers: int) -> fleet.Span:
+    """Returns the range of a further copy.
+
+    It begins in the largest stage of which some layer has only one holder.
+    """
+    holders = [0] * layers
+    largest = [0] * layers
+    for span in spans.values():
+        for layer in range(span.first, span.end):
+            holders[layer] += 1
+            largest[layer] = max(largest[layer], span.size)
+    first = max(
+        range(layers),
+        key=lambda layer: (-holders[layer], largest[layer], -layer),
+    )
+    first = min(first, layers - size)
+    return fleet.Span(first, first + size)
--- /dev/null
+++ b/packages/peridotyard-core/src/peridotyard_core/paths.py
@@ -0,0 +1,200 @@
+"""Selection of the servers that run the layers of a stream, across zones."""
+
+import collections.abc
+import dataclasses
+import heapq
+
+from peridotyard_core import fleet
+
+# Growth of a stage's price with the use of its KV cache. With the third power
+# a half-full server costs twice an empty one and a full one nine times, so
+# that faster servers are used first and none is filled up while others idle.
+FILL_WEIGHT = 8.0
+FILL_POWER = 3
+# Price of leaving the entry's own zone, in token steps of the slowest card:
+# less than a full server, more than the difference between cards. Load in
+# other zones is known late, so a small advantage there is not worth a move.
+REMOTE_STEPS = 0.6
+# Share of the prompt's transfer between two zones that a token step is charged
+# with. The link is shared by all streams and fills up long before it shows.
+CROSSING_WEIGHT = 0.5
+
+
+@dataclasses.dataclass(frozen=True)
+class Stage:
+    """One server of a path and the layers that it runs.
+
+    Attributes:
+        server: The server.
+        span: Layers that it runs, a part of what it holds.
+    """
+
+    server: fleet.Server
+    span: fleet.Span
+
+
+Path = tuple[Stage, ...]
+Servers = collections.abc.Sequence[fleet.Server]
+Load = collections.abc.Callable[[fleet.Server], float]
+
+
+def list_instances(path: Path) -> frozenset[str]:
+    """Returns the instances of a path."""
+    return frozenset(stage.server.instance for stage in path)
+
+
+@dataclasses.dataclass(frozen=True)
+class Planner:
+    """Finds paths for one engine.
+
+    Attributes:
+        engine: The engine and its model.
+        zone: Zone of the entry.
+    """
+
+    engine: fleet.Engine
+    zone: str
+
+    def choose(self, servers: Servers, load: Load) -> Path | None:
+        """Returns the cheapest path over all layers, None if there is none.
+
+        A path stays within one zone where any zone holds all layers, since
+        the links between zones carry the activations of all prompts.
+
+        Args:
+            servers: Usable servers.
+            load: Function from a server to its streams.
+        """
+        whole = fleet.Span(0, self.engine.layers)
+        by_zone: dict[str, list[fleet.Server]] = {}
+        for server in servers:
+            by_zone.setdefault(server.zone, []).append(server)
+        best = None
+        for zone, members in by_zone.items():
+            found = self._search(members, whole, load)
+            if found is None:
+                continue
+            cost, path = found
+            if zone != self.zone:
+                cost += self._remote_price()
+            if best is None or cost < best[0]:
+                best = (cost, path)
+        if best is None:
+            best = self._search(servers, whole, load)
+        return None if best is None else best[1]
+
+    def replace(
+        self,
+        path: Path,
+        failed: frozenset[str],
+        servers: Servers,
+        load: Load,
+    ) -> Path | None:
+        """Returns the path with other servers for its failed stages.
+
+        The other stages keep their KV cache, so they stay as they are.
+
+        Args:
+            path: The path in use.
+            failed: Instances to replace; not the first stage's.
+            servers: Usable servers.
+            load: Function from a server to its streams.
+        """
+        used = list_instances(path)
+        free = [
+            server
+            for server in servers
+            if server.instance not in used and server.instance not in failed
+        ]
+        stages: list[Stage] = []
+        for stage in path:
+            if stage.server.instance not in failed:
+                stages.append(stage)
+                continue
+            found = self._search(free, stage.span, load, stage.server.zone)
+            if found is None:
+                return None
+            part = found[1]
+            taken = list_instances(part)
+            free = [item for item in free if item.instance not in taken]
+            stages.extend(part)
+        return tuple(stages)
+
+    def price(self, server: fleet.Server, layers: int, load: float) -> float:
+        """Returns the milliseconds of a token step, raised by the load."""
+        engine = self.engine
+        card = engine.find_card(server.card)
+        factor = card.step_factor if card else 1.0
+        room = engine.count_streams(card, server.span.size) if card else 1.0
+        fill = (load + 1) / max(room, 0.1)
+        share = layers / engine.layers
+        step_ms = engine.step_ms + engine.stream_ms * load
+        scarcity = 1 + FILL_WEIGHT * fill**FILL_POWER
+        return share * factor * step_ms * scarcity
+
+    def _remote_price(self) -> float:
+        slowest = max((c.step_factor for c in self.engine.cards), default=1.0)
+        return REMOTE_STEPS * slowest * self.engine.step_ms
+
+    def _crossing_price(self) -> float:
+        engine = self.engine
+        if not engine.zone_link_mbps:
+            return 0.0
+        token_ms = engine.activation_mb * 8000 / engine.zone_link_mbps
+        return CROSSING_WEIGHT * token_ms * engine.prompt_tokens
+
+    def _search(
+        self,
+        servers: Servers,
+        span: fleet.Span,
+        load: Load,
+        zone: str = "",
+    ) -> tuple[float, Path] | None:
+        """Returns the cheapest path over a range, with its price.
+
+        Each stage runs to the end of what its server holds. The state of the
+        search is the next layer and the zone of the stage before, as a change
+        of zone has a price of its own.
+        """
+        usable = [
+            server
+            for server in servers
+            if server.span is not None
+            and server.span.first < span.end
+            and server.span.end > span.first
+        ]
+        crossing = self._crossing_price()
+        loads = [load(server) for server in usable]
+        start = (span.first, zone)
+        best = {start: 0.0}
+        came_from = {}
+        queue = [(0.0, start)]
+        while queue:
+            cost, state = heapq.heappop(queue)
+            layer, here = state
+            if layer >= span.end:
+                return cost, _trace(came_from, state)
+            if cost > best[state]:
+                continue
+            for server, streams in zip(usable, loads, strict=True):
+                if not server.span.contains(layer):
+                    continue
+                end = min(server.span.end, span.end)
+                total = cost + self.price(server, end - layer, streams)
+                if here and server.zone != here:
+                    total += crossing
+                next_state = (end, server.zone)
+                if total < best.get(next_state, float("inf")):
+                    best[next_state] = total
+                    stage = Stage(server, fleet.Span(layer, end))
+                    came_from[next_state] = (state, stage)
+                    heapq.heappush(queue, (total, next_state))
+        return None
+
+
+def _trace(came_from, state) -> Path:
+    stages = []
+    while state in came_from:
+        state, stage = came_from[state]
+        stages.append(stage)
+    return tuple(reversed(stages))
--- /dev/null
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/connection/callers.py
@@ -0,0 +1,320 @@
+"""HTTP/1.1 connections of callers, with the limits of the configuration.
+
+It is built on h11 rather than hypercorn: a response has to end without its
+final chunk when a stream is lost, the caller's end of the connection has to be
+watched while a request runs, and the limits change with the configuration.
+"""
+
+import collections.abc
+import contextlib
+import json
+import socket
+import struct
+import typing
+
+import h11
+from peridotyard_core import fleet
+import trio
+
+RECEIVE_BYTES = 1 << 16
+# Bytes of further requests that are kept while one is being answered; more
+# stay in the socket's buffer.
+PIPELINE_BYTES = 1 << 16
+# A caller that takes no byte of its response for so long is given up.
+SEND_TIMEOUT_S = 20.0
+# Time to let a caller read an error before the connection is closed with
+# unread input, which would reset it.
+LINGER_S = 0.2
+
+
+class RejectedError(Exception):
+    """The request violates a limit or the protocol.
+
+    Attributes:
+        status: 400, 408, 413 or 431.
+    """
+
+    def __init__(self, status: int, message: str):
+        self.status = status
+        super().__init__(message)
+
+
+class Responder:
+    """Writes one response, owned by the request.
+
+    Attributes:
+        started: Whether the status line was sent.
+        finished: Whether the whole response was sent.
+    """
+
+    def __init__(self, connection: "CallerConnection"):
+        self._connection = connection
+        self.started = False
+        self.finished = False
+
+    async def send_whole(self, status: int, headers, body: bytes) -> None:
+        """Sends a whole response."""
+        self.started = True
+        pairs = list(headers) + self._connection.closing_headers()
+        pairs.append((b"Content-Length", str(len(body)).encode()))
+        http = self._connection.http
+        data = http.send(
+            h11.Response(status_code=status, headers=pairs, reason=b"")
+        )
+        # A response to HEAD has the length of a body that is not sent.
+        if body and self._connection.method != "HEAD":
+            data += http.send(h11.Data(data=body))
+        with contextlib.suppress(h11.LocalProtocolError):
+            data += http.send(h11.EndOfMessage())
+        await self._connection.write(data)
+        self.finished = True
+
+    async def start(self, status: int, headers, data: bytes) -> None:
+        """Sends the head of a response without length, and its first bytes."""
+        self.started = True
+        pairs = list(headers) + self._connection.closing_headers()
+        http = self._connection.http
+        out = http.send(
+            h11.Response(status_code=status, headers=pairs, reason=b"")
+        )
+        if data:
+            out += http.send(h11.Data(data=data))
+        await self._connection.write(out)
+
+    async def send(self, data: bytes) -> None:
+        """Sends further bytes of the body."""
+        out = self._connection.http.send(h11.Data(data=data))
+        await self._connection.write(out)
+
+    async def finish(self) -> None:
+        """Ends the response as complete."""
+        out = self._connection.http.send(h11.EndOfMessage())
+        await self._connection.write(out)
+        self.finished = True
+
+
+Handler = collections.abc.Callable[
+    [str, str, tuple, bytes, Responder], collections.abc.Awaitable[None]
+]
+
+
+class CallerConnection:
+    """One connection of a caller; runs its requests one after the other.
+
+    Attributes:
+        http: State of the protocol.
+        method: Method of the request in progress.
+        busy: Whether a request is being read or answered.
+    """
+
+    def __init__(
+        self,
+        stream: trio.abc.Stream,
+        handler: Handler,
+        read_limits: collections.abc.Callable[[], fleet.CallerLimits],
+        is_draining: collections.abc.Callable[[], bool],
+    ):
+        """Wraps a new connection.
+
+        Args:
+            stream: The connection.
+            handler: Answers one request: method, target, headers, body and
+                responder. A response that it leaves unfinished is cut off.
+            read_limits: Returns the limits in force.
+            is_draining: Whether connections are to be closed after the
+                request in progress.
+        """
+        self._stream = stream
+        self._handler = handler
+        self._read_limits = read_limits
+        self._is_draining = is_draining
+        self._pending = bytearray()
+        self._at_end = False
+        self.http: typing.Any = None
+        self.method = ""
+        self.busy = False
+        self._idle_scope = trio.CancelScope()
+
+    def closing_headers(self) -> list[tuple[bytes, bytes]]:
+        """Returns the header that announces the end of the connection."""
+        return [(b"Connection", b"close")] if self._is_draining() else []
+
+    def close_idle(self) -> None:
+        """Closes the connection if no request is in progress."""
+        if not self.busy:
+            self._idle_scope.cancel()
+
+    async def run(self) -> None:
+        """Serves requests until either side closes the connection."""
+        limits = self._read_limits()
+        self.http = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=limits.header_bytes
+        )
+        try:
+            while await self._serve_one():
+                self.http.start_next_cycle()
+        except (OSError, trio.BrokenResourceError, trio.ClosedResourceError):
+            # The caller is gone; there is nobody to tell.
+            pass
+        finally:
+            with trio.move_on_after(0.1, shield=True):
+                await self._stream.aclose()
+
+    async def write(self, data: bytes) -> None:
+        """Sends bytes to the caller.
+
+        Raises:
+            trio.BrokenResourceError: The caller is gone or does not read.
+        """
+        with trio.move_on_after(SEND_TIMEOUT_S) as scope:
+            await self._stream.send_all(data)
+        if scope.cancelled_caught:
+            raise trio.BrokenResourceError("the caller does not read")
+
+    async def _serve_one(self) -> bool:
+        """Serves one request; returns whether another one may follow."""
+        try:
+            request, body = await self._read_request()
+        except RejectedError as error:
+            await self._reject(error)
+            return False
+        if request is None:
+            return False
+        responder = Responder(self)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._watch, nursery.cancel_scope)
+            # Caught here, since the nursery would wrap it in a group.
+            with contextlib.suppress(OSError, trio.BrokenResourceError):
+                await self._handler(
+                    self.method,
+                    request.target.decode("latin-1"),
+                    tuple(request.headers.raw_items()),
+                    body,
+                    responder,
+                )
+            nursery.cancel_scope.cancel()
+        self.busy = False
+        if not responder.finished:
+            self._abort_if_unframed()
+            return False
+        return (
+            self.http.our_state is h11.DONE
+            and self.http.their_state is h11.DONE
+        )
+
+    async def _read_request(self):
+        """Returns the next request with its body; (None, b"") at the end."""
+        limits = self._read_limits()
+        request = None
+        with trio.move_on_after(limits.idle_timeout_s) as self._idle_scope:
+            # A connection that has sent nothing yet counts as idle.
+            buffered = self._pending or self.http.trailing_data[0]
+            if not buffered and not await self._fill():
+                return None, b""
+            self.busy = True
+        if self._idle_scope.cancelled_caught:
+            return None, b""
+        with trio.move_on_after(limits.header_timeout_s):
+            request = await self._next_event()
+        if request is None:
+            raise RejectedError(408, "the request head took too long")
+        if not isinstance(request, h11.Request):
+            return None, b""
+        self.method = request.method.decode("ascii").upper()
+        return request, await self._read_body(limits)
+
+    async def _read_body(self, limits: fleet.CallerLimits) -> bytes:
+        body = bytearray()
+        while True:
+            if self.http.they_are_waiting_for_100_continue:
+                go_on = h11.InformationalResponse(status_code=100, headers=[])
+                await self.write(self.http.send(go_on))
+            event = None
+            with trio.move_on_after(limits.idle_timeout_s):
+                event = await self._next_event()
+            if event is None:
+                raise RejectedError(408, "the request body took too long")
+            if isinstance(event, h11.EndOfMessage):
+                return bytes(body)
+            if not isinstance(event, h11.Data):
+                raise trio.BrokenResourceError("the request ended early")
+            body += event.data
+            if len(body) > limits.body_bytes:
+                raise RejectedError(
+                    413, f"the body exceeds {limits.body_bytes} bytes"
+                )
+
+    async def _next_event(self):
+        while True:
+            try:
+                event = self.http.next_event()
+            except h11.RemoteProtocolError as error:
+                status = error.error_status_hint
+                raise RejectedError(status, str(error)) from error
+            if event is not h11.NEED_DATA:
+                return event
+            if not self._pending:
+                await self._fill()
+            data, self._pending = bytes(self._pending), bytearray()
+            if data or self._at_end:
+                self.http.receive_data(data)
+
+    async def _fill(self) -> bool:
+        """Waits for bytes of the caller; False at the end of the stream."""
+        data = await self._stream.receive_some(RECEIVE_BYTES)
+        self._pending += data
+        self._at_end = not data
+        return bool(data)
+
+    async def _watch(self, scope: trio.CancelScope) -> None:
+        """Cancels the request when the caller closes the connection.
+
+        Callers that only close their sending half are not told apart, since a
+        request that nobody waits for must not occupy a server.
+        """
+        try:
+            while len(self._pending) < PIPELINE_BYTES:
+                if not await self._fill():
+                    break
+            else:
+                return
+        except (OSError, trio.BrokenResourceError):
+            # The same as an orderly end: nobody reads the response.
+            self._at_end = True
+        scope.cancel()
+
+    async def _reject(self, error: RejectedError) -> None:
+        if self.http.our_state is not h11.IDLE and (
+            self.http.our_state is not h11.SEND_RESPONSE
+        ):
+            return
+        body = json.dumps({"error": str(error)}).encode()
+        headers = [
+            (b"Content-Type", b"application/json"),
+            (b"Content-Length", str(len(body)).encode()),
+            (b"Connection", b"close"),
+        ]
+        data = self.http.send(
+            h11.Response(status_code=error.status, headers=headers, reason=b"")
+        )
+        data += self.http.send(h11.Data(data=body))
+        data += self.http.send(h11.EndOfMessage())
+        await self.write(data)
+        # Bytes that are still unread at the close would reset the connection
+        # before the caller has read the response.
+        with trio.move_on_after(LINGER_S):
+            await self._stream.send_eof()
+            while await self._stream.receive_some(RECEIVE_BYTES):
+                pass
+
+    def _abort_if_unframed(self) -> None:
+        """Resets the connection where its mere end would look complete.
+
+        Towards an HTTP/1.0 caller a response without length ends with the
+        connection, so that a cut one could not be told from a whole one.
+        """
+        if self.http.their_http_version == b"1.0":
+            sock = getattr(self._stream, "socket", None)
+            if sock is not None:
+                linger = struct.pack("ii", 1, 0)
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/connection/http.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/connection/http.py
@@ -167,12 +167,28 @@
     }
 
 
+def encode_failure(
+    failure: verdicts.Failure, request_id: str
+) -> tuple[int, list[tuple[bytes, bytes]], bytes]:
+    """Returns status, headers and body of a failure."""
+    headers = [
+        (b"content-type", JSON_TYPE),
+        (b"x-request-id", request_id.encode("latin-1")),
+    ]
+    if failure.retry_after_s is not None:
+        text = f"{failure.retry_after_s:g}"
+        headers.append((b"retry-after", text.encode()))
+    body = json.dumps(render_failure(failure, request_id)).encode()
+    return errors.CODES.get(failure.code, 500), headers, body
+
+
 async def send_failure(
     send, failure: verdicts.Failure, request_id: str
 ) -> None:
     """Sends a failure with the status of its code."""
     headers = {"x-request-id": request_id}
     if failure.retry_after_s is not None:
+        # Most client libraries read whole seconds only.
         headers["retry-after"] = str(max(1, round(failure.retry_after_s)))
     await send_json(
         send,
--- /dev/null
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/connection/upstreams.py
@@ -0,0 +1,320 @@
+"""HTTP/1.1 connections to backend servers, with a pool of idle ones.
+
+It is built on h11 rather than httpcore: an answer to an earlier request has to
+be told from the one that is awaited, a stream has to be forwarded while its
+connection is watched, and a failure has to say whether the request was sent.
+"""
+
+import collections
+import contextlib
+import select
+import socket
+import struct
+
+import h11
+from peridotyard_core import addresses
+from peridotyard_core import errors
+import trio
+
+RECEIVE_BYTES = 1 << 16
+# A server in the same region answers a connection request within a few
+# milliseconds; a lost packet is sent again after one second.
+CONNECT_TIMEOUT_S = 1.2
+# Unacknowledged data or unanswered keep-alive probes for this long mean that
+# the other end is gone. Without it, a connection to a machine without power
+# would stay silent for minutes.
+USER_TIMEOUT_MS = 2000
+KEEP_ALIVE_IDLE_S = 1
+KEEP_ALIVE_INTERVAL_S = 1
+KEEP_ALIVE_PROBES = 2
+# Idle connections are kept this long where the server does not say.
+IDLE_TIMEOUT_S = 4.0
+# Reserve before the server's own idle timeout, for a request on its way.
+IDLE_MARGIN_S = 1.0
+# Idle connections kept per server; more would hold connections that other
+# entries need, since the server counts them all.
+IDLE_LIMIT = 12
+
+
+class UnsentError(errors.PeridotyardError):
+    """No connection was made, so the server did not receive the request."""
+
+
+class LostError(errors.PeridotyardError):
+    """The connection failed after the request may have been received."""
+
+
+def tune(sock: trio.socket.SocketType) -> None:
+    """Makes a socket notice a silent peer and send small writes at once."""
+    tcp = socket.IPPROTO_TCP
+    sock.setsockopt(tcp, socket.TCP_NODELAY, 1)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(tcp, socket.TCP_KEEPIDLE, KEEP_ALIVE_IDLE_S)
+    sock.setsockopt(tcp, socket.TCP_KEEPINTVL, KEEP_ALIVE_INTERVAL_S)
+    sock.setsockopt(tcp, socket.TCP_KEEPCNT, KEEP_ALIVE_PROBES)
+    sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+
+
+async def open_tcp(address: addresses.Address) -> trio.abc.Stream:
+    """Opens a connection.
+
+    Raises:
+        OSError: Nobody listens there, or there was no answer in time.
+    """
+    sock = trio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        tune(sock)
+        with trio.fail_after(CONNECT_TIMEOUT_S):
+            await sock.connect((address.host, address.port))
+    except BaseException as error:
+        sock.close()
+        if isinstance(error, trio.TooSlowError):
+            raise TimeoutError(f"{address}: no connection") from error
+        raise
+    return trio.SocketStream(sock)
+
+
+class Connection:
+    """One connection to a server; it carries one exchange at a time.
+
+    Owned by the exchange, or by the pool while it is idle.
+
+    Attributes:
+        address: The server's address.
+        used: Whether an exchange was completed on it.
+    """
+
+    def __init__(self, address: addresses.Address, stream: trio.abc.Stream):
+        self.address = address
+        self.used = False
+        self._stream = stream
+        self._http = h11.Connection(h11.CLIENT)
+        self._request = None
+
+    async def send(self, method: str, target: str, headers, body: bytes):
+        """Sends a whole request.
+
+        Raises:
+            LostError: The connection failed; the server may have received it.
+        """
+        pairs = list(headers)
+        names = {name.lower() for name, _ in pairs}
+        if b"host" not in names:
+            pairs.insert(0, (b"Host", str(self.address).encode()))
+        if body or method in ("POST", "PUT", "PATCH"):
+            pairs.append((b"Content-Length", str(len(body)).encode()))
+        self._request = h11.Request(method=method, target=target, headers=pairs)
+        data = self._http.send(self._request)
+        if body:
+            data += self._http.send(h11.Data(data=body))
+        data += self._http.send(h11.EndOfMessage())
+        try:
+            await self._stream.send_all(data)
+        except (OSError, trio.BrokenResourceError) as error:
+            raise LostError(f"{self.address}: {error!r}") from error
+
+    async def receive(self):
+        """Returns the next event of the answer.
+
+        Returns:
+            An h11 `Response`, `Data` or `EndOfMessage`.
+
+        Raises:
+            LostError: The connection failed or the bytes are no answer.
+        """
+        while True:
+            try:
+                event = self._http.next_event()
+                if event is h11.NEED_DATA:
+                    data = await self._stream.receive_some(RECEIVE_BYTES)
+                    self._http.receive_data(data)
+                    continue
+            except (
+                OSError,
+                trio.BrokenResourceError,
+                h11.RemoteProtocolError,
+            ) as error:
+                raise LostError(f"{self.address}: {error!r}") from error
+            if isinstance(event, h11.InformationalResponse):
+                continue
+            if isinstance(event, (h11.ConnectionClosed, h11.PAUSED.__class__)):
+                raise LostError(f"{self.address}: the answer ended early")
+            return event
+
+    def skip_answer(self) -> None:
+        """Prepares to read another answer to the request that was sent.
+
+        A server may send a second answer to an earlier request in front of
+        the awaited one. Call it after the end of the one to be ignored.
+
+        Raises:
+            LostError: The server closes the connection after that answer.
+        """
+        trailing, closed = self._http.trailing_data
+        if self._http.their_state is not h11.DONE or closed:
+            raise LostError(f"{self.address}: closed after another answer")
+        fresh = h11.Connection(h11.CLIENT)
+        fresh.send(self._request)
+        with contextlib.suppress(h11.LocalProtocolError):
+            # Only the state matters; the body was sent already.
+            length = dict(self._request.headers).get(b"content-length", b"0")
+            if int(length):
+                fresh.send(h11.Data(data=bytes(int(length))))
+            fresh.send(h11.EndOfMessage())
+        if trailing:
+            fresh.receive_data(trailing)
+        self._http = fresh
+
+    def recycle(self) -> bool:
+        """Returns whether another request can be sent, and prepares for it."""
+        if self._http.our_state is not h11.DONE:
+            return False
+        if self._http.their_state is not h11.DONE:
+            return False
+        if self._http.trailing_data[0]:
+            return False
+        self._http.start_next_cycle()
+        self.used = True
+        return True
+
+    def is_quiet(self) -> bool:
+        """Returns whether an idle connection is open and has nothing to read.
+
+        Bytes before the request belong to no request of this entry, and an end
+        of the stream means that the server has closed the connection.
+        """
+        sock = getattr(self._stream, "socket", None)
+        if sock is None:
+            return True
+        poll = select.poll()
+        poll.register(sock.fileno(), select.POLLIN)
+        return not poll.poll(0)
+
+    def abort(self) -> None:
+        """Closes the connection at once, so that the server stops work."""
+        sock = getattr(self._stream, "socket", None)
+        if sock is not None:
+            linger = struct.pack("ii", 1, 0)
+            with contextlib.suppress(OSError):
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            sock.close()
+        else:
+            self._stream.close()
+
+
+class Pool:
+    """Idle connections to servers, owned by the process."""
+
+    def __init__(self, dial=open_tcp, notify_dialed=None):
+        """Makes an empty pool.
+
+        Args:
+            dial: Async function from an address to a stream.
+            notify_dialed: Called for each new connection.
+        """
+        self._dial = dial
+        self._notify_dialed = notify_dialed or (lambda: None)
+        self._idle = collections.defaultdict(collections.deque)
+
+    async def acquire(
+        self, address: addresses.Address, fresh: bool = False
+    ) -> Connection:
+        """Returns a connection, an idle one if there is one.
+
+        Args:
+            address: The server's address.
+            fresh: Whether to make a new connection in any case.
+
+        Raises:
+            UnsentError: No connection could be made.
+        """
+        idle = self._idle.get(address)
+        now = trio.current_time()
+        while idle and not fresh:
+            connection, expires = idle.pop()
+            if now < expires and connection.is_quiet():
+                return connection
+            connection.abort()
+        try:
+            stream = await self._dial(address)
+        except OSError as error:
+            raise UnsentError(f"{address}: {error!r}") from error
+        self._notify_dialed()
+        return Connection(address, stream)
+
+    def release(
+        self, connection: Connection, keep_alive_s: float | None = None
+    ) -> None:
+        """Takes a connection back after a whole answer.
+
+        Args:
+            connection: The connection.
+            keep_alive_s: The server's idle timeout, if it said one.
+        """
+        idle = self._idle[connection.address]
+        if not connection.recycle() or len(idle) >= IDLE_LIMIT:
+            connection.abort()
+            return
+        limit_s = IDLE_TIMEOUT_S
+        if keep_alive_s is not None:
+            limit_s = min(limit_s, keep_alive_s - IDLE_MARGIN_S)
+        if limit_s <= 0:
+            connection.abort()
+            return
+        idle.append((connection, trio.current_time() + limit_s))
+
+    def forget(self, address: addresses.Address) -> None:
+        """Closes the idle connections to an address that failed."""
+        for connection, _ in self._idle.pop(address, ()):
+            connection.abort()
+
+    def trim(self) -> None:
+        """Closes the idle connections whose time is over."""
+        now = trio.current_time()
+        for address, idle in list(self._idle.items()):
+            while idle and idle[0][1] <= now:
+                idle.popleft()[0].abort()
+            if not idle:
+                del self._idle[address]
+
+    async def fetch(
+        self,
+        address: addresses.Address,
+        method: str,
+        target: str,
+        headers=(),
+        body: bytes = b"",
+        *,
+        fresh: bool = False,
+    ) -> tuple[int, bytes]:
+        """Makes a small exchange; returns the status and the whole body.
+
+        Args:
+            address: The server's address.
+            method: HTTP method.
+            target: Path and query.
+            headers: Headers of the request.
+            body: Body of the request.
+            fresh: Whether to make a new connection in any case.
+
+        Raises:
+            UnsentError: The server did not receive the request.
+            LostError: The server may have received it; there is no answer.
+        """
+        connection = await self.acquire(address, fresh)
+        done = False
+        try:
+            await connection.send(method, target, headers, body)
+            head = await connection.receive()
+            content = bytearray()
+            while not isinstance(event := await connection.receive(), _END):
+                content += event.data
+            done = True
+        finally:
+            if not done:
+                connection.abort()
+        self.release(connection)
+        return head.status_code, bytes(content)
+
+
+_END = h11.EndOfMessage
--- /dev/null
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/gateway.py
@@ -0,0 +1,300 @@
+"""The entry on a platform whose model servers run the path of a request."""
+
+import dataclasses
+import random as random_module
+
+from peridotyard_core import addresses
+from peridotyard_core import budgets
+from peridotyard_core import exchanges
+from peridotyard_core import fleet
+from peridotyard_core import verdicts
+import trio
+
+from peridotyard_daemon.connection import callers
+from peridotyard_daemon.connection import upstreams
+from peridotyard_daemon.process import lifecycle
+from peridotyard_daemon.process import logs
+from peridotyard_daemon.process import metrics as metrics_module
+from peridotyard_daemon.process import placement
+from peridotyard_daemon.process import presence
+from peridotyard_daemon.process import probes
+from peridotyard_daemon.process import stores
+from peridotyard_daemon.process import synchronization
+from peridotyard_daemon.process import views
+from peridotyard_daemon.request import contexts
+from peridotyard_daemon.request import forwards
+from peridotyard_daemon.request import relays
+
+# Longest queue of connections that the process has not accepted yet.
+BACKLOG = 512
+# Time before the platform kills a stopping process, for its last bytes.
+STOP_RESERVE_S = 0.6
+# A stopping entry stays open for new connections until the platform's balancer
+# has seen two failed readiness checks, one a second.
+ROTATION_S = 2.3
+# Refused callers come back after this time while no configuration is known.
+RETRY_AFTER_START_S = 1.0
+
+_log = logs.Part("entry")
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Settings:
+    """Settings of an entry on such a platform.
+
+    Attributes:
+        instance: Name of the instance.
+        zone: Availability zone.
+        callers: Where callers connect.
+        readiness: Where the balancer asks whether callers may connect.
+        metrics: Where counters and histograms are served; None for nowhere.
+        grace_s: Time from the request to stop to the end of the process.
+        retry_fraction: Retries per request of a service, over all entries.
+        retry_reserve: Retries of a service besides, in one window.
+        retry_window_s: Length of that window.
+        log_level: Lowest level that is logged.
+        log_format: "text" or "json".
+        debug: Parts that log at debug level.
+        statsd: Server of metrics; None for none.
+        metrics_interval_s: Time between two flushes to it.
+    """
+
+    instance: str
+    zone: str
+    callers: addresses.Address
+    readiness: addresses.Address
+    metrics: addresses.Address | None
+    grace_s: float
+    retry_fraction: float
+    retry_reserve: float
+    retry_window_s: float
+    log_level: str = "info"
+    log_format: str = "json"
+    debug: tuple[str, ...] = ()
+    statsd: addresses.Address | None = None
+    metrics_interval_s: float = 1.0
+
+
+class Gateway:
+    """One entry, composed of its parts.
+
+    Attributes:
+        view: What it believes about the fleet.
+        context: What its requests share.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        store: stores.Store,
+        schema: synchronization.Schema,
+        dialect: exchanges.Dialect,
+        random: random_module.Random,
+        dial=upstreams.open_tcp,
+    ):
+        self._settings = settings
+        self._lifecycle = lifecycle.Lifecycle()
+        self.view = views.View(settings.zone)
+        metrics = metrics_module.Metrics.from_config(settings)
+        count = metrics.increment
+        pool = upstreams.Pool(dial, lambda: count("connections"))
+        self.context = contexts.Context(
+            view=self.view,
+            pool=pool,
+            dialect=dialect,
+            metrics=metrics,
+            random=random,
+            make_budget=self._make_budget,
+        )
+        self._prober = probes.Prober(self.view, pool, dialect, count)
+        self._forwarder = forwards.Forwarder(self.context)
+        self._synchronizer = synchronization.Synchronizer(
+            self.view, store, schema, random
+        )
+        name = f"{settings.instance}#{random.getrandbits(32):08x}"
+        self._presence = presence.Presence(self.view, store, name)
+        self._placement = placement.Placement(
+            self.view, self._presence, pool, dialect, count
+        )
+        self._connections: set[callers.CallerConnection] = set()
+
+    def _make_budget(self) -> budgets.WindowBudget:
+        settings = self._settings
+        return budgets.WindowBudget(
+            settings.retry_fraction,
+            settings.retry_reserve,
+            settings.retry_window_s,
+        )
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether callers may be sent here."""
+        return (
+            self.view.routing is not None
+            and bool(self.view.servers)
+            and not self._lifecycle.draining.is_set()
+        )
+
+    async def run(self) -> None:
+        """Runs until the process has been asked to stop and has drained."""
+        async with trio.open_nursery() as nursery:
+            await nursery.start(self._lifecycle.watch_signals)
+            for address, handler in (
+                (self._settings.callers, self._serve_caller),
+                (self._settings.readiness, self._serve_readiness),
+                (self._settings.metrics, self._serve_metrics),
+            ):
+                if address is not None:
+                    await nursery.start(serve_tcp, address, handler)
+            nursery.start_soon(self._synchronizer.run)
+            nursery.start_soon(self._presence.run)
+            nursery.start_soon(self._placement.run)
+            nursery.start_soon(self._prober.run)
+            nursery.start_soon(self.context.metrics.run)
+            _log.info(
+                "Started.",
+                instance=self._settings.instance,
+                zone=self._settings.zone,
+                callers=self._settings.callers,
+            )
+            await self._drain()
+            nursery.cancel_scope.cancel()
+
+    async def _drain(self) -> None:
+        """Waits for the request to stop, then for the requests to end."""
+        await self._lifecycle.draining.wait()
+        began = trio.current_time()
+        _log.info("Stopping.", connections=len(self._connections))
+        await trio.sleep(min(ROTATION_S, self._settings.grace_s / 2))
+        for connection in list(self._connections):
+            connection.close_idle()
+        left_s = self._settings.grace_s - (trio.current_time() - began)
+        drained = await self._lifecycle.wait_drained(
+            lambda: not any(c.busy for c in self._connections),
+            max(0.0, left_s - STOP_RESERVE_S),
+        )
+        _log.info(
+            "Stopped.",
+            drained=drained,
+            cut=sum(c.busy for c in self._connections),
+        )
+
+    async def _serve_caller(self, stream: trio.abc.Stream) -> None:
+        await self._run_connection(stream, self._handle, self._connections)
+
+    async def _serve_readiness(self, stream: trio.abc.Stream) -> None:
+        await self._run_connection(stream, self._answer_readiness, set())
+
+    async def _serve_metrics(self, stream: trio.abc.Stream) -> None:
+        await self._run_connection(stream, self._answer_metrics, set())
+
+    async def _run_connection(self, stream, handler, register: set) -> None:
+        connection = callers.CallerConnection(
+            stream,
+            handler,
+            self._read_limits,
+            self._lifecycle.draining.is_set,
+        )
+        register.add(connection)
+        try:
+            await connection.run()
+        finally:
+            register.discard(connection)
+
+    def _read_limits(self) -> fleet.CallerLimits:
+        routing = self.view.routing
+        return routing.limits if routing else fleet.CallerLimits()
+
+    async def _answer_readiness(self, _method, _target, _headers, _body, out):
+        ready = self.is_ready
+        body = b"ready\n" if ready else b"not ready\n"
+        await out.send_whole(200 if ready else 503, [], body)
+
+    async def _answer_metrics(self, _method, _target, _headers, _body, out):
+        text = self.context.metrics.render()
+        headers = [(b"content-type", b"text/plain; charset=utf-8")]
+        await out.send_whole(200, headers, text.encode())
+
+    async def _handle(self, method, target, headers, body, responder) -> None:
+        head = self.context.dialect.decode_request(method, target, headers)
+        admitted = self._admit(head, body)
+        if isinstance(admitted, verdicts.Failure):
+            self.context.metrics.increment(f"outcome.{admitted.code}")
+            _log.info(
+                "Request is refused.",
+                request=head.request_id,
+                code=admitted.code,
+                target=head.target,
+                host=head.host,
+                routing=self.view.routing and self.view.routing.version,
+            )
+            await contexts.send_failure(responder, admitted, head.request_id)
+            return
+        self.context.metrics.increment("requests")
+        budget = self.context.find_budget(admitted.service.name)
+        budget.record_request(trio.current_time())
+        if admitted.service.engine is not None:
+            stream = relays.Stream(
+                self.context, self._prober, admitted, responder
+            )
+            await stream.run()
+        else:
+            await self._forwarder.handle(admitted, responder)
+
+    def _admit(
+        self, head: exchanges.RequestHead, body: bytes
+    ) -> contexts.Request | verdicts.Failure:
+        routing = self.view.routing
+        if routing is None:
+            return verdicts.refuse(
+                "no-capacity",
+                "No configuration is known yet.",
+                RETRY_AFTER_START_S,
+            )
+        route = routing.match(head.host, head.path)
+        if route is None:
+            return verdicts.refuse("not-found", "No route matches.")
+        workspace = None
+        if routing.needs_keys and not route.public:
+            workspace = routing.authenticate(head.key)
+            if workspace is None:
+                return verdicts.refuse(
+                    "unauthorized", "The API key is unknown."
+                )
+        names = [name for name, _ in route.targets]
+        weights = [weight for _, weight in route.targets]
+        chosen = self.context.random.choices(names, weights)[0]
+        service = routing.services.get(chosen)
+        if service is None:
+            return verdicts.refuse(
+                "no-capacity", "The route's service is not configured.", 1.0
+            )
+        now = trio.current_time()
+        limit_s = route.timeout_s
+        if head.patience_s is not None:
+            limit_s = min(limit_s, head.patience_s)
+        return contexts.Request(
+            head=head,
+            body=body,
+            route=route,
+            service=service,
+            workspace=workspace,
+            version=routing.version,
+            arrived_at=now,
+            deadline=now + limit_s,
+        )
+
+
+async def serve_tcp(
+    address: addresses.Address, handler, task_status=trio.TASK_STATUS_IGNORED
+) -> None:
+    """Accepts connections on an address until cancelled."""
+    listeners = await trio.open_tcp_listeners(
+        address.port, host=address.host, backlog=BACKLOG
+    )
+
+    async def tuned(stream: trio.SocketStream) -> None:
+        upstreams.tune(stream.socket)
+        await handler(stream)
+
+    await trio.serve_listeners(tuned, listeners, task_status=task_status)
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/logs.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/logs.py
@@ -10,15 +10,16 @@
 _installed: list[logbook.Handler] = []
 
 
-def start(settings) -> None:
+def start(settings, stream=None) -> None:
     """Installs the log handler of the process.
 
     Args:
         settings: A `settings.ProcessSettings`.
+        stream: Where the lines go; the standard error output by default.
     """
     stop()
     level = logbook.lookup_level(settings.log_level.upper())
-    handler = logbook.StreamHandler(sys.stderr, level="DEBUG")
+    handler = logbook.StreamHandler(stream or sys.stderr, level="DEBUG")
     form = _format_json if settings.log_format == "json" else _format_text
     handler.formatter = lambda record, _: form(record)
     handler.filter = lambda record, _: (
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/metrics.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/metrics.py
@@ -18,6 +18,7 @@
         self._client = client
         self._interval_s = interval_s
         self._counters = collections.Counter()
+        self._totals = collections.Counter()
         self._gauges = {}
         self.histograms = histograms.HistogramSet()
 
@@ -36,6 +37,7 @@
     def increment(self, name: str, count: int = 1) -> None:
         """Adds to a counter."""
         self._counters[name] += count
+        self._totals[name] += count
 
     def set_gauge(self, name: str, value: float) -> None:
         """Sets a gauge."""
@@ -52,6 +54,23 @@
         """Returns a counter since the last flush, for tests and status."""
         return self._counters[name]
 
+    def render(self) -> str:
+        """Returns all figures as text, in the exposition format.
+
+        Counters count from the start of the process; durations are summaries
+        in seconds.
+        """
+        lines = []
+        for name, total in sorted(self._totals.items()):
+            name, _, kind = name.partition(".")
+            label = f'{{kind="{kind}"}}' if kind else ""
+            lines.append(f"peridotyard_{name}_total{label} {total}")
+        for name, value in sorted(self._gauges.items()):
+            lines.append(f"peridotyard_{name} {value:g}")
+        for summary in self.histograms.summarize():
+            lines += _render_summary(summary)
+        return "\n".join(lines) + "\n"
+
     async def run(self) -> None:
         """Sends the metrics once an interval until it is cancelled."""
         if self._client is None:
@@ -67,3 +86,20 @@
             for name, value in self._gauges.items():
                 pipeline.gauge(name, value)
         self._counters.clear()
+
+
+def _render_summary(summary: histograms.Summary) -> list[str]:
+    key = summary.key
+    labels = f'workspace="{key.workspace}",class="{key.priority}"'
+    name = f"peridotyard_{key.figure}_seconds"
+    quantiles = (
+        ("0.5", summary.p50_ms),
+        ("0.95", summary.p95_ms),
+        ("0.99", summary.p99_ms),
+        ("1", summary.max_ms),
+    )
+    lines = [
+        f'{name}{{{labels},quantile="{quantile}"}} {ms / 1000:g}'
+        for quantile, ms in quantiles
+    ]
+    return lines + [f"{name}_count{{{labels}}} {summary.count}"]
--- /dev/null
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/probes.py
@@ -0,0 +1,150 @@
+"""Probes of backend servers that may be dead, shared by all streams."""
+
+import collections.abc
+
+from peridotyard_core import addresses
+from peridotyard_core import exchanges
+from peridotyard_core import fleet
+import trio
+
+from peridotyard_daemon.connection import upstreams
+from peridotyard_daemon.process import logs
+from peridotyard_daemon.process import views
+
+# A server of the same region answers within 2 ms, also under load, since a
+# report needs no slot.
+PROBE_TIMEOUT_S = 0.08
+# A positive answer is not asked for again within this time, which bounds the
+# probes of a server to 3 a second however many streams wait for it.
+FRESH_S = 0.3
+# Time between two probes of a suspected server.
+RECHECK_S = 0.4
+
+_log = logs.Part("probe")
+
+
+class Prober:
+    """Finds dead servers, owned by the process."""
+
+    def __init__(
+        self,
+        view: views.View,
+        pool: upstreams.Pool,
+        dialect: exchanges.Dialect,
+        count: collections.abc.Callable[[str], None],
+    ):
+        self._view = view
+        self._pool = pool
+        self._dialect = dialect
+        self._count = count
+        self._alive_at: dict[str, float] = {}
+        self._running: dict[str, trio.Event] = {}
+        self._reports: dict[str, exchanges.Report] = {}
+
+    async def find_dead(
+        self, servers: collections.abc.Iterable[fleet.Server]
+    ) -> frozenset[str]:
+        """Probes servers at the same time; returns those that are dead."""
+        servers = list(servers)
+        async with trio.open_nursery() as nursery:
+            for server in servers:
+                nursery.start_soon(self.probe, server)
+        return frozenset(
+            server.instance
+            for server in servers
+            if self._view.is_suspected(server)
+            or server.instance not in self._view.servers
+        )
+
+    async def probe(self, server: fleet.Server) -> None:
+        """Probes one server, unless it has answered just before."""
+        name = server.instance
+        alive_at = self._alive_at.get(name, float("-inf"))
+        if trio.current_time() - alive_at < FRESH_S:
+            return
+        running = self._running.get(name)
+        if running is not None:
+            await running.wait()
+            return
+        self._running[name] = trio.Event()
+        try:
+            await self._ask(server)
+        finally:
+            self._running.pop(name).set()
+
+    def find_stalled(
+        self, server: fleet.Server, request_id: str
+    ) -> addresses.Address | None:
+        """Returns the server that a request waits for, as last reported."""
+        report = self._reports.get(server.instance)
+        for stalled_id, address in report.stalled if report else ():
+            if stalled_id == request_id:
+                return address
+        return None
+
+    async def run(self) -> None:
+        """Probes suspected servers until they answer or leave the list."""
+        while True:
+            await trio.sleep(RECHECK_S)
+            self._pool.trim()
+            async with trio.open_nursery() as nursery:
+                for server in self._view.list_suspects():
+                    nursery.start_soon(self.probe, server)
+
+    def _keep_report(
+        self, server: fleet.Server, status: int, body: bytes
+    ) -> None:
+        self._reports = {
+            name: report
+            for name, report in self._reports.items()
+            if name in self._view.servers
+        }
+        if status != 200:
+            return
+        try:
+            report = self._dialect.decode_report(body)
+        except ValueError as error:
+            _log.warning(
+                "Report is malformed.",
+                instance=server.instance,
+                error=str(error),
+            )
+            return
+        self._reports[server.instance] = report
+
+    async def _ask(self, server: fleet.Server) -> None:
+        self._count("probes")
+        asked_at = trio.current_time()
+        reason = "a probe timed out"
+        with trio.move_on_after(PROBE_TIMEOUT_S):
+            try:
+                # An idle connection may have gone silent while the server
+                # lives, so only a new one tells the two apart.
+                status, body = await self._pool.fetch(
+                    server.address,
+                    "GET",
+                    self._dialect.report_target,
+                    fresh=True,
+                )
+            except (upstreams.UnsentError, upstreams.LostError) as error:
+                reason = f"a probe failed: {error}"
+            else:
+                # Any answer shows that the process runs.
+                self._alive_at[server.instance] = trio.current_time()
+                self._view.trust(server)
+                self._keep_report(server, status, body)
+                _log.debug(
+                    "Probe answered.", instance=server.instance, status=status
+                )
+                return
+        late_s = trio.current_time() - asked_at - PROBE_TIMEOUT_S
+        if late_s > PROBE_TIMEOUT_S:
+            # This process did not run, so the silence proves nothing.
+            _log.warning(
+                "Probe ignored after a pause of this process.",
+                instance=server.instance,
+                late_ms=round(1000 * late_s),
+            )
+            return
+        self._pool.forget(server.address)
+        self._view.suspect(server, reason)
--- /dev/null
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/views.py
@@ -0,0 +1,268 @@
+"""What an entry believes about the fleet, with the age of each fact."""
+
+import collections
+import collections.abc
+import dataclasses
+
+from peridotyard_core import addresses
+from peridotyard_core import fleet
+from peridotyard_core import paths
+import trio
+
+from peridotyard_daemon.process import logs
+
+# A server that failed an exchange is avoided until a probe succeeds; this is
+# the time after which it is tried without one. Three heartbeats of the
+# platform (1.2 s each) remove a dead server from the list.
+SUSPICION_S = 4.0
+# Weight of the newest outcome in a server's share of failures; about the last
+# ten answers count.
+FAILURE_SMOOTHING = 0.1
+# How strongly a server's share of failures raises its price. With 10, a server
+# that fails half of its requests is used when the others have six times its
+# load.
+FAILURE_WEIGHT = 10.0
+# Weight of the newest duration in a server's mean time to answer.
+DURATION_SMOOTHING = 0.2
+
+_log = logs.Part("fleet")
+
+
+@dataclasses.dataclass
+class Health:
+    """Evidence of one server from this entry's own exchanges.
+
+    Attributes:
+        in_flight: Requests of this entry that the server works on.
+        failures: Smoothed share of failed answers.
+        duration_s: Smoothed time to answer, 0 before the first.
+        suspected_until: Time until which it is avoided.
+        reason: Why it is avoided.
+    """
+
+    in_flight: int = 0
+    failures: float = 0.0
+    duration_s: float = 0.0
+    suspected_until: float = 0.0
+    reason: str = ""
+
+
+class View:
+    """The fleet as one entry sees it, owned by the process.
+
+    Attributes:
+        zone: Zone of this entry.
+        routing: Configuration in force; None before the first.
+        routing_at: Time at which the routing was last confirmed.
+        servers: Servers of the platform's list, by instance.
+        servers_at: Time at which the list was last confirmed.
+        entries: Number of live entries, this one included.
+    """
+
+    def __init__(self, zone: str):
+        self.zone = zone
+        self.routing: fleet.Routing | None = None
+        self.routing_at = float("-inf")
+        self.servers: dict[str, fleet.Server] = {}
+        self.servers_at = float("-inf")
+        self.entries = 1
+        self._health: dict[str, Health] = collections.defaultdict(Health)
+        self._foreign: dict[str, dict[str, int]] = {}
+
+    def apply_routing(self, routing: fleet.Routing, source: str) -> bool:
+        """Puts a configuration in force unless it is an older one."""
+        current = self.routing.version if self.routing else None
+        if current is not None and routing.version < current:
+            _log.warning(
+                "Ignored an older configuration.",
+                version=routing.version,
+                current=current,
+                source=source,
+            )
+            return False
+        self.routing_at = trio.current_time()
+        if current == routing.version:
+            return False
+        self.routing = routing
+        _log.info(
+            "Configuration is in force.",
+            version=routing.version,
+            previous=current,
+            routes=len(routing.routes),
+            source=source,
+        )
+        return True
+
+    def apply_server(self, server: fleet.Server) -> None:
+        """Adds or updates a server."""
+        old = self.servers.get(server.instance)
+        if old is not None and server.revision < old.revision:
+            return
+        self.servers[server.instance] = server
+        if old is not None and old.born_ms != server.born_ms:
+            # Restarted with the same name: what was known is of the past.
+            self._reset(server.instance, "restarted")
+        if old is None or _differs(old, server):
+            _log.info(
+                "Server changed.",
+                instance=server.instance,
+                service=server.service,
+                address=server.address,
+                zone=server.zone,
+                ready=server.ready,
+                span=_describe(server.span),
+                revision=server.revision,
+            )
+
+    def remove_server(self, instance: str, revision: int) -> None:
+        """Removes a server that left the platform's list."""
+        server = self.servers.get(instance)
+        if server is None or revision < server.revision:
+            return
+        del self.servers[instance]
+        self._health.pop(instance, None)
+        _log.info("Server is gone.", instance=instance, revision=revision)
+
+    def replace_servers(
+        self, servers: collections.abc.Iterable[fleet.Server], revision: int
+    ) -> None:
+        """Takes a complete list."""
+        fresh = {server.instance: server for server in servers}
+        for instance in list(self.servers):
+            if instance not in fresh:
+                self.remove_server(instance, revision)
+        for server in fresh.values():
+            self.apply_server(server)
+        self.servers_at = trio.current_time()
+
+    def health(self, server: fleet.Server) -> Health:
+        """Returns the evidence of a server."""
+        return self._health[server.instance]
+
+    def is_suspected(self, server: fleet.Server) -> bool:
+        """Returns whether a server is to be avoided."""
+        health = self._health.get(server.instance)
+        return (
+            health is not None and trio.current_time() < health.suspected_until
+        )
+
+    def suspect(self, server: fleet.Server, reason: str) -> None:
+        """Avoids a server for `SUSPICION_S`, or until a probe succeeds."""
+        health = self._health[server.instance]
+        if not self.is_suspected(server):
+            _log.warning(
+                "Server is suspected.",
+                instance=server.instance,
+                address=server.address,
+                reason=reason,
+            )
+        health.suspected_until = trio.current_time() + SUSPICION_S
+        health.reason = reason
+
+    def trust(self, server: fleet.Server) -> None:
+        """Ends the suspicion of a server that answered a probe."""
+        health = self._health[server.instance]
+        if self.is_suspected(server):
+            _log.info(
+                "Server answers again.",
+                instance=server.instance,
+                reason=health.reason,
+            )
+        health.suspected_until = 0.0
+
+    def list_suspects(self) -> list[fleet.Server]:
+        """Returns the suspected servers of the list."""
+        return [s for s in self.servers.values() if self.is_suspected(s)]
+
+    def list_usable(self, service: str) -> list[fleet.Server]:
+        """Returns the servers of a service that take new work."""
+        return [
+            server
+            for server in self.servers.values()
+            if server.service == service
+            and server.ready
+            and not self.is_suspected(server)
+        ]
+
+    def find(self, address: addresses.Address) -> fleet.Server | None:
+        """Returns the newest server at an address."""
+        found = [s for s in self.servers.values() if s.address == address]
+        return max(found, key=lambda s: s.born_ms, default=None)
+
+    def load(self, server: fleet.Server) -> float:
+        """Returns the streams of all entries on a server, as far as known."""
+        name = server.instance
+        foreign = sum(counts.get(name, 0) for counts in self._foreign.values())
+        health = self._health.get(name)
+        return foreign + (health.in_flight if health else 0)
+
+    def count_in_flight(self) -> dict[str, int]:
+        """Returns this entry's requests in flight by instance."""
+        return {
+            name: health.in_flight
+            for name, health in self._health.items()
+            if health.in_flight
+        }
+
+    def apply_foreign(self, entry: str, counts: dict[str, int] | None) -> None:
+        """Takes the requests in flight of another entry; None if it left."""
+        if counts is None:
+            self._foreign.pop(entry, None)
+        else:
+            self._foreign[entry] = counts
+
+    def price(self, server: fleet.Server) -> float:
+        """Returns the price of a plain request on a server.
+
+        It is the expected wait: requests in flight and this one, times the
+        usual duration, raised by the share of failures.
+        """
+        health = self._health[server.instance]
+        load = self.load(server) / max(server.slots, 1)
+        scarcity = 1 + FAILURE_WEIGHT * health.failures
+        return (1 + load) * scarcity * max(health.duration_s, 0.001)
+
+    def record_outcome(
+        self, server: fleet.Server, success: bool, duration_s: float | None
+    ) -> None:
+        """Adds the outcome of an exchange to a server's evidence."""
+        if server.instance not in self.servers:
+            return
+        health = self._health[server.instance]
+        failed = 0.0 if success else 1.0
+        health.failures += FAILURE_SMOOTHING * (failed - health.failures)
+        if duration_s is not None:
+            if not health.duration_s:
+                health.duration_s = duration_s
+            change = duration_s - health.duration_s
+            health.duration_s += DURATION_SMOOTHING * change
+
+    def choose_path(
+        self, service: fleet.Service, avoid: frozenset[str] = frozenset()
+    ) -> paths.Path | None:
+        """Returns a path over all layers of a service's model."""
+        servers = [
+            server
+            for server in self.list_usable(service.name)
+            if server.instance not in avoid
+        ]
+        planner = paths.Planner(service.engine, self.zone)
+        return planner.choose(servers, self.load)
+
+    def _reset(self, instance: str, reason: str) -> None:
+        in_flight = self._health[instance].in_flight
+        self._health[instance] = Health(in_flight=in_flight)
+        _log.info("Server restarted.", instance=instance, reason=reason)
+
+
+def _differs(old: fleet.Server, new: fleet.Server) -> bool:
+    return (old.ready, old.span, old.address, old.born_ms) != (
+        new.ready,
+        new.span,
+        new.address,
+        new.born_ms,
+    )
+
+
+def _describe(span: fleet.Span | None) -> str:
+    return f"{span.first}-{span.end}" if span else "none"
--- /dev/null
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/contexts.py
@@ -0,0 +1,184 @@
+"""One request on its way, and what all requests share."""
+
+import collections.abc
+import dataclasses
+import random as random_module
+
+from peridotyard_core import budgets
+from peridotyard_core import exchanges
+from peridotyard_core import fleet
+from peridotyard_core import paths
+from peridotyard_core import verdicts
+import trio
+
+from peridotyard_daemon.connection import callers
+from peridotyard_daemon.connection import http
+from peridotyard_daemon.connection import upstreams
+from peridotyard_daemon.process import logs
+from peridotyard_daemon.process import metrics as metrics_module
+from peridotyard_daemon.process import views
+
+# Bounds of the time after which a refused caller is told to come back. A lost
+# layer is replaced within about two seconds: its server is noticed in half a
+# second, and a card's layers load in at most three.
+RETRY_AFTER_BUSY_S = 0.5
+RETRY_AFTER_LAYERS_S = 1.5
+
+_log = logs.Part("request")
+
+
+@dataclasses.dataclass(frozen=True)
+class Request:
+    """One admitted request, owned by its task.
+
+    Attributes:
+        head: What the caller sent.
+        body: The whole body.
+        route: The matching route.
+        service: The service chosen for it.
+        workspace: The caller's workspace, None for a public route.
+        version: Version of the configuration that these follow.
+        arrived_at: Time of arrival.
+        deadline: Time at which the final answer is due.
+    """
+
+    head: exchanges.RequestHead
+    body: bytes
+    route: fleet.Route
+    service: fleet.Service
+    workspace: fleet.Workspace | None
+    version: int
+    arrived_at: float
+    deadline: float
+
+    def left_s(self) -> float:
+        """Returns the seconds until the final answer is due."""
+        return self.deadline - trio.current_time()
+
+    @property
+    def workspace_name(self) -> str:
+        """Name of the workspace, empty for a public route."""
+        return self.workspace.name if self.workspace else ""
+
+    def make_dispatch(
+        self,
+        server: fleet.Server,
+        path: paths.Path,
+        last_event: int | None = None,
+    ) -> exchanges.Dispatch:
+        """Returns what the entry adds for one server."""
+        return exchanges.Dispatch(
+            server=server,
+            path=path,
+            patience_s=max(0.0, self.left_s()),
+            workspace=self.workspace_name,
+            last_event=last_event,
+        )
+
+    def log(self, part: logs.Part, message: str, **fields) -> None:
+        """Logs a decision on this request."""
+        part.info(message, request=self.head.request_id, **fields)
+
+
+@dataclasses.dataclass
+class Context:
+    """What the requests of an entry share, owned by the process.
+
+    Attributes:
+        view: What the entry believes about the fleet.
+        pool: Connections to servers.
+        dialect: Translation to the platform's wire.
+        metrics: Counters and histograms.
+        random: Source of random choices.
+        make_budget: Makes the retry budget of a service.
+    """
+
+    view: views.View
+    pool: upstreams.Pool
+    dialect: exchanges.Dialect
+    metrics: metrics_module.Metrics
+    random: random_module.Random
+    make_budget: collections.abc.Callable[[], budgets.WindowBudget]
+    _budgets: dict[str, budgets.WindowBudget] = dataclasses.field(
+        default_factory=dict
+    )
+
+    def fleet_age_ms(self) -> int:
+        """Returns the age of the list of servers, milliseconds."""
+        age_s = trio.current_time() - self.view.servers_at
+        return -1 if age_s == float("inf") else round(1000 * age_s)
+
+    def find_budget(self, service: str) -> budgets.WindowBudget:
+        """Returns the retry budget of a service."""
+        if service not in self._budgets:
+            self._budgets[service] = self.make_budget()
+        return self._budgets[service]
+
+    def spend_retry(self, request: Request) -> bool:
+        """Takes one retry from the budget of the request's service."""
+        budget = self.find_budget(request.service.name)
+        granted = budget.spend(trio.current_time(), self.view.entries)
+        self.metrics.increment("retries" if granted else "retries_denied")
+        if not granted:
+            request.log(
+                _log, "Retry budget is used up.", service=request.service.name
+            )
+        return granted
+
+    def refuse_busy(self, request: Request, reason: str) -> verdicts.Failure:
+        """Returns the failure of a request that no server took."""
+        request.log(_log, "No server took the request.", reason=reason)
+        wait_s = (
+            RETRY_AFTER_LAYERS_S
+            if request.service.engine
+            else RETRY_AFTER_BUSY_S
+        )
+        return verdicts.refuse(
+            "backend-unavailable", "No backend server took the request.", wait_s
+        )
+
+    async def answer(
+        self,
+        request: Request,
+        responder: callers.Responder,
+        head: exchanges.AnswerHead,
+        body: bytes,
+    ) -> None:
+        """Sends a server's whole answer."""
+        self.finish(request, f"status {head.status}")
+        await responder.send_whole(head.status, head.headers, body)
+
+    async def fail(
+        self,
+        request: Request,
+        responder: callers.Responder,
+        failure: verdicts.Failure,
+    ) -> None:
+        """Sends a failure of the entry itself."""
+        self.finish(request, f"{failure.code} ({failure.verdict.value})")
+        await send_failure(responder, failure, request.head.request_id)
+
+    def finish(self, request: Request, outcome: str) -> None:
+        """Counts and logs the end of a request."""
+        duration_s = trio.current_time() - request.arrived_at
+        self.metrics.increment(f"outcome.{outcome.split(' ')[0]}")
+        self.metrics.record(
+            "response", request.workspace_name, request.route.name, duration_s
+        )
+        request.log(
+            _log,
+            "Request ended.",
+            outcome=outcome,
+            route=request.route.name,
+            routing=request.version,
+            workspace=request.workspace_name,
+            ms=round(1000 * duration_s),
+        )
+
+
+async def send_failure(
+    responder: callers.Responder, failure: verdicts.Failure, request_id: str
+) -> None:
+    """Sends a failure with the status of its code."""
+    status, headers, body = http.encode_failure(failure, request_id)
+    await responder.send_whole(status, headers, body)
--- /dev/null
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/forwards.py
@@ -0,0 +1,309 @@
+"""Forwarding of plain requests: choice of the server, retries, outcome."""
+
+import dataclasses
+
+import h11
+from peridotyard_core import exchanges
+from peridotyard_core import fleet
+from peridotyard_core import verdicts
+import trio
+
+from peridotyard_daemon.connection import callers
+from peridotyard_daemon.connection import upstreams
+from peridotyard_daemon.process import logs
+from peridotyard_daemon.request import contexts
+
+# Longest body of a plain answer that is kept whole before it is passed on, so
+# that a truncated answer can be replaced by another server's.
+ANSWER_LIMIT_BYTES = 16 << 20
+# Sends of one request, refusals included. A fleet in which four servers in a
+# row refuse is full, and a fifth would only add to its load.
+SEND_LIMIT = 4
+# Share of the time left that a safe request waits for one server while another
+# one could still answer.
+PATIENCE_SHARE = 0.5
+
+_log = logs.Part("forward")
+
+
+@dataclasses.dataclass(frozen=True)
+class Answered:
+    """The server answered this request, with a whole body."""
+
+    head: exchanges.AnswerHead
+    body: bytes
+
+
+@dataclasses.dataclass(frozen=True)
+class Refused:
+    """The server did not run the request.
+
+    Attributes:
+        reason: For the log.
+        sent: Whether the server received it.
+    """
+
+    reason: str
+    sent: bool
+
+
+@dataclasses.dataclass(frozen=True)
+class Lost:
+    """The server may have run the request; there is no usable answer."""
+
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True)
+class TimedOut:
+    """The time ran out; the server may have run the request.
+
+    Attributes:
+        sent: Whether the server may have received it.
+    """
+
+    sent: bool
+
+
+Outcome = Answered | Refused | Lost | TimedOut
+
+
+async def receive_head(
+    connection: upstreams.Connection,
+    dialect: exchanges.Dialect,
+    request_id: str,
+) -> exchanges.AnswerHead:
+    """Returns the head of the answer to a request.
+
+    Answers that name another request are read and dropped: a server may send
+    one late, in front of the awaited answer.
+
+    Raises:
+        LostError: There is no such answer.
+    """
+    while True:
+        event = await connection.receive()
+        if not isinstance(event, h11.Response):
+            raise upstreams.LostError("bytes before the answer's head")
+        head = dialect.decode_answer(
+            event.status_code, tuple(event.headers.raw_items())
+        )
+        if not head.request_id or head.request_id == request_id:
+            return head
+        _log.warning(
+            "Dropped an answer to another request.",
+            request=request_id,
+            answer=head.request_id,
+            address=connection.address,
+        )
+        while not isinstance(await connection.receive(), h11.EndOfMessage):
+            pass
+        connection.skip_answer()
+
+
+async def read_body(connection: upstreams.Connection) -> bytes:
+    """Returns the rest of an answer.
+
+    Raises:
+        LostError: It ended early or is longer than `ANSWER_LIMIT_BYTES`.
+    """
+    body = bytearray()
+    while not isinstance(event := await connection.receive(), h11.EndOfMessage):
+        body += event.data
+        if len(body) > ANSWER_LIMIT_BYTES:
+            raise upstreams.LostError("the answer is too long")
+    return bytes(body)
+
+
+class Forwarder:
+    """Forwards requests of plain services, owned by the process."""
+
+    def __init__(self, context: contexts.Context):
+        self._context = context
+
+    async def handle(
+        self, request: contexts.Request, responder: callers.Responder
+    ) -> None:
+        """Answers one request."""
+        tried: set[str] = set()
+        may_have_run = 0
+        sends = 0
+        last: Outcome = Refused("no server is known", sent=False)
+        while sends < SEND_LIMIT and request.left_s() > 0:
+            server = self._choose(request.service.name, tried)
+            if server is None:
+                break
+            if sends and not self._context.spend_retry(request):
+                break
+            last = await self._attempt(request, server, tried)
+            tried.add(server.instance)
+            if not isinstance(last, Refused) or last.sent:
+                sends += 1
+            if not isinstance(last, Refused):
+                may_have_run += 1
+            if not self._may_repeat(request, last, may_have_run):
+                break
+        await self._respond(request, responder, last, may_have_run)
+
+    def _choose(self, service: str, tried: set[str]) -> fleet.Server | None:
+        view = self._context.view
+        usable = view.list_usable(service) or [
+            # Suspicion may be wrong; with no other server left, an attempt
+            # costs less than a refusal.
+            server
+            for server in view.servers.values()
+            if server.service == service and server.ready
+        ]
+        fresh = [s for s in usable if s.instance not in tried]
+        random = self._context.random
+        return min(
+            fresh, key=lambda s: (view.price(s), random.random()), default=None
+        )
+
+    def _may_repeat(
+        self, request: contexts.Request, outcome: Outcome, may_have_run: int
+    ) -> bool:
+        match outcome:
+            case Refused():
+                return True
+            case Answered(head=head):
+                if head.status < 500:
+                    return False
+            case Lost() | TimedOut():
+                pass
+        repeatable = request.route.repeat.is_idempotent
+        return repeatable and may_have_run < request.route.max_attempts
+
+    async def _attempt(
+        self,
+        request: contexts.Request,
+        server: fleet.Server,
+        tried: set[str],
+    ) -> Outcome:
+        context = self._context
+        limit_s = request.left_s()
+        another = self._choose(request.service.name, tried | {server.instance})
+        if another and request.route.repeat.is_idempotent:
+            limit_s *= PATIENCE_SHARE
+        health = context.view.health(server)
+        health.in_flight += 1
+        started = trio.current_time()
+        try:
+            outcome = await self._exchange(request, server, limit_s)
+        finally:
+            health.in_flight -= 1
+        duration_s = trio.current_time() - started
+        self._learn(server, outcome, duration_s)
+        request.log(
+            _log,
+            "Server answered." if isinstance(outcome, Answered) else "Failed.",
+            instance=server.instance,
+            outcome=_describe(outcome),
+            ms=round(1000 * duration_s),
+            attempt=len(tried) + 1,
+            routing=request.version,
+            fleet_age_ms=context.fleet_age_ms(),
+        )
+        return outcome
+
+    def _learn(self, server, outcome: Outcome, duration_s: float) -> None:
+        view = self._context.view
+        match outcome:
+            case Answered(head=head):
+                success = head.status < 500
+                view.record_outcome(server, success, duration_s)
+            case Refused(sent=False, reason=reason):
+                view.suspect(server, reason)
+            case Refused():
+                view.record_outcome(server, False, None)
+            case Lost() | TimedOut():
+                view.record_outcome(server, False, duration_s)
+
+    async def _exchange(
+        self, request: contexts.Request, server: fleet.Server, limit_s: float
+    ) -> Outcome:
+        context = self._context
+        sent = False
+        connection = None
+        outcome: Outcome = TimedOut(sent=False)
+        keep_alive_s = None
+        with trio.move_on_after(limit_s):
+            try:
+                connection = await context.pool.acquire(server.address)
+                dispatch = request.make_dispatch(server, ())
+                headers = context.dialect.encode_request(request.head, dispatch)
+                sent = True
+                await connection.send(
+                    request.head.method,
+                    request.head.target,
+                    headers,
+                    request.body,
+                )
+                head = await receive_head(
+                    connection, context.dialect, request.head.request_id
+                )
+                body = await read_body(connection)
+                keep_alive_s = head.keep_alive_s
+                outcome = _judge(head, body, request.head.request_id)
+            except upstreams.UnsentError as error:
+                outcome = Refused(str(error), sent=False)
+            except upstreams.LostError as error:
+                outcome = Lost(str(error))
+            finally:
+                if connection is not None:
+                    if isinstance(outcome, (Answered, Refused)):
+                        context.pool.release(connection, keep_alive_s)
+                    else:
+                        connection.abort()
+        if isinstance(outcome, TimedOut):
+            return TimedOut(sent)
+        return outcome
+
+    async def _respond(
+        self,
+        request: contexts.Request,
+        responder: callers.Responder,
+        outcome: Outcome,
+        may_have_run: int,
+    ) -> None:
+        match outcome:
+            case Answered(head=head, body=body):
+                await self._context.answer(request, responder, head, body)
+                return
+            case Refused(reason=reason) if not may_have_run:
+                failure = self._context.refuse_busy(request, reason)
+            case TimedOut(sent=False) if not may_have_run:
+                failure = verdicts.refuse(
+                    "deadline-exceeded", "No server could be reached in time."
+                )
+            case TimedOut():
+                failure = verdicts.doubt(
+                    "backend-timeout", "The server did not answer in time."
+                )
+            case _:
+                failure = verdicts.doubt(
+                    "backend-lost", "The server's answer was lost."
+                )
+        await self._context.fail(request, responder, failure)
+
+
+def _judge(head: exchanges.AnswerHead, body: bytes, request_id: str) -> Outcome:
+    if head.not_run:
+        return Refused(f"status {head.status}", sent=True)
+    if not head.signed:
+        return Lost(f"status {head.status} without signature")
+    if 200 <= head.status < 300 and head.request_id != request_id:
+        return Lost(f"status {head.status} without request id")
+    return Answered(head, body)
+
+
+def _describe(outcome: Outcome) -> str:
+    match outcome:
+        case Answered(head=head):
+            return f"status {head.status}"
+        case Refused(reason=reason, sent=sent):
+            return f"not run ({'sent' if sent else 'not sent'}): {reason}"
+        case Lost(reason=reason):
+            return f"lost: {reason}"
+        case TimedOut(sent=sent):
+            return f"timed out ({'sent' if sent else 'not sent'})"
--- /dev/null
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/relays.py
@@ -0,0 +1,386 @@
+"""Relaying of streamed answers: path, order of events, repair of a path."""
+
+import dataclasses
+import typing
+
+import h11
+from peridotyard_core import events
+from peridotyard_core import exchanges
+from peridotyard_core import fleet
+from peridotyard_core import paths
+from peridotyard_core import verdicts
+import trio
+
+from peridotyard_daemon.connection import callers
+from peridotyard_daemon.connection import upstreams
+from peridotyard_daemon.process import logs
+from peridotyard_daemon.process import probes
+from peridotyard_daemon.request import contexts
+from peridotyard_daemon.request import forwards
+
+# Sends of one request: the first, and a few refusals or resumptions.
+SEND_LIMIT = 5
+# Share of the longest allowed pause after which the path is examined. Half of
+# it leaves time to replace a dead server before the pause is too long.
+SILENCE_SHARE = 0.5
+# Bounds of that time. Below a few steps of a full batch, every pass would
+# look like a failure.
+SILENCE_MIN_S = 0.1
+SILENCE_MAX_S = 0.5
+# Silence after which a stream is moved although all its servers answer.
+# Callers give up a stream that is silent for two seconds.
+GIVE_UP_S = 1.5
+# An order is answered at once; it takes effect in the background.
+ORDER_TIMEOUT_S = 0.3
+
+_log = logs.Part("stream")
+
+
+@dataclasses.dataclass(frozen=True)
+class Completed:
+    """The whole stream was relayed."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Passed:
+    """The server answered with something else than a stream."""
+
+    head: exchanges.AnswerHead
+    body: bytes
+
+
+@dataclasses.dataclass(frozen=True)
+class Refused:
+    """The path did not run the request.
+
+    Attributes:
+        reason: For the log.
+        avoid: Instances that the next path leaves out.
+    """
+
+    reason: str
+    avoid: frozenset[str]
+
+
+@dataclasses.dataclass(frozen=True)
+class Broken:
+    """The path stopped; it may have run a part of the request.
+
+    Attributes:
+        reason: For the log.
+        avoid: Instances that the next path leaves out.
+        dead: Whether the receiving server ended.
+    """
+
+    reason: str
+    avoid: frozenset[str]
+    dead: bool
+
+
+Outcome = Completed | Passed | Refused | Broken
+
+
+class Stream:
+    """One streamed answer, owned by its request."""
+
+    def __init__(
+        self,
+        context: contexts.Context,
+        prober: probes.Prober,
+        request: contexts.Request,
+        responder: callers.Responder,
+    ):
+        self._context = context
+        self._prober = prober
+        self._request = request
+        self._responder = responder
+        self._sequence = events.Sequence(request.head.last_event)
+        self._path: paths.Path = ()
+        self._avoid: frozenset[str] = frozenset()
+        self._last_at = trio.current_time()
+        limit_s = request.route.gap_s or request.route.objective_s
+        self._silence_s = min(
+            max(SILENCE_SHARE * limit_s, SILENCE_MIN_S), SILENCE_MAX_S
+        )
+
+    async def run(self) -> None:
+        """Relays the stream, on as many paths as it takes."""
+        with trio.move_on_at(self._request.deadline) as scope:
+            await self._run_paths()
+        if not scope.cancelled_caught:
+            return
+        if self._responder.started:
+            self._context.finish(self._request, "cut (time limit)")
+            return
+        failure = verdicts.doubt(
+            "backend-timeout", "The stream did not begin in time."
+        )
+        await self._context.fail(self._request, self._responder, failure)
+
+    async def _run_paths(self) -> None:
+        request, context = self._request, self._context
+        may_have_run = 0
+        outcome: Outcome | None = None
+        for send in range(SEND_LIMIT):
+            path = context.view.choose_path(request.service, self._avoid)
+            if path is None and self._avoid:
+                path = context.view.choose_path(request.service)
+            if path is None:
+                outcome = outcome or Refused("no path", frozenset())
+                break
+            if send and not context.spend_retry(request):
+                break
+            outcome = await self._try_path(path)
+            match outcome:
+                case Completed() | Passed():
+                    break
+                case Refused(avoid=avoid):
+                    self._avoid |= avoid
+                case Broken(avoid=avoid, dead=dead):
+                    self._avoid |= avoid
+                    may_have_run += not dead
+                    if not self._may_resume(may_have_run):
+                        break
+        await self._conclude(outcome)
+
+    def _may_resume(self, may_have_run: int) -> bool:
+        route = self._request.route
+        if not route.repeat.is_idempotent:
+            return False
+        return may_have_run < route.max_attempts
+
+    async def _conclude(self, outcome: Outcome) -> None:
+        request, context = self._request, self._context
+        if self._responder.started and not isinstance(outcome, Completed):
+            # The response ends without its final chunk, so the caller sees
+            # that it is not complete and may ask for the rest.
+            context.finish(request, f"cut ({outcome.reason})")
+            return
+        match outcome:
+            case Completed():
+                context.finish(request, "status 200")
+            case Passed(head=head, body=body):
+                await context.answer(request, self._responder, head, body)
+            case Refused(reason=reason):
+                failure = context.refuse_busy(request, reason)
+                await context.fail(request, self._responder, failure)
+            case Broken():
+                failure = verdicts.doubt(
+                    "stream-lost", "The stream was lost before it began."
+                )
+                await context.fail(request, self._responder, failure)
+
+    async def _try_path(self, path: paths.Path) -> Outcome:
+        request, context = self._request, self._context
+        head_server = path[0].server
+        self._occupy(path)
+        self._last_at = trio.current_time()
+        request.log(
+            _log,
+            "Sent on a path.",
+            path=describe(path),
+            after=self._sequence.last,
+            routing=request.version,
+            fleet_age_ms=context.fleet_age_ms(),
+        )
+        connection = None
+        reusable = False
+        outcome: Outcome = Broken("cancelled", frozenset(), False)
+        try:
+            connection = await context.pool.acquire(head_server.address)
+            dispatch = request.make_dispatch(
+                head_server, path, self._sequence.last
+            )
+            await connection.send(
+                request.head.method,
+                request.head.target,
+                context.dialect.encode_request(request.head, dispatch),
+                request.body,
+            )
+            outcome = await self._relay(connection)
+            reusable = not isinstance(outcome, Broken)
+        except upstreams.UnsentError as error:
+            context.view.suspect(head_server, str(error))
+            outcome = Refused(str(error), frozenset([head_server.instance]))
+        except (upstreams.LostError, events.OrderError) as error:
+            outcome = await self._examine_loss(head_server, str(error))
+        finally:
+            self._occupy(())
+            if connection is not None:
+                if reusable:
+                    context.pool.release(connection)
+                else:
+                    connection.abort()
+        request.log(
+            _log,
+            "Path ended.",
+            outcome=type(outcome).__name__.lower(),
+            reason=getattr(outcome, "reason", ""),
+            last_event=self._sequence.last,
+        )
+        return outcome
+
+    async def _examine_loss(self, server: fleet.Server, reason: str) -> Broken:
+        """Returns the outcome of a lost connection to the first server."""
+        dead = await self._prober.find_dead([server])
+        avoid = frozenset([server.instance])
+        return Broken(reason, avoid, server.instance in dead)
+
+    def _occupy(self, path: paths.Path) -> None:
+        """Moves the count of requests in flight to the servers of a path."""
+        for stage in self._path:
+            self._context.view.health(stage.server).in_flight -= 1
+        for stage in path:
+            self._context.view.health(stage.server).in_flight += 1
+        self._path = path
+
+    async def _relay(self, connection: upstreams.Connection) -> Outcome:
+        """Relays what the first server of the path sends."""
+        context, request = self._context, self._request
+        head = await self._await(
+            lambda: forwards.receive_head(
+                connection, context.dialect, request.head.request_id
+            )
+        )
+        if isinstance(head, Broken):
+            return head
+        if head.not_run:
+            await forwards.read_body(connection)
+            return await self._judge_refusal(head)
+        if not head.signed or head.request_id != request.head.request_id:
+            raise upstreams.LostError("an answer without signature or id")
+        if head.status != 200:
+            return Passed(head, await forwards.read_body(connection))
+        splitter = events.Splitter()
+        while True:
+            event = await self._await(connection.receive)
+            if isinstance(event, Broken):
+                return event
+            if isinstance(event, h11.EndOfMessage):
+                break
+            await self._forward(head, splitter.feed(bytes(event.data)))
+        if not splitter.is_empty:
+            raise upstreams.LostError("the stream ended within an event")
+        if not self._responder.started:
+            await self._responder.start(head.status, head.headers, b"")
+        await self._responder.finish()
+        return Completed()
+
+    async def _forward(self, head, arrived: list[events.Event]) -> None:
+        if not arrived:
+            return
+        for event in arrived:
+            self._sequence.accept(event)
+        data = b"".join(event.data for event in arrived)
+        self._last_at = trio.current_time()
+        if self._responder.started:
+            await self._responder.send(data)
+            return
+        self._context.metrics.record(
+            "first_event",
+            self._request.workspace_name,
+            self._request.route.name,
+            self._last_at - self._request.arrived_at,
+        )
+        await self._responder.start(head.status, head.headers, data)
+
+    async def _await(self, receive) -> typing.Any:
+        """Awaits the server, and examines the path while it is silent."""
+        while True:
+            with trio.move_on_after(self._silence_s):
+                return await receive()
+            broken = await self._examine_silence()
+            if broken is not None:
+                return broken
+
+    async def _examine_silence(self) -> Broken | None:
+        """Repairs the path of a silent stream, or gives it up."""
+        silent_s = trio.current_time() - self._last_at
+        servers = [stage.server for stage in self._path]
+        dead = await self._prober.find_dead(servers)
+        stalled = self._prober.find_stalled(
+            servers[0], self._request.head.request_id
+        )
+        if stalled is not None:
+            dead |= {
+                server.instance
+                for server in servers
+                if server.address == stalled
+            }
+        if dead:
+            return await self._repair(dead, silent_s)
+        if silent_s < GIVE_UP_S:
+            return None
+        return Broken(
+            f"silent for {silent_s:.1f} s",
+            paths.list_instances(self._path),
+            False,
+        )
+
+    async def _repair(self, dead: frozenset[str], silent_s: float):
+        """Replaces the dead servers of the path, if that is possible."""
+        context, request = self._context, self._request
+        first = self._path[0].server
+        if first.instance in dead:
+            return Broken("the first server is dead", dead, True)
+        planner = paths.Planner(request.service.engine, context.view.zone)
+        usable = context.view.list_usable(request.service.name)
+        path = planner.replace(self._path, dead, usable, context.view.load)
+        if path is None:
+            return Broken("no server replaces a dead one", dead, True)
+        accepted = await self._order(first, path)
+        request.log(
+            _log,
+            "Path repaired." if accepted else "Repair was not accepted.",
+            dead=",".join(sorted(dead)),
+            path=describe(path),
+            silent_ms=round(1000 * silent_s),
+        )
+        if not accepted:
+            return Broken("the repair was not accepted", dead, True)
+        context.metrics.increment("repairs")
+        self._occupy(path)
+        return None
+
+    async def _order(self, first: fleet.Server, path: paths.Path) -> bool:
+        context = self._context
+        context.metrics.increment("orders")
+        body = context.dialect.encode_reroute(
+            self._request.head.request_id, path
+        )
+        with trio.move_on_after(ORDER_TIMEOUT_S):
+            try:
+                status, _ = await context.pool.fetch(
+                    first.address,
+                    "POST",
+                    context.dialect.order_target,
+                    [(b"Content-Type", b"application/json")],
+                    body,
+                )
+            except (upstreams.UnsentError, upstreams.LostError) as error:
+                self._request.log(_log, "Order failed.", reason=str(error))
+                return False
+            return status in (200, 202)
+        return False
+
+    async def _judge_refusal(self, head: exchanges.AnswerHead) -> Refused:
+        avoid = frozenset()
+        if head.culprit is not None:
+            at_fault = [
+                stage.server
+                for stage in self._path
+                if stage.server.address == head.culprit
+            ]
+            avoid = frozenset(server.instance for server in at_fault)
+            await self._prober.find_dead(at_fault)
+        if not avoid:
+            avoid = frozenset([self._path[0].server.instance])
+        return Refused(f"status {head.status} at {head.culprit}", avoid)
+
+
+def describe(path: paths.Path) -> str:
+    """Returns a path for the log."""
+    return ",".join(
+        f"{stage.server.address}={stage.span.first}-{stage.span.end}"
+        for stage in path
+    )
--- a/tests/support/cases.py
+++ b/tests/support/cases.py
@@ -1,9 +1,20 @@
 """Makes tests of async functions."""
 
 import functools
+import types
 
 from tests.support import virtual
 
+# The same examples in every run, so that the verdict is the same as well.
+DERANDOMIZED = types.MappingProxyType(
+    {
+        "derandomize": True,
+        "database": None,
+        "deadline": None,
+        "max_examples": 100,
+    }
+)
+
 
 def run_virtually(function):
     """Returns a test that runs an async function on a virtual clock."""
--- /dev/null
+++ b/tests/unit/test_budgets.py
@@ -0,0 +1,41 @@
+"""Tests of peridotyard_core.budgets."""
+
+import hypothesis
+from hypothesis import strategies
+from peridotyard_core import budgets
+
+from tests.support import cases
+
+
+@hypothesis.settings(**cases.DERANDOMIZED)
+@hypothesis.given(
+    steps=strategies.lists(
+        strategies.tuples(
+            strategies.sampled_from(("request", "retry")),
+            strategies.integers(0, 4),
+            strategies.floats(0, 3),
+        ),
+        max_size=200,
+    )
+)
+def test_entries_together_stay_within_the_budget(steps):
+    # The bound is on the sum over all entries in any window.
+    entries = [budgets.WindowBudget(0.2, 10, 10.0) for _ in range(5)]
+    now = 0.0
+    requests, retries = [], []
+    for kind, number, wait_s in steps:
+        now += wait_s
+        if kind == "request":
+            entries[number].record_request(now)
+            requests.append(now)
+        elif entries[number].spend(now, len(entries)):
+            retries.append(now)
+        window = [at for at in retries if at > now - 10.0]
+        allowed = 10 + 0.2 * sum(at > now - 10.0 for at in requests)
+        assert len(window) <= allowed
+
+
+def test_window_budget_recovers_after_the_window():
+    budget = budgets.WindowBudget(0.0, 2, 10.0)
+    assert [budget.spend(0.0, 1) for _ in range(3)] == [True, True, False]
+    assert budget.spend(10.0, 1)
--- /dev/null
+++ b/tests/unit/test_layouts.py
@@ -0,0 +1,112 @@
+"""Tests of peridotyard_core.layouts."""
+
+import hypothesis
+from hypothesis import strategies
+from peridotyard_core import fleet
+from peridotyard_core import layouts
+
+from tests.support import cases
+from tests.support import fleets
+
+COUNTS = strategies.integers(0, 12)
+
+
+def check_memory(servers, spans, engine):
+    for server in servers:
+        span = spans.get(server.instance)
+        if span is not None:
+            card = engine.find_card(server.card)
+            assert span.size * engine.layer_mb <= card.memory_mb
+            assert 0 <= span.first < span.end <= engine.layers
+
+
+@hypothesis.settings(**cases.DERANDOMIZED)
+@hypothesis.given(fast=COUNTS, wide=COUNTS, small=COUNTS)
+def test_plan_covers_each_layer_where_the_cards_can_hold_them(
+    fast, wide, small
+):
+    # A layer without a holder makes the whole zone useless.
+    engine = fleets.make_engine()
+    servers = fleets.make_zone("a", fast, wide, small)
+    capacity = fast * 17 + wide * 10 + small * 6
+    spans = layouts.plan_group(servers, engine)
+    check_memory(servers, spans, engine)
+    if capacity >= engine.layers:
+        assert not layouts.list_uncovered(spans.values(), engine.layers)
+
+
+@hypothesis.settings(**cases.DERANDOMIZED)
+@hypothesis.given(
+    fast=strategies.integers(1, 4),
+    wide=strategies.integers(3, 8),
+    small=strategies.integers(4, 9),
+    data=strategies.data(),
+)
+def test_loss_of_any_server_is_repaired_by_spares(fast, wide, small, data):
+    # Moving the layers of servers in use would interrupt their streams.
+    engine = fleets.make_engine()
+    servers = fleets.make_zone("a", fast, wide, small)
+    spans = layouts.plan_group(servers, engine)
+    lost = data.draw(strategies.sampled_from(sorted(spans)))
+    left = [server for server in servers if server.instance != lost]
+    kept = {name: span for name, span in spans.items() if name != lost}
+    changes = layouts.repair_group(left, kept, engine)
+    after = kept | changes
+    check_memory(left, after, engine)
+    whole = sum(
+        int(engine.find_card(server.card).memory_mb / 2300) for server in left
+    )
+    if whole >= engine.layers + 20:
+        assert not layouts.list_uncovered(after.values(), engine.layers)
+
+
+def test_repair_without_a_gap_changes_nothing():
+    # Each order costs a load of weights and the copy that it replaces.
+    engine = fleets.make_engine()
+    servers = fleets.make_zone("a", 2, 4, 8)
+    spans = layouts.plan_group(servers, engine)
+    assert layouts.repair_group(servers, spans, engine) == {}
+
+
+def test_new_server_gets_a_copy_and_moves_no_other():
+    engine = fleets.make_engine()
+    servers = fleets.make_zone("a", 2, 4, 8)
+    spans = layouts.plan_group(servers, engine)
+    late = fleets.make_server("late", "a", card="small")
+    changes = layouts.repair_group([*servers, late], spans, engine)
+    assert list(changes) == ["late"]
+
+
+def test_zone_that_cannot_hold_the_model_joins_another():
+    # Alone, its cards would hold layers that no path can use.
+    engine = fleets.make_engine()
+    large = fleets.make_zone("a", 2, 6, 6)
+    tiny = fleets.make_zone("b", 0, 2, 1)
+    groups = layouts.group_zones(large + tiny, engine)
+    assert len(groups) == 1
+    assert len(groups[0]) == len(large) + len(tiny)
+
+
+def test_two_small_zones_hold_one_copy_together():
+    engine = fleets.make_engine()
+    first = fleets.make_zone("a", 1, 3, 3)
+    second = fleets.make_zone("b", 1, 3, 3)
+    groups = layouts.group_zones(first + second, engine)
+    assert len(groups) == 1
+    spans = layouts.plan_group(groups[0], engine)
+    assert not layouts.list_uncovered(spans.values(), engine.layers)
+
+
+def test_servers_of_unknown_cards_are_left_out():
+    # Their memory is not known, and too many layers crash a server.
+    engine = fleets.make_engine()
+    servers = [fleets.make_server("x", card="unknown")]
+    assert layouts.group_zones(servers, engine) == []
+
+
+def test_uncovered_ranges_between_and_after_spans():
+    spans = [fleet.Span(2, 4), fleet.Span(3, 6)]
+    assert layouts.list_uncovered(spans, 8) == [
+        fleet.Span(0, 2),
+        fleet.Span(6, 8),
+    ]
--- /dev/null
+++ b/tests/unit/test_paths.py
@@ -0,0 +1,139 @@
+"""Tests of peridotyard_core.paths."""
+
+import dataclasses
+
+import hypothesis
+from hypothesis import strategies
+from peridotyard_core import fleet
+from peridotyard_core import paths
+
+from tests.support import cases
+from tests.support import fleets
+
+
+def check_path(path, layers, first=0):
+    """Each layer is run once, in order, by a server that holds it."""
+    layer = first
+    for stage in path:
+        assert stage.span.first == layer
+        assert stage.span.end > layer
+        held = stage.server.span
+        assert held.first <= stage.span.first
+        assert stage.span.end <= held.end
+        layer = stage.span.end
+    assert layer == layers
+    names = [stage.server.instance for stage in path]
+    assert len(names) == len(set(names))
+
+
+SPANS = strategies.tuples(
+    strategies.integers(0, 19), strategies.integers(1, 12)
+).map(lambda pair: fleet.Span(pair[0], min(20, pair[0] + pair[1])))
+
+
+@hypothesis.settings(**cases.DERANDOMIZED)
+@hypothesis.given(
+    spans=strategies.lists(SPANS, max_size=12),
+    zones=strategies.lists(
+        strategies.sampled_from("abc"), min_size=12, max_size=12
+    ),
+    loads=strategies.lists(
+        strategies.integers(0, 200), min_size=12, max_size=12
+    ),
+)
+def test_path_runs_each_layer_once_and_exists_where_layers_are_held(
+    spans, zones, loads
+):
+    engine = fleets.make_engine(layers=20)
+    servers = [
+        fleets.make_server(f"s{number}", zones[number], span=span)
+        for number, span in enumerate(spans)
+    ]
+    load = {s.instance: n for s, n in zip(servers, loads, strict=False)}
+    planner = paths.Planner(engine, "a")
+    path = planner.choose(servers, lambda s: load[s.instance])
+    held = {layer for span in spans for layer in range(span.first, span.end)}
+    if len(held) < 20:
+        assert path is None
+    else:
+        check_path(path, 20)
+
+
+def test_path_stays_in_its_own_zone():
+    # Activations of prompts fill the links between zones.
+    engine = fleets.make_engine()
+    servers = fleets.lay_out(
+        fleets.make_zone("a", 1, 6, 6) + fleets.make_zone("b", 3, 5, 4), engine
+    )
+    path = paths.Planner(engine, "a").choose(servers, lambda _: 0)
+    assert {stage.server.zone for stage in path} == {"a"}
+
+
+def test_full_zone_is_left_for_an_idle_one():
+    engine = fleets.make_engine()
+    servers = fleets.lay_out(
+        fleets.make_zone("a", 1, 6, 6) + fleets.make_zone("b", 1, 6, 6), engine
+    )
+    path = paths.Planner(engine, "a").choose(
+        servers, lambda s: 60 if s.zone == "a" else 0
+    )
+    assert {stage.server.zone for stage in path} == {"b"}
+
+
+def test_broken_zone_is_left_for_a_whole_one():
+    engine = fleets.make_engine()
+    servers = fleets.lay_out(
+        fleets.make_zone("a", 1, 6, 6) + fleets.make_zone("b", 1, 6, 6), engine
+    )
+    left = [s for s in servers if s.zone == "b" or s.span.first < 30]
+    path = paths.Planner(engine, "a").choose(left, lambda _: 0)
+    assert {stage.server.zone for stage in path} == {"b"}
+
+
+def test_path_crosses_zones_where_no_zone_is_whole():
+    engine = fleets.make_engine(layers=20)
+    servers = [
+        fleets.make_server("x", "a", span=fleet.Span(0, 10)),
+        fleets.make_server("y", "b", span=fleet.Span(10, 20)),
+    ]
+    path = paths.Planner(engine, "a").choose(servers, lambda _: 0)
+    check_path(path, 20)
+
+
+def test_replacement_keeps_the_other_stages():
+    # A stage that is kept has the stream's cache; a moved one reads it again.
+    engine = fleets.make_engine(layers=30)
+    first = fleets.make_server("x", span=fleet.Span(0, 10))
+    middle = fleets.make_server("y", span=fleet.Span(10, 20))
+    last = fleets.make_server("z", span=fleet.Span(20, 30))
+    spares = [
+        fleets.make_server("p", span=fleet.Span(8, 16)),
+        fleets.make_server("q", span=fleet.Span(15, 30)),
+    ]
+    path = tuple(paths.Stage(s, s.span) for s in (first, middle, last))
+    planner = paths.Planner(engine, "a")
+    repaired = planner.replace(
+        path,
+        frozenset(["y"]),
+        [first, middle, last, *spares],
+        lambda _: 0,
+    )
+    check_path(repaired, 30)
+    assert [s.server.instance for s in repaired] == ["x", "p", "q", "z"]
+
+
+def test_replacement_fails_where_nobody_holds_the_layers():
+    engine = fleets.make_engine(layers=20)
+    first = fleets.make_server("x", span=fleet.Span(0, 10))
+    last = fleets.make_server("y", span=fleet.Span(10, 20))
+    path = tuple(paths.Stage(s, s.span) for s in (first, last))
+    planner = paths.Planner(engine, "a")
+    assert planner.replace(path, frozenset(["y"]), [first], lambda _: 0) is None
+
+
+def test_price_rises_with_load_and_for_slower_cards():
+    planner = paths.Planner(fleets.make_engine(), "a")
+    wide = fleets.make_server("w", span=fleet.Span(0, 8))
+    fast = dataclasses.replace(wide, card="fast")
+    assert planner.price(fast, 8, 0) < planner.price(wide, 8, 0)
+    assert planner.price(wide, 8, 10) < planner.price(wide, 8, 40)
--- a/tools/imports.py
+++ b/tools/imports.py
@@ -9,7 +9,7 @@
 import pathlib
 import sys
 
-FOLDERS = ("packages", "tests", "bench", "tools")
+FOLDERS = ("packages", "platform", "tests", "bench", "tools")
 
 
 def find_name_imports(path: pathlib.Path) -> list[str]:
