--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -11,7 +11,7 @@
 python=${PYTHON:-python3}
 mkdir -p target
 # Only libraries that the entry imports; the tools of development stay out.
-grep -E '^(attrs|h11|hdrhistogram|idna|Logbook|outcome|pbr|PyYAML|returns|sniffio|sortedcontainers|statsd|trio|typing_extensions)==' \
+grep -E '^(attrs|h11|hdrhistogram|idna|Logbook|outcome|pbr|PyYAML|returns|sniffio|sortedcontainers|six|statsd|thrift|trio|typing_extensions)==' \
   requirements.lock > target/requirements.txt
 if ! cmp -s target/requirements.txt target/deps/requirements.txt; then
   rm -rf target/deps
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/connection/callers.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/connection/callers.py
@@ -133,14 +133,16 @@
         self.http: typing.Any = None
         self.method = ""
         self.busy = False
+        self._closing = False
         self._idle_scope = trio.CancelScope()
 
     def closing_headers(self) -> list[tuple[bytes, bytes]]:
         """Returns the header that announces the end of the connection."""
         return [(b"Connection", b"close")] if self._is_draining() else []
 
-    def close_idle(self) -> None:
-        """Closes the connection if no request is in progress."""
+    def close_soon(self) -> None:
+        """Closes the connection now, or after the request in progress."""
+        self._closing = True
         if not self.busy:
             self._idle_scope.cancel()
 
@@ -151,7 +153,7 @@
             h11.SERVER, max_incomplete_event_size=limits.header_bytes
         )
         try:
-            while await self._serve_one():
+            while await self._serve_one() and not self._closing:
                 self.http.start_next_cycle()
         except (OSError, trio.BrokenResourceError, trio.ClosedResourceError):
             # The caller is gone; there is nobody to tell.
@@ -220,6 +222,11 @@
             raise RejectedError(408, "the request head took too long")
         if not isinstance(request, h11.Request):
             return None, b""
+        # The parser limits only heads that arrive in several pieces.
+        if _measure(request) > limits.header_bytes:
+            raise RejectedError(
+                431, f"the head exceeds {limits.header_bytes} bytes"
+            )
         self.method = request.method.decode("ascii").upper()
         return request, await self._read_body(limits)
 
@@ -318,3 +325,14 @@
             if sock is not None:
                 linger = struct.pack("ii", 1, 0)
                 sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
+
+def _measure(request: h11.Request) -> int:
+    """Returns the size of a request head in bytes."""
+    # Besides names and values: ": " and the line end of each header, the
+    # spaces, version and line end of the first line, and the last line end.
+    size = len(request.method) + len(request.target) + 14
+    return size + sum(
+        len(name) + len(value) + 4
+        for name, value in request.headers.raw_items()
+    )
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/connection/upstreams.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/connection/upstreams.py
@@ -44,8 +44,17 @@
     """The connection failed after the request may have been received."""
 
 
-def tune(sock: trio.socket.SocketType) -> None:
-    """Makes a socket notice a silent peer and send small writes at once."""
+def tune(stream: trio.abc.Stream) -> None:
+    """Makes a connection notice a silent peer and send small writes at once.
+
+    Connections in memory have no such options.
+    """
+    sock = getattr(stream, "socket", None)
+    if sock is not None:
+        _tune_socket(sock)
+
+
+def _tune_socket(sock: trio.socket.SocketType) -> None:
     tcp = socket.IPPROTO_TCP
     sock.setsockopt(tcp, socket.TCP_NODELAY, 1)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
@@ -63,7 +72,7 @@
     """
     sock = trio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     try:
-        tune(sock)
+        _tune_socket(sock)
         with trio.fail_after(CONNECT_TIMEOUT_S):
             await sock.connect((address.host, address.port))
     except BaseException as error:
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/gateway.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/gateway.py
@@ -14,7 +14,9 @@
 from peridotyard_daemon.connection import upstreams
 from peridotyard_daemon.process import lifecycle
 from peridotyard_daemon.process import logs
+from peridotyard_daemon.process import mesh
 from peridotyard_daemon.process import metrics as metrics_module
+from peridotyard_daemon.process import network as network_module
 from peridotyard_daemon.process import placement
 from peridotyard_daemon.process import presence
 from peridotyard_daemon.process import probes
@@ -25,8 +27,6 @@
 from peridotyard_daemon.request import forwards
 from peridotyard_daemon.request import relays
 
-# Longest queue of connections that the process has not accepted yet.
-BACKLOG = 512
 # Time before the platform kills a stopping process, for its last bytes.
 STOP_RESERVE_S = 0.6
 # A stopping entry stays open for new connections until the platform's balancer
@@ -34,6 +34,8 @@
 ROTATION_S = 2.3
 # Refused callers come back after this time while no configuration is known.
 RETRY_AFTER_START_S = 1.0
+# Other entries can take a request that a stopping one refuses.
+RETRY_AFTER_STOP_S = 0.1
 
 _log = logs.Part("entry")
 
@@ -47,6 +49,8 @@
         zone: Availability zone.
         callers: Where callers connect.
         readiness: Where the balancer asks whether callers may connect.
+        peers: Where other entries connect.
+        seeds: Where some of the other entries may accept connections.
         metrics: Where counters and histograms are served; None for nowhere.
         grace_s: Time from the request to stop to the end of the process.
         retry_fraction: Retries per request of a service, over all entries.
@@ -63,6 +67,8 @@
     zone: str
     callers: addresses.Address
     readiness: addresses.Address
+    peers: addresses.Address
+    seeds: tuple[addresses.Address, ...]
     metrics: addresses.Address | None
     grace_s: float
     retry_fraction: float
@@ -91,8 +97,10 @@
         dialect: exchanges.Dialect,
         random: random_module.Random,
         dial=upstreams.open_tcp,
+        network: network_module.Network | None = None,
     ):
         self._settings = settings
+        self._network = network or network_module.TcpNetwork()
         self._lifecycle = lifecycle.Lifecycle()
         self.view = views.View(settings.zone)
         metrics = metrics_module.Metrics.from_config(settings)
@@ -112,11 +120,27 @@
             self.view, store, schema, random
         )
         name = f"{settings.instance}#{random.getrandbits(32):08x}"
-        self._presence = presence.Presence(self.view, store, name)
+        self._presence = presence.Presence(
+            self.view, store, name, settings.peers
+        )
+        self._mesh = mesh.Mesh(
+            self.view,
+            self._synchronizer,
+            self._network,
+            name,
+            settings.peers,
+            self._list_entries,
+        )
+        self._synchronizer.notify_routing = self._mesh.announce
         self._placement = placement.Placement(
             self.view, self._presence, pool, dialect, count
         )
         self._connections: set[callers.CallerConnection] = set()
+        self._refusing = False
+
+    def _list_entries(self) -> set[addresses.Address]:
+        seeds = set(self._settings.seeds) - {self._settings.peers}
+        return seeds | self._presence.others
 
     def _make_budget(self) -> budgets.WindowBudget:
         settings = self._settings
@@ -145,7 +169,8 @@
                 (self._settings.metrics, self._serve_metrics),
             ):
                 if address is not None:
-                    await nursery.start(serve_tcp, address, handler)
+                    await nursery.start(self._network.serve, address, handler)
+            await nursery.start(self._mesh.run)
             nursery.start_soon(self._synchronizer.run)
             nursery.start_soon(self._presence.run)
             nursery.start_soon(self._placement.run)
@@ -166,8 +191,9 @@
         began = trio.current_time()
         _log.info("Stopping.", connections=len(self._connections))
         await trio.sleep(min(ROTATION_S, self._settings.grace_s / 2))
+        self._refusing = True
         for connection in list(self._connections):
-            connection.close_idle()
+            connection.close_soon()
         left_s = self._settings.grace_s - (trio.current_time() - began)
         drained = await self._lifecycle.wait_drained(
             lambda: not any(c.busy for c in self._connections),
@@ -195,6 +221,7 @@
             self._read_limits,
             self._lifecycle.draining.is_set,
         )
+        upstreams.tune(stream)
         register.add(connection)
         try:
             await connection.run()
@@ -244,6 +271,11 @@
     def _admit(
         self, head: exchanges.RequestHead, body: bytes
     ) -> contexts.Request | verdicts.Failure:
+        if self._refusing:
+            # What starts now could be cut by the end of the process.
+            return verdicts.refuse(
+                "draining", "This entry stops.", RETRY_AFTER_STOP_S
+            )
         routing = self.view.routing
         if routing is None:
             return verdicts.refuse(
@@ -283,18 +315,3 @@
             arrived_at=now,
             deadline=now + limit_s,
         )
-
-
-async def serve_tcp(
-    address: addresses.Address, handler, task_status=trio.TASK_STATUS_IGNORED
-) -> None:
-    """Accepts connections on an address until cancelled."""
-    listeners = await trio.open_tcp_listeners(
-        address.port, host=address.host, backlog=BACKLOG
-    )
-
-    async def tuned(stream: trio.SocketStream) -> None:
-        upstreams.tune(stream.socket)
-        await handler(stream)
-
-    await trio.serve_listeners(tuned, listeners, task_status=task_status)
--- /dev/null
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/mesh.py
@@ -0,0 +1,174 @@
+"""Connections between the entries: configuration and requests in flight.
+
+Losing them degrades the choice of paths and nothing else, except for an entry
+that the store turns away: it learns a new configuration only here.
+"""
+
+import collections.abc
+
+from peridotyard_core import addresses
+import trio
+
+from peridotyard_daemon.connection import peers as peers_module
+from peridotyard_daemon.process import logs
+from peridotyard_daemon.process import network as network_module
+from peridotyard_daemon.process import synchronization
+from peridotyard_daemon.process import views
+from peridotyard_daemon.wire.generated import ttypes
+
+ROLE = "entry"
+# Record kind of a whole configuration as the store holds it.
+RECORD_KIND = "routing"
+# Time between two exchanges of requests in flight; a stream takes seconds.
+LOADS_S = 0.25
+# The list of entries follows the store every two seconds; this adds little.
+DIAL_PAUSE_S = 0.5
+TIMING = peers_module.Timing(
+    heartbeat_s=0.5, misses=3, dial_s=1.0, idle_heartbeat_s=0.5
+)
+
+_log = logs.Part("mesh")
+
+
+class Mesh:
+    """This entry's connections to the others, owned by the process.
+
+    It implements `connection.peers.Handler`.
+    """
+
+    def __init__(
+        self,
+        view: views.View,
+        synchronizer: synchronization.Synchronizer,
+        network: network_module.Network,
+        name: str,
+        address: addresses.Address,
+        list_entries: collections.abc.Callable[[], set[addresses.Address]],
+    ):
+        """Makes the mesh of one process.
+
+        Args:
+            view: Gets configuration and loads.
+            synchronizer: Decodes and keeps the stored configuration.
+            network: Connections between processes.
+            name: Name of this entry, unique for each process start.
+            address: Where this entry accepts the others.
+            list_entries: Returns the addresses of the other entries.
+        """
+        self._view = view
+        self._synchronizer = synchronizer
+        self._name = name
+        self._address = address
+        self._list_entries = list_entries
+        self._peers = peers_module.Peers(network, self, TIMING)
+        self._kept: set[addresses.Address] = set()
+        self._sent_loads: dict[str, int] = {}
+
+    async def run(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
+        """Serves and keeps the connections until cancelled."""
+        async with trio.open_nursery() as nursery:
+            await nursery.start(self._peers.run, self._address)
+            task_status.started()
+            nursery.start_soon(self._dial_all)
+            nursery.start_soon(self._send_loads)
+
+    def announce(self) -> None:
+        """Tells the other entries which configuration is in force."""
+        notice = ttypes.ConfigNotice(revision=self._version())
+        self._peers.broadcast(ttypes.Frame(config_notice=notice))
+
+    def make_hello(self) -> ttypes.Hello:
+        """Returns the first message for a peer."""
+        return ttypes.Hello(
+            instance=self._name,
+            zone=self._view.zone,
+            role=ROLE,
+            address=str(self._address),
+            revision=self._version(),
+            protocol=peers_module.PROTOCOL_VERSION,
+        )
+
+    def make_heartbeat(self) -> ttypes.Heartbeat:
+        """Returns a heartbeat with the version in force."""
+        return ttypes.Heartbeat(revision=self._version())
+
+    def handle_connected(self, connection: peers_module.Connection) -> None:
+        """Compares versions with a new peer."""
+        self._compare(connection, connection.peer.revision)
+        loads = ttypes.InFlight(requests=self._sent_loads)
+        connection.post(ttypes.Frame(in_flight=loads))
+
+    def handle_frame(
+        self, connection: peers_module.Connection, frame: ttypes.Frame
+    ) -> None:
+        """Takes a peer's message."""
+        if frame.heartbeat is not None:
+            self._compare(connection, frame.heartbeat.revision)
+        elif frame.config_notice is not None:
+            self._compare(connection, frame.config_notice.revision)
+        elif frame.config_fetch is not None:
+            self._reply_routing(connection)
+        elif frame.config_delta is not None:
+            for record in frame.config_delta.records:
+                if record.kind == RECORD_KIND:
+                    source = f"entry {connection.peer.instance}"
+                    value = record.body.encode()
+                    self._synchronizer.take_routing(value, source)
+        elif frame.in_flight is not None:
+            self._view.apply_foreign(
+                connection.key, dict(frame.in_flight.requests)
+            )
+
+    def handle_closed(
+        self, connection: peers_module.Connection, reason: str
+    ) -> None:
+        """Forgets the loads of a peer."""
+        if self._peers.find(connection.key) is None:
+            self._view.apply_foreign(connection.key, None)
+
+    def _version(self) -> int:
+        routing = self._view.routing
+        return routing.version if routing else 0
+
+    def _compare(self, connection, version: int) -> None:
+        if version > self._version():
+            fetch = ttypes.ConfigFetch(since=self._version())
+            connection.post(ttypes.Frame(config_fetch=fetch))
+
+    def _reply_routing(self, connection) -> None:
+        value = self._synchronizer.routing_value
+        if value is None:
+            return
+        record = ttypes.ConfigRecord(
+            kind=RECORD_KIND, revision=self._version(), body=value.decode()
+        )
+        delta = ttypes.ConfigDelta(
+            revision=self._version(), full=True, records=[record]
+        )
+        connection.post(ttypes.Frame(config_delta=delta))
+
+    async def _dial_all(self) -> None:
+        while True:
+            # One of two dials, as a connection carries both directions.
+            wanted = {
+                address
+                for address in self._list_entries()
+                if str(address) > str(self._address)
+            }
+            for address in wanted - self._kept:
+                self._peers.keep(address)
+            for address in self._kept - wanted:
+                self._peers.release(address)
+            if wanted != self._kept:
+                _log.info("Entries to connect to changed.", count=len(wanted))
+            self._kept = wanted
+            await trio.sleep(DIAL_PAUSE_S)
+
+    async def _send_loads(self) -> None:
+        while True:
+            await trio.sleep(LOADS_S)
+            loads = self._view.count_in_flight()
+            if loads != self._sent_loads:
+                self._sent_loads = loads
+                frame = ttypes.Frame(in_flight=ttypes.InFlight(requests=loads))
+                self._peers.broadcast(frame)
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/presence.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/presence.py
@@ -3,6 +3,7 @@
 import json
 import time
 
+from peridotyard_core import addresses
 from peridotyard_core import leases
 from returns import result
 import trio
@@ -35,6 +36,7 @@
 
     Attributes:
         lease: State of the placement duty.
+        others: Addresses of the other live entries, as last read.
     """
 
     def __init__(
@@ -42,6 +44,7 @@
         view: views.View,
         store: stores.Store,
         name: str,
+        address: addresses.Address,
         clock=read_clock,
     ):
         """Makes the presence of one process.
@@ -50,13 +53,16 @@
             view: Gets the number of live entries.
             store: The platform's store.
             name: Name of the entry, unique for each process start.
+            address: Where this entry accepts the others.
             clock: Returns seconds, also while the machine is suspended.
         """
         self._view = view
         self._store = store
         self._name = name
+        self._address = address
         self._clock = clock
         self.lease = leases.Lease(name, 3 * BEAT_S)
+        self.others: set[addresses.Address] = set()
 
     async def run(self) -> None:
         """Renews row and lease until cancelled."""
@@ -89,18 +95,28 @@
 
     def _count_entries(self, listing: stores.Listing) -> None:
         live = {self._name}
+        others = set()
         for row in listing.rows:
             if not row.key.startswith(ENTRY_PREFIX):
                 continue
             try:
-                at = float(json.loads(row.value)["clock_s"])
-            except (ValueError, TypeError, LookupError) as error:
+                fields = json.loads(row.value)
+                at = float(fields["clock_s"])
+                address = addresses.Address.from_text(fields["address"])
+            except (
+                ValueError,
+                TypeError,
+                LookupError,
+                AttributeError,
+            ) as error:
                 _log.warning(
                     "Entry's row cannot be read.", key=row.key, error=str(error)
                 )
                 continue
             if listing.clock_s - at < LIVE_S:
                 live.add(row.key.removeprefix(ENTRY_PREFIX))
+                others.add(address)
+        self.others = others - {self._address}
         if len(live) != self._view.entries:
             _log.info(
                 "Number of live entries changed.",
@@ -116,7 +132,8 @@
         claim: leases.Claim | None,
         asked_at: float,
     ) -> None:
-        own = json.dumps({"clock_s": listing.clock_s}).encode()
+        fields = {"clock_s": listing.clock_s, "address": str(self._address)}
+        own = json.dumps(fields).encode()
         writes = [stores.Write(TABLE, ENTRY_PREFIX + self._name, own)]
         conditions = []
         if claim is not None:
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/synchronization.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/synchronization.py
@@ -75,6 +75,7 @@
 
     Attributes:
         routing_value: Configuration in force as stored, for other entries.
+        notify_routing: Called for each new configuration.
     """
 
     def __init__(
@@ -92,6 +93,7 @@
         self._lapsed: dict[str, tuple[float, int]] = {}
         self._return_until = float("-inf")
         self.routing_value: bytes | None = None
+        self.notify_routing: collections.abc.Callable[[], None] = _ignore
 
     async def run(self) -> None:
         """Follows both tables until cancelled."""
@@ -122,6 +124,7 @@
             return
         if self._view.apply_routing(routing, source):
             self.routing_value = value
+            self.notify_routing()
 
     async def _follow(
         self,
@@ -236,3 +239,7 @@
                 )
             self._unreadable[row.key] = row.revision
             return None
+
+
+def _ignore() -> None:
+    """Stands in where nobody wants to be notified."""
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/wire/peridotyard.thrift
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/wire/peridotyard.thrift
@@ -256,6 +256,11 @@
   1: list<ProcessRevision> processes,
 }
 
+/** Requests in flight of one entry, by instance of the backend server. */
+struct InFlight {
+  1: map<string, i32> requests = {},
+}
+
 // Messages to and from the model engine.
 
 struct EngineHello {
@@ -379,6 +384,7 @@
   18: optional ConfigDelta config_delta,
   19: optional Quarantine quarantine,
   20: optional RevisionReport revision_report,
+  21: optional InFlight in_flight,
   40: optional EngineHello engine_hello,
   41: optional EngineOpen engine_open,
   42: optional EngineRun engine_run,
--- /dev/null
+++ b/tests/support/gateways.py
@@ -0,0 +1,195 @@
+"""An entry of the users' platform before stand-ins, in memory."""
+
+import contextlib
+import dataclasses
+import random
+
+from peridotyard_core import addresses
+from peridotyard_core import budgets
+from peridotyard_core import fleet
+from peridotyard_daemon.connection import upstreams
+from peridotyard_daemon.process import metrics
+from peridotyard_daemon.process import probes
+from peridotyard_daemon.process import views
+from peridotyard_daemon.request import contexts
+from peridotyard_platform import dialect
+import trio
+import trio.testing
+
+from tests.support import fleets
+from tests.support import memory
+from tests.support import servers as servers_module
+
+HOST = "entry"
+SERVICE = "model"
+PLAIN = "ledger"
+ROUTE = fleet.Route(
+    name="chat",
+    host="api.example",
+    prefix="/chat/",
+    repeat=fleet.Repeat.STREAM,
+    timeout_s=20.0,
+    objective_s=0.5,
+    gap_s=0.2,
+    priority=1,
+    targets=((SERVICE, 1.0),),
+    max_attempts=2,
+)
+
+
+class Recorder:
+    """Stands in for a `callers.Responder`; keeps what a caller would get."""
+
+    def __init__(self):
+        self.status = 0
+        self.headers = ()
+        self.body = b""
+        self.started = False
+        self.finished = False
+
+    async def send_whole(self, status, headers, body):
+        await self.start(status, headers, body)
+        await self.finish()
+
+    async def start(self, status, headers, data):
+        assert not self.started
+        await trio.lowlevel.checkpoint()
+        self.started = True
+        self.status = status
+        self.headers = tuple(headers)
+        self.body = data
+
+    async def send(self, data):
+        assert self.started
+        assert not self.finished
+        await trio.lowlevel.checkpoint()
+        self.body += data
+
+    async def finish(self):
+        assert self.started
+        await trio.lowlevel.checkpoint()
+        self.finished = True
+
+
+@dataclasses.dataclass
+class Site:
+    """Servers and the parts of one entry.
+
+    Attributes:
+        network: Everything's network.
+        servers: Stand-ins by instance.
+        context: What the requests share.
+        prober: Finds dead servers.
+    """
+
+    network: memory.MemoryNetwork
+    servers: dict[str, servers_module.StandIn]
+    context: contexts.Context
+    prober: probes.Prober
+
+    def make_request(self, repeat=None, **changes) -> contexts.Request:
+        """Returns a request as the entry admits it."""
+        plain = repeat in (fleet.Repeat.SAFE, fleet.Repeat.ONCE)
+        route = dataclasses.replace(ROUTE, repeat=repeat or ROUTE.repeat)
+        engine = None if plain else fleets.make_engine(layers=20)
+        service = fleet.Service(PLAIN if plain else SERVICE, 100, engine)
+        headers = (
+            (b"Host", b"api.example"),
+            (b"X-Attempt-Id", changes.get("request_id", "r1").encode()),
+            (b"X-Deadline-Ms", str(changes.get("patience_ms", 20000)).encode()),
+        )
+        after = changes.get("last_event")
+        if after is not None:
+            headers += ((b"Last-Event-Id", str(after).encode()),)
+        head = self.context.dialect.decode_request("POST", "/chat/x", headers)
+        now = trio.current_time()
+        return contexts.Request(
+            head=head,
+            body=b"{}",
+            route=route,
+            service=service,
+            workspace=fleet.Workspace("north"),
+            version=1,
+            arrived_at=now,
+            deadline=now + (head.patience_s or 20.0),
+        )
+
+    def kill(self, instance: str) -> None:
+        """Ends a server as a crash does."""
+        address = str(self.servers[instance].server.address)
+        self.network.stop_serving(address)
+        self.network.reset(address)
+
+    def cut(self, instance: str) -> None:
+        """Makes a server silent."""
+        address = str(self.servers[instance].server.address)
+        for host in [HOST, *self._addresses()]:
+            self.network.cut(host, address)
+
+    def _addresses(self):
+        return [str(item.server.address) for item in self.servers.values()]
+
+
+def make_servers(spans) -> list[fleet.Server]:
+    """Returns model servers with the given names, zones and layers."""
+    return [
+        fleets.make_server(
+            name,
+            zone,
+            span=fleet.Span(*layers),
+            address=addresses.Address(f"10.0.0.{number}", 80),
+        )
+        for number, (name, zone, layers) in enumerate(spans, 1)
+    ]
+
+
+def make_plain(count: int) -> list[fleet.Server]:
+    """Returns servers of the plain service."""
+    return [
+        fleets.make_server(
+            f"p{number}",
+            service=PLAIN,
+            card="",
+            slots=6,
+            address=addresses.Address(f"10.0.1.{number}", 80),
+        )
+        for number in range(1, count + 1)
+    ]
+
+
+@contextlib.asynccontextmanager
+async def open_site(servers, events: int = 10):
+    """Runs stand-ins for the servers and yields a `Site`."""
+    network = memory.MemoryNetwork()
+    host = network.join(HOST)
+    view = views.View("a")
+    stand_ins = {}
+    async with trio.open_nursery() as nursery:
+        for server in servers:
+            stand_in = servers_module.StandIn(server, events)
+            stand_in.join(network, nursery)
+            stand_ins[server.instance] = stand_in
+            view.apply_server(server)
+        view.servers_at = trio.current_time()
+        pool = upstreams.Pool(host.dial)
+        figures = metrics.Metrics(None, 1.0)
+        context = contexts.Context(
+            view=view,
+            pool=pool,
+            dialect=dialect.Dialect(),
+            metrics=figures,
+            random=random.Random(0),
+            make_budget=lambda: budgets.WindowBudget(0.2, 100, 10.0),
+        )
+        prober = probes.Prober(view, pool, context.dialect, figures.increment)
+        await trio.sleep(0)
+        await trio.testing.wait_all_tasks_blocked()
+        yield Site(network, stand_ins, context, prober)
+        nursery.cancel_scope.cancel()
+
+
+def read_numbers(body: bytes) -> list[int]:
+    """Returns the numbers of the whole events of a body."""
+    return [
+        int(line[4:]) for line in body.split(b"\n") if line.startswith(b"id: ")
+    ]
--- a/tests/support/memory.py
+++ b/tests/support/memory.py
@@ -63,6 +63,18 @@
 
     async def aclose(self) -> None:
         """Closes both directions; the peer sees the end of the stream."""
+        self.close()
+        await trio.lowlevel.checkpoint()
+
+    async def send_eof(self) -> None:
+        """Ends the sending half; the peer sees the end of the stream."""
+        self.other._deliver(
+            b"", self._network.find_latency(self._owner, self._peer)
+        )
+        await trio.lowlevel.checkpoint()
+
+    def close(self) -> None:
+        """Closes the connection at once."""
         if not self._closed:
             self._closed = True
             self._arrived.set()
@@ -71,7 +83,6 @@
                 self.other._deliver(
                     b"", self._network.find_latency(self._owner, self._peer)
                 )
-        await trio.lowlevel.checkpoint()
 
     def break_now(self) -> None:
         """Fails this end as a reset does."""
--- /dev/null
+++ b/tests/support/platform_store.py
@@ -0,0 +1,154 @@
+"""The store of the users' platform, as a stand-in in memory with faults."""
+
+import base64
+import collections
+import json
+import urllib.parse
+
+from peridotyard_core import addresses
+from peridotyard_core import fleet
+from peridotyard_daemon.connection import callers
+import trio
+
+ADDRESS = addresses.Address("10.200.0.1", 8000)
+PAGE_ROWS = 3
+
+
+class StandIn:
+    """The store; owned by the test.
+
+    Attributes:
+        rows: `(revision, value)` by table and key.
+        fault: "" or what happens to each call: "refuse", "lose" (done, no
+            answer), "silent" (not done, no answer), "reset" or "late" (done
+            after the caller has given up).
+        calls: Number of calls by path.
+    """
+
+    def __init__(self):
+        self.revision = 1
+        self.rows: dict[tuple[str, str], tuple[int, bytes]] = {}
+        self.fault = ""
+        self.calls = collections.Counter()
+        self._log: list[tuple[int, str, str, bytes | None]] = []
+        self._forgotten = 0
+        self._changed = trio.Event()
+
+    def join(self, network, nursery) -> None:
+        """Starts to serve on a network in memory."""
+        host = network.join(str(ADDRESS))
+
+        async def serve(stream):
+            connection = callers.CallerConnection(
+                stream, self._handle, fleet.CallerLimits, lambda: False
+            )
+            await connection.run()
+
+        nursery.start_soon(host.serve, ADDRESS, serve)
+
+    def put(self, table: str, key: str, value: bytes | None) -> int:
+        """Writes a row, or removes it; returns its revision."""
+        self.revision += 1
+        if value is None:
+            self.rows.pop((table, key), None)
+        else:
+            self.rows[table, key] = (self.revision, value)
+        self._log.append((self.revision, table, key, value))
+        self._changed.set()
+        self._changed = trio.Event()
+        return self.revision
+
+    def forget_history(self) -> None:
+        """Drops all changes up to now."""
+        self._log.clear()
+        self._forgotten = self.revision
+
+    async def _handle(self, method, target, headers, body, responder):
+        path, _, query = target.partition("?")
+        self.calls[path] += 1
+        values = dict(urllib.parse.parse_qsl(query, keep_blank_values=True))
+        match self.fault:
+            case "refuse":
+                await responder.send_whole(503, [], b"")
+                return
+            case "silent":
+                await trio.sleep_forever()
+            case "reset":
+                raise trio.BrokenResourceError
+            case "late" if path == "/rows-tx":
+                with trio.CancelScope(shield=True):
+                    await trio.sleep(3.0)
+                    self._commit(json.loads(body))
+                return
+        status, value = 200, {}
+        if path == "/rows-get":
+            value = self._get(values)
+        elif path == "/rows-feed":
+            status, value = await self._feed(values)
+        elif path == "/rows-tx":
+            status, value = self._commit(json.loads(body))
+            if self.fault == "lose":
+                raise trio.BrokenResourceError
+        await responder.send_whole(status, [], json.dumps(value).encode())
+
+    def _stamp(self, **fields) -> dict:
+        clock_ms = int(trio.current_time() * 1000)
+        return fields | {"ver": self.revision, "nowMs": clock_ms}
+
+    def _get(self, values: dict) -> dict:
+        begin = values.get("from", "")
+        found = sorted(
+            (key, row)
+            for (table, key), row in self.rows.items()
+            if table == values["table"] and key >= begin
+        )
+        rows = [
+            _render(values["table"], key, row[0], row[1])
+            for key, row in found[:PAGE_ROWS]
+        ]
+        return self._stamp(rows=rows, hasMore=len(found) > PAGE_ROWS)
+
+    async def _feed(self, values: dict) -> tuple[int, dict]:
+        after = int(values["after"])
+        if after < self._forgotten:
+            return 410, {}
+        with trio.move_on_after(int(values["waitMs"]) / 1000):
+            while not self._list_changes(values["table"], after):
+                await self._changed.wait()
+        rows = [
+            _render(table, key, revision, value)
+            for revision, table, key, value in self._list_changes(
+                values["table"], after
+            )
+        ]
+        return 200, self._stamp(rows=rows)
+
+    def _list_changes(self, table: str, after: int) -> list:
+        return [
+            entry
+            for entry in self._log
+            if entry[0] > after and entry[1] == table
+        ]
+
+    def _commit(self, call: dict) -> tuple[int, dict]:
+        conflicts = []
+        for item in call["expect"]:
+            name = (item["table"], item["key"])
+            revision, value = self.rows.get(name, (0, b""))
+            if revision != item["ver"]:
+                conflicts.append(_render(*name, revision, value))
+        if conflicts:
+            return 412, self._stamp(rows=conflicts)
+        for item in call["writes"]:
+            value = base64.b64decode(item["value"])
+            self.put(item["table"], item["key"], value)
+        for item in call["delete"]:
+            self.put(item["table"], item["key"], None)
+        return 200, self._stamp()
+
+
+def _render(table: str, key: str, revision: int, value: bytes | None) -> dict:
+    row = {"table": table, "part": "", "key": key, "ver": revision}
+    if value is None:
+        return row | {"deleted": True}
+    return row | {"value": base64.b64encode(value).decode()}
--- /dev/null
+++ b/tests/support/servers.py
@@ -0,0 +1,193 @@
+"""Model and plain servers of the users' platform, as stand-ins in memory.
+
+They speak what the platform's pages say, on the connections of
+`tests.support.memory`, and record what they run.
+"""
+
+import dataclasses
+import json
+
+from peridotyard_core import fleet
+from peridotyard_daemon.connection import callers
+import trio
+
+EVENT_GAP_S = 0.04
+
+
+@dataclasses.dataclass
+class Fault:
+    """What goes wrong with one request at a server.
+
+    Attributes:
+        kind: "refuse", "crash", "stall", "torn", "skip", "repeat", "extra",
+            "unsigned", "hang", "error", "cut" or "" for nothing.
+        after: Events, or bytes of a plain answer, before it.
+    """
+
+    kind: str = ""
+    after: int = 0
+
+
+class StandIn:
+    """One server; owned by the test.
+
+    Attributes:
+        runs: Identities of the requests that it ran, in order.
+        requests: Headers of all requests but reports and orders.
+        orders: Bodies of the orders.
+        faults: Faults of the next requests; none when empty.
+        left: Identities of the requests whose caller left.
+    """
+
+    def __init__(self, server: fleet.Server, events: int = 10):
+        self.server = server
+        self.events = events
+        self.runs: list[str] = []
+        self.requests: list[dict[str, str]] = []
+        self.orders: list[dict] = []
+        self.faults: list[Fault] = []
+        self.left: list[str] = []
+        self.stalled: dict[str, trio.Event] = {}
+        self.culprit = ""
+        self.accepts_orders = True
+
+    def join(self, network, nursery) -> None:
+        """Starts to serve on a network in memory."""
+        host = network.join(str(self.server.address))
+
+        async def serve(stream):
+            connection = callers.CallerConnection(
+                stream, self._handle, fleet.CallerLimits, lambda: False
+            )
+            await connection.run()
+
+        nursery.start_soon(host.serve, self.server.address, serve)
+
+    async def _handle(self, method, target, headers, body, responder):
+        values = {
+            name.decode().lower(): value.decode() for name, value in headers
+        }
+        if target == "/report":
+            await self._report(responder)
+            return
+        if target == "/order":
+            await self._order(json.loads(body), responder)
+            return
+        self.requests.append(values)
+        fault = self.faults.pop(0) if self.faults else Fault()
+        request_id = values["x-attempt-id"]
+        try:
+            if self.server.card:
+                await self._stream(values, fault, responder)
+            else:
+                await self._answer(values, fault, responder)
+        except trio.Cancelled:
+            self.left.append(request_id)
+            raise
+
+    async def _report(self, responder) -> None:
+        span = self.server.span
+        value = {
+            "busy": False,
+            "sequence": len(self.orders),
+            "queued": 0,
+            "running": 0,
+            "kvUsed": 0,
+            "kvTotal": 1000,
+            "stalled": [
+                {"id": name, "address": self.culprit}
+                for name in self.stalled
+                if self.culprit
+            ],
+        }
+        if span:
+            value["layers"] = {
+                "from": span.first,
+                "target": span.end,
+                "version": 1,
+            }
+        await responder.send_whole(200, [], json.dumps(value).encode())
+
+    async def _order(self, order: dict, responder) -> None:
+        self.orders.append(order)
+        if not self.accepts_orders:
+            await responder.send_whole(409, [], b"")
+            return
+        if order["op"] == "place":
+            span = fleet.Span(order["from"], order["target"])
+            self.server = dataclasses.replace(self.server, span=span)
+        elif order["id"] in self.stalled:
+            self.stalled.pop(order["id"]).set()
+        await responder.send_whole(202, [], b"")
+
+    def _head(self, request_id: str, fault: Fault) -> list:
+        headers = [(b"X-Attempt-Id", request_id.encode())]
+        if fault.kind != "unsigned":
+            headers.append((b"X-Server-Signature", b"signature"))
+        return headers
+
+    async def _refuse(self, responder) -> None:
+        headers = [(b"X-Not-Executed", b"1")]
+        if self.culprit:
+            headers.append((b"At-Server", self.culprit.encode()))
+        await responder.send_whole(503, headers, b"")
+
+    async def _answer(self, values, fault: Fault, responder) -> None:
+        request_id = values["x-attempt-id"]
+        if fault.kind == "refuse":
+            await self._refuse(responder)
+            return
+        self.runs.append(request_id)
+        if fault.kind == "hang":
+            await trio.sleep_forever()
+        await trio.sleep(0.02)
+        if fault.kind == "crash":
+            raise trio.BrokenResourceError
+        status = 500 if fault.kind == "error" else 200
+        body = f"answer to {request_id}".encode()
+        if fault.kind == "cut":
+            length = [(b"Content-Length", str(len(body)).encode())]
+            await responder.start(
+                status, self._head(request_id, fault) + length, body[:3]
+            )
+            raise trio.BrokenResourceError
+        await responder.send_whole(status, self._head(request_id, fault), body)
+
+    async def _stream(self, values, fault: Fault, responder) -> None:
+        request_id = values["x-attempt-id"]
+        if fault.kind == "refuse":
+            await self._refuse(responder)
+            return
+        self.runs.append(request_id)
+        begin = int(values.get("last-event-id", "0")) + 1
+        headers = self._head(request_id, fault)
+        headers.append((b"Content-Type", b"text/event-stream"))
+        await responder.start(200, headers, b"")
+        for sent, number in enumerate(range(begin, self.events + 1)):
+            await trio.sleep(EVENT_GAP_S)
+            if fault.kind and sent == fault.after:
+                number = await self._fail(request_id, fault, number, responder)
+            await responder.send(encode_event(number))
+        await responder.finish()
+
+    async def _fail(self, request_id, fault, number, responder) -> int:
+        """Does what the fault says; returns the number of the next event."""
+        match fault.kind:
+            case "crash":
+                raise trio.BrokenResourceError
+            case "torn":
+                await responder.send(encode_event(number)[:7])
+                raise trio.BrokenResourceError
+            case "stall":
+                self.stalled[request_id] = trio.Event()
+                await self.stalled[request_id].wait()
+            case "skip":
+                return number + 1
+            case "repeat":
+                return max(1, number - 1)
+        return number
+
+
+def encode_event(number: int) -> bytes:
+    """Returns the event with a number."""
+    return f"id: {number}\ndata: token {number}\n\n".encode()
--- /dev/null
+++ b/tests/unit/test_callers.py
@@ -0,0 +1,211 @@
+"""Tests of peridotyard_daemon.connection.callers."""
+
+import contextlib
+
+from peridotyard_core import addresses
+from peridotyard_core import fleet
+from peridotyard_daemon.connection import callers
+import pytest
+import trio
+import trio.testing
+
+from tests.support import cases
+from tests.support import memory
+from tests.support import virtual
+
+ADDRESS = addresses.Address("10.0.0.1", 80)
+LIMITS = fleet.CallerLimits(
+    header_bytes=1000, body_bytes=50, header_timeout_s=3, idle_timeout_s=15
+)
+
+
+class Entry:
+    """Serves one handler and records what it gets."""
+
+    def __init__(self, handler=None):
+        self.requests = []
+        self.cancelled = 0
+        self.draining = False
+        self.connections = []
+        self._handler = handler or self._answer
+
+    async def handle(self, method, target, headers, body, responder):
+        self.requests.append((method, target, body))
+        try:
+            await self._handler(responder)
+        except trio.Cancelled:
+            self.cancelled += 1
+            raise
+
+    async def _answer(self, responder):
+        await responder.send_whole(200, [], b"ok")
+
+
+@contextlib.asynccontextmanager
+async def open_connection(entry):
+    network = memory.MemoryNetwork()
+
+    async def serve(stream):
+        connection = callers.CallerConnection(
+            stream, entry.handle, lambda: LIMITS, lambda: entry.draining
+        )
+        entry.connections.append(connection)
+        await connection.run()
+
+    async with trio.open_nursery() as nursery:
+        host = network.join(str(ADDRESS))
+        nursery.start_soon(host.serve, ADDRESS, serve)
+        await trio.testing.wait_all_tasks_blocked()
+        yield await network.join("caller").dial(ADDRESS)
+        nursery.cancel_scope.cancel()
+
+
+async def receive(stream, seconds=30.0):
+    """Returns what arrives until the end of the stream, or for a time."""
+    data = b""
+    with trio.move_on_after(seconds):
+        while chunk := await stream.receive_some():
+            data += chunk
+    return data
+
+
+GET = b"GET /x HTTP/1.1\r\nHost: a\r\n\r\n"
+
+
+@cases.run_virtually
+async def test_pipelined_requests_are_answered_in_order():
+    entry = Entry()
+    async with open_connection(entry) as stream:
+        await stream.send_all(GET + GET.replace(b"/x", b"/y") + GET[:9])
+        data = await receive(stream, 1)
+        assert data.count(b"200") == 2
+        await stream.send_all(GET[9:])
+        assert (await receive(stream, 1)).count(b"200") == 1
+        assert [target for _, target, _ in entry.requests] == ["/x", "/y", "/x"]
+
+
+@pytest.mark.parametrize(
+    ("request_bytes", "status"),
+    [
+        (b"nonsense\r\n\r\n", b"400"),
+        (b"GET /x HTTP/1.1\r\n\r\n", b"400"),
+        (GET[:-2] + b"X: " + b"y" * 1100 + b"\r\n\r\n", b"431"),
+        (
+            b"POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 60\r\n\r\n"
+            + b"x" * 60,
+            b"413",
+        ),
+        (
+            b"POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n"
+            b"Transfer-Encoding: gzip\r\n\r\nabcd",
+            b"501",
+        ),
+    ],
+)
+def test_bad_requests_are_refused_without_harm(request_bytes, status):
+    entry = Entry()
+
+    async def run():
+        async with open_connection(entry) as stream:
+            await stream.send_all(request_bytes)
+            data = await receive(stream)
+            assert data.startswith(b"HTTP/1.1 " + status)
+
+    virtual.run(run)
+    assert entry.requests == []
+
+
+@cases.run_virtually
+async def test_slow_head_is_given_up():
+    # Slow callers would otherwise hold connections without limit.
+    entry = Entry()
+    async with open_connection(entry) as stream:
+        await stream.send_all(GET[:10])
+        began = trio.current_time()
+        assert b"408" in await receive(stream)
+        assert trio.current_time() - began < 4
+
+
+@cases.run_virtually
+async def test_idle_connection_is_kept_for_its_time_and_then_closed():
+    entry = Entry()
+    async with open_connection(entry) as stream:
+        await stream.send_all(GET)
+        await receive(stream, 12)
+        await stream.send_all(GET)
+        began = trio.current_time()
+        await receive(stream)
+        assert len(entry.requests) == 2
+        assert trio.current_time() - began == pytest.approx(15, abs=0.1)
+
+
+@cases.run_virtually
+async def test_request_ends_when_its_caller_leaves():
+    # A server must not work for a caller that is gone.
+    async def wait(_responder):
+        await trio.sleep_forever()
+
+    entry = Entry(wait)
+    async with open_connection(entry) as stream:
+        await stream.send_all(GET)
+        await trio.sleep(0.1)
+        await stream.aclose()
+        await trio.sleep(0.1)
+        assert entry.cancelled == 1
+
+
+@cases.run_virtually
+async def test_cut_response_does_not_look_complete():
+    async def cut(responder):
+        await responder.start(200, [], b"part")
+
+    entry = Entry(cut)
+    async with open_connection(entry) as stream:
+        await stream.send_all(GET)
+        data = await receive(stream)
+        assert b"part" in data
+        assert not data.endswith(b"0\r\n\r\n")
+
+
+@cases.run_virtually
+async def test_body_in_chunks_is_read_whole():
+    entry = Entry()
+    async with open_connection(entry) as stream:
+        await stream.send_all(
+            b"POST /x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+            b"3\r\nabc\r\n"
+        )
+        await trio.sleep(0.5)
+        await stream.send_all(b"2\r\nde\r\n0\r\n\r\n")
+        await receive(stream, 1)
+        assert entry.requests == [("POST", "/x", b"abcde")]
+
+
+@cases.run_virtually
+async def test_connection_is_closed_after_its_request_when_stopping():
+    # A caller that reuses it later would meet the end of the process.
+    async def slow(responder):
+        await responder.start(200, [], b"begin")
+        await trio.sleep(2)
+        await responder.finish()
+
+    entry = Entry(slow)
+    async with open_connection(entry) as stream:
+        await stream.send_all(GET)
+        await trio.sleep(0.5)
+        entry.draining = True
+        entry.connections[0].close_soon()
+        data = await receive(stream, 5)
+        assert data.endswith(b"0\r\n\r\n")
+        with pytest.raises((trio.BrokenResourceError, AssertionError)):
+            await stream.send_all(GET)
+            assert await receive(stream, 1)
+
+
+@cases.run_virtually
+async def test_response_while_stopping_announces_the_close():
+    entry = Entry()
+    entry.draining = True
+    async with open_connection(entry) as stream:
+        await stream.send_all(GET)
+        assert b"connection: close" in (await receive(stream, 1)).lower()
--- /dev/null
+++ b/tests/unit/test_dialect.py
@@ -0,0 +1,199 @@
+"""Tests of peridotyard_platform.dialect and peridotyard_platform.schema."""
+
+import json
+
+from peridotyard_core import addresses
+from peridotyard_core import exchanges
+from peridotyard_core import fleet
+from peridotyard_core import paths
+from peridotyard_platform import dialect
+from peridotyard_platform import schema
+import pytest
+
+from tests.support import gateways
+
+WIRE = dialect.Dialect()
+
+
+def decode(*headers):
+    return WIRE.decode_request("POST", "/a/b?c=d", headers)
+
+
+def test_request_is_decoded_once_into_its_parts():
+    head = decode(
+        (b"Host", b"API.example:8080"),
+        (b"X-Attempt-Id", b"r1"),
+        (b"Last-Event-Id", b"12"),
+        (b"X-Token-Usage", b"1460,80"),
+        (b"X-Deadline-Ms", b"20000"),
+        (b"Api-Key", b"secret"),
+        (b"X-Model", b"m"),
+    )
+    assert head.host == "api.example"
+    assert head.path == "/a/b"
+    assert head.request_id == "r1"
+    assert head.last_event == 12
+    assert (head.prompt_tokens, head.answer_tokens) == (1460, 80)
+    assert head.patience_s == 20
+    assert head.key == "secret"
+    assert (b"X-Model", b"m") in head.headers
+
+
+def test_headers_of_the_entry_cannot_be_forged():
+    # A caller that names a tenant, a path or a server would reach what its
+    # key does not allow.
+    head = decode(
+        (b"Host", b"a"),
+        (b"X-Tenant", b"other"),
+        (b"X-Hop-Count", b"1.1.1.1:1=0-80"),
+        (b"X-Expect-Instance", b"i"),
+        (b"X-Request-Priority", b"0"),
+        (b"Api-Key", b"secret"),
+        (b"Connection", b"X-Secret"),
+        (b"X-Secret", b"1"),
+        (b"Transfer-Encoding", b"chunked"),
+    )
+    assert head.headers == ((b"Host", b"a"),)
+
+
+@pytest.mark.parametrize("value", [b"", b"-1", b"1e3", "٣".encode(), b"x"])
+def test_malformed_numbers_count_as_absent(value):
+    head = decode((b"X-Deadline-Ms", value), (b"Last-Event-Id", value))
+    assert head.patience_s is None
+    assert head.last_event is None
+
+
+def test_dispatch_is_encoded_for_the_server():
+    servers = gateways.make_servers([("x", "a", (0, 8)), ("y", "a", (8, 20))])
+    path = tuple(paths.Stage(server, server.span) for server in servers)
+    dispatch = exchanges.Dispatch(servers[0], path, 1.5, "north", 4)
+    headers = dict(WIRE.encode_request(decode((b"Host", b"a")), dispatch))
+    assert headers[b"x-hop-count"] == b"10.0.0.1:80=0-8,10.0.0.2:80=8-20"
+    assert headers[b"x-expect-instance"] == b"x"
+    assert headers[b"x-deadline-ms"] == b"1500"
+    assert headers[b"x-tenant"] == b"north"
+    assert headers[b"last-event-id"] == b"4"
+
+
+def test_answer_states_whether_the_request_ran():
+    refused = WIRE.decode_answer(
+        503, ((b"X-Not-Executed", b"1"), (b"At-Server", b"10.0.0.1:80"))
+    )
+    assert refused.not_run
+    assert refused.culprit == addresses.Address("10.0.0.1", 80)
+    assert WIRE.decode_answer(421, ()).not_run
+    # A plain 503 of a server promises nothing.
+    assert not WIRE.decode_answer(503, ()).not_run
+
+
+def test_answer_headers_of_one_connection_are_dropped():
+    head = WIRE.decode_answer(
+        200,
+        (
+            (b"X-Server-Signature", b"s"),
+            (b"Keep-Alive", b"timeout=5"),
+            (b"Connection", b"keep-alive"),
+            (b"Content-Length", b"3"),
+        ),
+    )
+    assert head.signed
+    assert head.keep_alive_s == 5
+    assert head.headers == ((b"X-Server-Signature", b"s"),)
+
+
+def test_report_is_decoded():
+    report = WIRE.decode_report(
+        json.dumps(
+            {
+                "busy": True,
+                "sequence": 3,
+                "layers": {"from": 2, "target": 9, "version": 1},
+                "pace": 2.5,
+                "stalled": [{"id": "r1", "address": "10.0.0.1:80"}],
+            }
+        ).encode()
+    )
+    assert report.span == fleet.Span(2, 9)
+    assert report.orders == 3
+    assert report.slowness == 2.5
+    assert report.stalled == (("r1", addresses.Address("10.0.0.1", 80)),)
+
+
+@pytest.mark.parametrize("body", [b"", b"[]", b"{}", b'{"sequence": "x"}'])
+def test_malformed_report_is_an_error(body):
+    with pytest.raises(ValueError, match="."):
+        WIRE.decode_report(body)
+
+
+def test_place_order_is_conditional():
+    # A late copy of an older order must not undo a newer one.
+    order = json.loads(WIRE.encode_place(fleet.Span(3, 9), 7))
+    assert (order["from"], order["target"], order["expect"]) == (3, 9, 7)
+
+
+def make_config(**changes):
+    value = {
+        "version": 7,
+        "routes": [
+            {
+                "name": "r",
+                "host": "API.example",
+                "prefix": "/a/",
+                "kind": "streaming",
+                "timeoutMs": 20000,
+                "targetLatencyMs": 500,
+                "priority": 1,
+                "trafficSplit": [
+                    {"service": "m", "weight": 90},
+                    {"service": "n", "weight": 10},
+                ],
+                "maxAttempts": 2,
+                "resumable": True,
+                "gapAimMs": 200,
+            },
+            {
+                "name": "deep",
+                "host": "api.example",
+                "prefix": "/a/b/",
+                "kind": "unsafe",
+                "timeoutMs": 600,
+                "service": "n",
+                "maxAttempts": 1,
+            },
+        ],
+        "services": [{"name": "m"}, {"name": "n"}],
+        "tenants": [{"name": "north", "apiKeys": ["k1", "k2"], "priority": 1}],
+        "limits": {"maxHeaderBytes": 1000, "headerTimeoutMs": 500},
+    }
+    return json.dumps(value | changes).encode()
+
+
+def test_configuration_is_decoded():
+    routing = schema.Schema(2.5).decode_routing(make_config())
+    assert routing.version == 7
+    route = routing.match("api.example", "/a/x")
+    assert route.repeat is fleet.Repeat.STREAM
+    assert route.targets == (("m", 90.0), ("n", 10.0))
+    assert route.gap_s == 0.2
+    deep = routing.match("api.example", "/a/b/c")
+    assert deep.repeat is fleet.Repeat.ONCE
+    assert routing.match("api.example", "/b") is None
+    assert routing.match("other", "/a/x") is None
+    assert routing.authenticate("k2").name == "north"
+    assert routing.authenticate("k3") is None
+    assert routing.limits.header_bytes == 1000
+    assert routing.limits.header_timeout_s == 0.5
+
+
+def test_stream_that_cannot_be_resumed_runs_once():
+    fields = json.loads(make_config())
+    fields["routes"][0]["resumable"] = False
+    routing = schema.Schema(2.5).decode_routing(json.dumps(fields).encode())
+    route = routing.match("api.example", "/a/x")
+    assert route.repeat is fleet.Repeat.STREAM_ONCE
+
+
+@pytest.mark.parametrize("value", [b"", b"[]", b"{}", make_config(routes=[{}])])
+def test_malformed_configuration_is_an_error(value):
+    with pytest.raises(ValueError, match="."):
+        schema.Schema(2.5).decode_routing(value)
--- /dev/null
+++ b/tests/unit/test_forwards.py
@@ -0,0 +1,162 @@
+"""Tests of peridotyard_daemon.request.forwards."""
+
+import hypothesis
+from hypothesis import strategies
+from peridotyard_core import fleet
+from peridotyard_daemon.request import forwards
+import pytest
+import trio
+
+from tests.support import cases
+from tests.support import gateways
+from tests.support import servers as servers_module
+from tests.support import virtual
+
+
+async def forward(site, repeat, **changes):
+    request = site.make_request(repeat, **changes)
+    recorder = gateways.Recorder()
+    await forwards.Forwarder(site.context).handle(request, recorder)
+    return recorder
+
+
+def list_runs(site):
+    return [name for item in site.servers.values() for name in item.runs]
+
+
+def run_with(faults, repeat, **changes):
+    """Returns the response and the runs before servers with faults."""
+
+    async def run():
+        servers = gateways.make_plain(len(faults))
+        async with gateways.open_site(servers) as site:
+            for item, kind in zip(site.servers.values(), faults, strict=True):
+                if kind == "dead":
+                    site.kill(item.server.instance)
+                else:
+                    item.faults = [servers_module.Fault(kind)] * 3
+            recorder = await forward(site, repeat, **changes)
+            return recorder, list_runs(site)
+
+    return virtual.run(run)
+
+
+def test_answer_is_passed_on_unchanged():
+    recorder, runs = run_with([""], fleet.Repeat.ONCE)
+    assert recorder.status == 200
+    assert recorder.body == b"answer to r1"
+    assert (b"X-Server-Signature", b"signature") in recorder.headers
+    assert runs == ["r1"]
+
+
+@pytest.mark.parametrize("kind", ["crash", "cut", "hang", "error", "unsigned"])
+def test_call_that_may_have_run_is_not_repeated(kind):
+    # A second run would count a tally or charge a fee twice.
+    recorder, runs = run_with([kind] * 3, fleet.Repeat.ONCE, patience_ms=600)
+    assert runs == ["r1"]
+    assert recorder.status in (500, 502, 504)
+    if recorder.status != 500:
+        assert b"may-have-run" in recorder.body
+
+
+@pytest.mark.parametrize("kind", ["refuse", "dead"])
+def test_call_that_did_not_run_is_refused_with_a_time_to_come_back(kind):
+    recorder, runs = run_with([kind] * 3, fleet.Repeat.ONCE)
+    assert runs == []
+    assert recorder.status == 503
+    assert b"not-run" in recorder.body
+    assert float(dict(recorder.headers)[b"retry-after"]) > 0
+
+
+@pytest.mark.parametrize("kind", ["crash", "cut", "error", "unsigned", "hang"])
+def test_safe_call_is_repeated_within_its_servers(kind):
+    recorder, runs = run_with([kind] * 4, fleet.Repeat.SAFE, patience_ms=600)
+    # The route allows two servers.
+    assert runs == ["r1"] * 2
+    assert recorder.status in (500, 502, 504)
+
+
+def test_safe_call_succeeds_at_the_other_server():
+    async def run():
+        async with gateways.open_site(gateways.make_plain(2)) as site:
+            for item in site.servers.values():
+                item.faults = [servers_module.Fault("error")]
+            first = await forward(site, fleet.Repeat.SAFE, request_id="a")
+            second = await forward(site, fleet.Repeat.SAFE, request_id="b")
+            return first.status, second.status
+
+    assert virtual.run(run) == (500, 200)
+
+
+def test_hanging_server_leaves_time_for_another():
+    async def run():
+        async with gateways.open_site(gateways.make_plain(2)) as site:
+            for item in site.servers.values():
+                item.faults = [servers_module.Fault("hang")]
+                break
+            statuses = []
+            for number in range(4):
+                recorder = await forward(
+                    site,
+                    fleet.Repeat.SAFE,
+                    request_id=f"r{number}",
+                    patience_ms=600,
+                )
+                statuses.append(recorder.status)
+            return statuses
+
+    assert virtual.run(run) == [200] * 4
+
+
+def test_hanging_call_that_may_run_once_ends_with_its_time():
+    async def run():
+        async with gateways.open_site(gateways.make_plain(1)) as site:
+            next(iter(site.servers.values())).faults = [
+                servers_module.Fault("hang")
+            ]
+            began = trio.current_time()
+            recorder = await forward(site, fleet.Repeat.ONCE, patience_ms=600)
+            return recorder.status, trio.current_time() - began
+
+    status, duration_s = virtual.run(run)
+    assert status == 504
+    assert duration_s == pytest.approx(0.6, abs=0.01)
+
+
+def test_used_up_budget_stops_repeats():
+    async def run():
+        async with gateways.open_site(gateways.make_plain(3)) as site:
+            budget = site.context.find_budget(gateways.PLAIN)
+            while budget.spend(trio.current_time(), 1):
+                pass
+            for item in site.servers.values():
+                item.faults = [servers_module.Fault("refuse")]
+            recorder = await forward(site, fleet.Repeat.SAFE)
+            return recorder.status, sum(
+                len(item.requests) for item in site.servers.values()
+            )
+
+    assert virtual.run(run) == (503, 1)
+
+
+KINDS = strategies.sampled_from(
+    ["", "refuse", "crash", "cut", "error", "unsigned", "hang"]
+)
+
+
+@hypothesis.settings(**cases.DERANDOMIZED)
+@hypothesis.given(
+    kinds=strategies.lists(KINDS, min_size=1, max_size=4),
+    repeat=strategies.sampled_from([fleet.Repeat.SAFE, fleet.Repeat.ONCE]),
+)
+def test_outcome_states_truly_whether_the_call_ran(kinds, repeat):
+    recorder, runs = run_with(kinds, repeat, patience_ms=600)
+    assert recorder.finished
+    if repeat is fleet.Repeat.ONCE:
+        assert len(runs) <= 1
+    assert len(runs) <= 2
+    if recorder.status in (429, 503):
+        assert runs == []
+    if recorder.status == 200:
+        assert recorder.body == b"answer to r1"
+        assert runs
--- /dev/null
+++ b/tests/unit/test_gateway.py
@@ -0,0 +1,265 @@
+"""Tests of peridotyard_daemon.process.gateway and its mesh."""
+
+import contextlib
+import dataclasses
+import json
+import random
+
+from peridotyard_core import addresses
+from peridotyard_daemon.process import gateway
+from peridotyard_platform import dialect
+from peridotyard_platform import schema
+from peridotyard_platform import store
+import trio
+import trio.testing
+
+from tests.support import cases
+from tests.support import gateways
+from tests.support import memory
+from tests.support import platform_store
+from tests.support import servers as servers_module
+
+LAYERS = 20
+
+
+def make_settings(number: int, seeds=()) -> gateway.Settings:
+    host = f"10.1.0.{number}"
+    return gateway.Settings(
+        instance=f"front-{number}",
+        zone="a",
+        callers=addresses.Address(host, 80),
+        readiness=addresses.Address(host, 81),
+        peers=addresses.Address(host, 82),
+        seeds=tuple(addresses.Address(f"10.1.0.{n}", 82) for n in seeds),
+        metrics=addresses.Address(host, 83),
+        grace_s=8.0,
+        retry_fraction=0.2,
+        retry_reserve=200,
+        retry_window_s=10,
+    )
+
+
+def encode_routing(version, key="key-1"):
+    engine = {
+        "slots": 96,
+        "kvTokenBytes": 918000,
+        "step_ms": 0.85,
+        "per_seq_ms": 0.006,
+        "read_per_s": 252000,
+        "layers": LAYERS,
+        "layerMb": 1750,
+        "usual": {"prompt": 770, "answer": 150},
+        "kinds": [{"name": "wide", "mb": 22000, "pace": 16, "readX": 8}],
+    }
+    value = {
+        "version": version,
+        "routes": [
+            {
+                "name": "chat",
+                "host": "api.example",
+                "prefix": "/chat/",
+                "kind": "streaming",
+                "timeoutMs": 20000,
+                "targetLatencyMs": 500,
+                "gapAimMs": 200,
+                "service": "model",
+                "maxAttempts": 2,
+                "resumable": True,
+            }
+        ],
+        "services": [{"name": "model", "engine": engine}],
+        "tenants": [{"name": "north", "apiKeys": [key]}],
+    }
+    return json.dumps(value).encode()
+
+
+def encode_server(server):
+    value = {
+        "service": server.service,
+        "address": str(server.address),
+        "zone": server.zone,
+        "slots": 96,
+        "state": "ready",
+        "kind": server.card,
+        "sequence": 0,
+        "born": 1,
+    }
+    if server.span:
+        value["layers"] = {"from": server.span.first, "target": server.span.end}
+    return json.dumps(value).encode()
+
+
+@dataclasses.dataclass
+class Deployment:
+    """Entries before stand-ins of servers and store."""
+
+    network: memory.MemoryNetwork
+    rows: platform_store.StandIn
+    servers: dict
+    entries: list
+    nursery: trio.Nursery
+
+    async def call(self, number=1, target="/chat/x", key="key-1", port=80):
+        """Returns the response to one request on a new connection."""
+        address = addresses.Address(f"10.1.0.{number}", port)
+        stream = await self.network.join("caller").dial(address)
+        await stream.send_all(
+            f"POST {target} HTTP/1.1\r\nHost: api.example\r\n"
+            f"X-Attempt-Id: r1\r\nApi-Key: {key}\r\n"
+            "X-Deadline-Ms: 20000\r\nContent-Length: 0\r\n"
+            "Connection: close\r\n\r\n".encode()
+        )
+        data = b""
+        while chunk := await stream.receive_some():
+            data += chunk
+        return data
+
+    def turn_away(self, number: int) -> None:
+        """Cuts an entry from the store."""
+        self.network.cut(f"10.1.0.{number}", str(platform_store.ADDRESS))
+
+
+class _OneHost:
+    """Network of one instance; several addresses, one name when dialing."""
+
+    def __init__(self, network, host):
+        self._network = network
+        self.dial = network.join(host).dial
+
+    async def serve(
+        self, address, handler, task_status=trio.TASK_STATUS_IGNORED
+    ):
+        await self._network.join(str(address)).serve(
+            address, handler, task_status
+        )
+
+
+@contextlib.asynccontextmanager
+async def open_deployment(entries=1, spans=None):
+    network = memory.MemoryNetwork()
+    rows = platform_store.StandIn()
+    servers = gateways.make_servers(
+        spans or [("x", "a", (0, 10)), ("y", "a", (10, 20))]
+    )
+    async with trio.open_nursery() as nursery:
+        rows.join(network, nursery)
+        rows.put("op", "config", encode_routing(3))
+        stand_ins = {}
+        for server in servers:
+            rows.put("servers", server.instance, encode_server(server))
+            stand_ins[server.instance] = servers_module.StandIn(server)
+            stand_ins[server.instance].join(network, nursery)
+        started = []
+        for number in range(1, entries + 1):
+            host = _OneHost(network, f"10.1.0.{number}")
+            started.append(
+                gateway.Gateway(
+                    make_settings(number),
+                    store.PlatformStore(platform_store.ADDRESS, host.dial),
+                    schema.Schema(2.5),
+                    dialect.Dialect(),
+                    random.Random(number),
+                    host.dial,
+                    host,
+                )
+            )
+            nursery.start_soon(started[-1].run)
+        await trio.sleep(1)
+        yield Deployment(network, rows, stand_ins, started, nursery)
+        nursery.cancel_scope.cancel()
+
+
+@cases.run_virtually
+async def test_request_goes_from_caller_to_servers_and_back():
+    async with open_deployment() as site:
+        data = await site.call()
+        assert data.startswith(b"HTTP/1.1 200")
+        assert gateways.read_numbers(data) == list(range(1, 11))
+        assert data.endswith(b"0\r\n\r\n")
+        headers = site.servers["x"].requests[0]
+        assert "api-key" not in headers
+        assert headers["x-tenant"] == "north"
+
+
+@cases.run_virtually
+async def test_refusals_by_configuration():
+    async with open_deployment() as site:
+        assert b" 404 " in (await site.call(target="/other/"))[:15]
+        assert b" 401 " in (await site.call(key="wrong"))[:15]
+        assert site.servers["x"].requests == []
+
+
+@cases.run_virtually
+async def test_entry_without_configuration_refuses_as_not_run():
+    # A 404 or 401 would be final for a caller that is in the right.
+    async with open_deployment() as site:
+        site.entries[0].view.routing = None
+        data = await site.call()
+        assert b" 503 " in data[:15]
+        assert b"not-run" in data
+
+
+@cases.run_virtually
+async def test_readiness_follows_configuration_and_servers():
+    async with open_deployment() as site:
+        assert b" 200 " in (await site.call(port=81))[:15]
+        site.entries[0].view.servers.clear()
+        assert b" 503 " in (await site.call(port=81))[:15]
+
+
+@cases.run_virtually
+async def test_metrics_are_served():
+    async with open_deployment() as site:
+        await site.call()
+        data = await site.call(port=83)
+        assert b"peridotyard_requests_total 1" in data
+        assert b'peridotyard_outcome_total{kind="status"} 1' in data
+        assert b"peridotyard_first_event_seconds" in data
+
+
+@cases.run_virtually
+async def test_stopping_entry_ends_its_streams_and_refuses_new_ones():
+    async with open_deployment(spans=[("x", "a", (0, 20))]) as site:
+        site.servers["x"].events = 100
+        box = []
+
+        async def call():
+            box.append(await site.call())
+
+        site.nursery.start_soon(call)
+        await trio.sleep(0.5)
+        site.entries[0]._lifecycle.request_stop()
+        assert b" 503 " in (await site.call(port=81))[:15]
+        # Until the balancer has noticed, new requests are served.
+        await trio.sleep(2.5)
+        data = await site.call()
+        assert b" 503 " in data[:15]
+        assert b"draining" in data
+        await trio.sleep(3)
+        assert box[0].endswith(b"0\r\n\r\n")
+
+
+@cases.run_virtually
+async def test_entry_that_the_store_turns_away_learns_from_the_others():
+    # A removed key must lose its access on every entry.
+    async with open_deployment(entries=2) as site:
+        await trio.sleep(4)
+        site.turn_away(2)
+        await trio.sleep(3)
+        site.rows.put("op", "config", encode_routing(9, key="key-2"))
+        await trio.sleep(1)
+        assert site.entries[1].view.routing.version == 9
+        assert b" 401 " in (await site.call(number=2))[:15]
+
+
+@cases.run_virtually
+async def test_entries_tell_each_other_what_they_have_in_flight():
+    async with open_deployment(entries=2) as site:
+        await trio.sleep(4)
+        site.servers["x"].events = 50
+        site.nursery.start_soon(site.call)
+        await trio.sleep(1)
+        server = site.entries[1].view.servers["x"]
+        assert site.entries[1].view.load(server) == 1
+        await trio.sleep(4)
+        assert site.entries[1].view.load(server) == 0
--- /dev/null
+++ b/tests/unit/test_placement.py
@@ -0,0 +1,195 @@
+"""Tests of peridotyard_daemon.process.placement and presence."""
+
+import contextlib
+import random
+
+from peridotyard_core import addresses
+from peridotyard_core import fleet
+from peridotyard_core import layouts
+from peridotyard_daemon.connection import upstreams
+from peridotyard_daemon.process import placement
+from peridotyard_daemon.process import presence
+from peridotyard_daemon.process import views
+from peridotyard_platform import dialect
+from peridotyard_platform import store
+import trio
+import trio.testing
+
+from tests.support import cases
+from tests.support import fleets
+from tests.support import memory
+from tests.support import platform_store
+from tests.support import servers as servers_module
+
+ENGINE = fleets.make_engine(layers=20)
+ROUTING = fleet.Routing(
+    1, (), (fleet.Service("model", 100, ENGINE),), {}, fleet.CallerLimits()
+)
+
+
+class Holder:
+    """One entry's placement duty over stand-ins."""
+
+    def __init__(self, network, name, clock):
+        host = network.join(name)
+        self.view = views.View("a")
+        self.view.apply_routing(ROUTING, "test")
+        client = store.PlatformStore(platform_store.ADDRESS, host.dial)
+        self.presence = presence.Presence(
+            self.view,
+            client,
+            name,
+            addresses.Address(
+                f"10.9.0.{random.Random(name).randrange(200)}", 1
+            ),
+            clock,
+        )
+        self.counts = []
+        self.placement = placement.Placement(
+            self.view,
+            self.presence,
+            upstreams.Pool(host.dial),
+            dialect.Dialect(),
+            self.counts.append,
+        )
+
+    def learn(self, stand_ins):
+        for item in stand_ins.values():
+            self.view.apply_server(item.server)
+
+
+@contextlib.asynccontextmanager
+async def open_fleet(servers, names=("first",), clock=trio.current_time):
+    network = memory.MemoryNetwork()
+    stand_ins = {}
+    async with trio.open_nursery() as nursery:
+        rows = platform_store.StandIn()
+        rows.join(network, nursery)
+        for server in servers:
+            stand_ins[server.instance] = servers_module.StandIn(server)
+            stand_ins[server.instance].join(network, nursery)
+        await trio.testing.wait_all_tasks_blocked()
+        holders = []
+        for name in names:
+            holder = Holder(network, name, clock)
+            holder.learn(stand_ins)
+            nursery.start_soon(holder.presence.run)
+            nursery.start_soon(holder.placement.run)
+            holders.append(holder)
+        yield network, rows, stand_ins, holders
+        nursery.cancel_scope.cancel()
+
+
+def make_servers():
+    servers = fleets.make_zone("a", 0, 3, 2)
+    return [
+        fleet.Server(
+            **{
+                **{f: getattr(s, f) for f in s.__dataclass_fields__},
+                "address": addresses.Address(f"10.0.0.{number}", 80),
+            }
+        )
+        for number, s in enumerate(servers, 1)
+    ]
+
+
+def list_missing(stand_ins, without=()):
+    spans = [
+        item.server.span
+        for name, item in stand_ins.items()
+        if item.server.span and name not in without
+    ]
+    return layouts.list_uncovered(spans, ENGINE.layers)
+
+
+@cases.run_virtually
+async def test_fleet_without_layers_is_laid_out_once():
+    async with open_fleet(make_servers()) as (_, _, stand_ins, holders):
+        await trio.sleep(8)
+        assert not list_missing(stand_ins)
+        orders = sum(len(item.orders) for item in stand_ins.values())
+        assert orders == len(stand_ins)
+        await trio.sleep(20)
+        assert orders == sum(len(item.orders) for item in stand_ins.values())
+        assert holders[0].presence.holds_duty()
+
+
+@cases.run_virtually
+async def test_layers_of_a_dead_server_are_given_to_others():
+    async with open_fleet(make_servers()) as (network, _, stand_ins, _):
+        await trio.sleep(8)
+        lost = next(
+            name
+            for name in stand_ins
+            if list_missing(stand_ins, without=(name,))
+        )
+        address = str(stand_ins[lost].server.address)
+        network.stop_serving(address)
+        network.reset(address)
+        await trio.sleep(5)
+        assert not list_missing(stand_ins, without=(lost,))
+
+
+@cases.run_virtually
+async def test_only_one_of_two_entries_orders():
+    async with open_fleet(make_servers(), ("first", "second")) as (
+        _,
+        _,
+        stand_ins,
+        holders,
+    ):
+        await trio.sleep(20)
+        assert sum(h.presence.holds_duty() for h in holders) == 1
+        assert not list_missing(stand_ins)
+        assert all(len(item.orders) == 1 for item in stand_ins.values())
+        assert [h.view.entries for h in holders] == [2, 2]
+
+
+@cases.run_virtually
+async def test_duty_passes_on_when_its_holder_loses_the_store():
+    async with open_fleet(make_servers(), ("first", "second")) as (
+        network,
+        _,
+        _,
+        holders,
+    ):
+        await trio.sleep(5)
+        old = next(h for h in holders if h.presence.holds_duty())
+        new = next(h for h in holders if h is not old)
+        name = "first" if old is holders[0] else "second"
+        network.cut(name, str(platform_store.ADDRESS))
+        for _ in range(120):
+            await trio.sleep(0.1)
+            assert not (old.presence.holds_duty() and new.presence.holds_duty())
+        assert new.presence.holds_duty()
+
+
+@cases.run_virtually
+async def test_duty_outlasts_lost_answers_of_the_store_without_two_holders():
+    async with open_fleet(make_servers(), ("first", "second")) as (
+        _,
+        rows,
+        _,
+        holders,
+    ):
+        for fault in ("", "lose", "refuse", "late", "silent", ""):
+            rows.fault = fault
+            for _ in range(80):
+                await trio.sleep(0.1)
+                assert sum(h.presence.holds_duty() for h in holders) <= 1
+        assert sum(h.presence.holds_duty() for h in holders) == 1
+
+
+@cases.run_virtually
+async def test_refused_orders_are_sent_again():
+    # A server refuses an order that was decided on an old state of it.
+    async with open_fleet(make_servers()) as (_, _, stand_ins, _):
+        for item in stand_ins.values():
+            item.accepts_orders = False
+        await trio.sleep(4)
+        first = sum(len(item.orders) for item in stand_ins.values())
+        assert first >= len(stand_ins)
+        for item in stand_ins.values():
+            item.accepts_orders = True
+        await trio.sleep(6)
+        assert not list_missing(stand_ins)
--- /dev/null
+++ b/tests/unit/test_platform_store.py
@@ -0,0 +1,139 @@
+"""Tests of peridotyard_platform.store."""
+
+import contextlib
+
+from peridotyard_daemon.process import platform
+from peridotyard_daemon.process import stores
+from peridotyard_platform import store
+import pytest
+from returns import result
+import trio
+
+from tests.support import cases
+from tests.support import memory
+from tests.support import platform_store
+from tests.support import virtual
+
+
+@contextlib.asynccontextmanager
+async def open_store():
+    network = memory.MemoryNetwork()
+    stand_in = platform_store.StandIn()
+    async with trio.open_nursery() as nursery:
+        stand_in.join(network, nursery)
+        await trio.testing.wait_all_tasks_blocked()
+        client = store.PlatformStore(
+            platform_store.ADDRESS, network.join("entry").dial
+        )
+        yield stand_in, client
+        nursery.cancel_scope.cancel()
+
+
+def write(key, value=b"x"):
+    return stores.Write("t", key, value)
+
+
+@cases.run_virtually
+async def test_scan_reads_all_pages():
+    # A page that is left out would look like servers that are gone.
+    async with open_store() as (stand_in, client):
+        keys = [f"k{number}" for number in range(8)]
+        for key in keys:
+            stand_in.put("t", key, key.encode())
+        stand_in.put("other", "x", b"x")
+        listing = (await client.scan("t")).unwrap()
+        assert [row.key for row in listing.rows] == keys
+        assert listing.rows[0].value == b"k0"
+        assert listing.revision == stand_in.revision
+
+
+@cases.run_virtually
+async def test_watch_returns_changes_as_they_happen():
+    async with open_store() as (stand_in, client):
+        before = stand_in.put("t", "a", b"1")
+        async with trio.open_nursery() as nursery:
+
+            async def change():
+                await trio.sleep(0.3)
+                stand_in.put("t", "a", None)
+
+            nursery.start_soon(change)
+            listing = (await client.watch("t", before, 1.0)).unwrap()
+        assert [(row.key, row.removed) for row in listing.rows] == [("a", True)]
+        assert trio.current_time() < 0.5
+
+
+@cases.run_virtually
+async def test_watch_without_changes_ends_with_its_wait():
+    async with open_store() as (stand_in, client):
+        listing = (await client.watch("t", stand_in.revision, 1.0)).unwrap()
+        assert listing.rows == ()
+
+
+@cases.run_virtually
+async def test_lost_history_is_told_from_no_change():
+    async with open_store() as (stand_in, client):
+        before = stand_in.revision
+        stand_in.put("t", "a", b"1")
+        stand_in.forget_history()
+        outcome = await client.watch("t", before, 1.0)
+        assert outcome == result.Failure(stores.HistoryLost())
+
+
+@cases.run_virtually
+async def test_condition_that_does_not_hold_writes_nothing():
+    async with open_store() as (stand_in, client):
+        revision = stand_in.put("t", "a", b"1")
+        outcome = await client.commit(
+            (stores.Condition("t", "a", revision - 1),), (write("b"),)
+        )
+        assert outcome.failure().rows == (stores.Row("a", b"1", revision),)
+        assert ("t", "b") not in stand_in.rows
+        outcome = await client.commit(
+            (stores.Condition("t", "a", revision),), (write("b"),)
+        )
+        assert isinstance(outcome, result.Success)
+
+
+@pytest.mark.parametrize(
+    ("fault", "kind"),
+    [
+        ("refuse", platform.Unavailable),
+        ("silent", platform.Lost),
+        ("reset", platform.Lost),
+        ("lose", platform.Lost),
+        ("late", platform.Lost),
+    ],
+)
+def test_commit_without_an_answer_is_not_taken_for_done_or_undone(fault, kind):
+    async def run():
+        async with open_store() as (stand_in, client):
+            stand_in.fault = fault
+            outcome = await client.commit((), (write("a"),))
+            assert isinstance(outcome.failure(), kind)
+            assert trio.current_time() < 2
+            stand_in.fault = ""
+            assert isinstance(await client.scan("t"), result.Success)
+
+    virtual.run(run)
+
+
+@cases.run_virtually
+async def test_store_that_cannot_be_reached_is_unsent():
+    network = memory.MemoryNetwork()
+    client = store.PlatformStore(
+        platform_store.ADDRESS, network.join("entry").dial
+    )
+    outcome = await client.scan("t")
+    assert isinstance(outcome.failure(), platform.Unsent)
+
+
+@cases.run_virtually
+async def test_silent_connection_is_replaced():
+    # A middlebox may have lost track of one connection while new ones work.
+    async with open_store() as (stand_in, client):
+        await client.scan("t")
+        network_fault, stand_in.fault = stand_in.fault, "silent"
+        assert isinstance((await client.scan("t")).failure(), platform.Lost)
+        stand_in.fault = network_fault
+        assert isinstance(await client.scan("t"), result.Success)
--- /dev/null
+++ b/tests/unit/test_relays.py
@@ -0,0 +1,255 @@
+"""Tests of peridotyard_daemon.request.relays."""
+
+import hypothesis
+from hypothesis import strategies
+from peridotyard_core import fleet
+from peridotyard_daemon.request import relays
+import pytest
+import trio
+
+from tests.support import cases
+from tests.support import gateways
+from tests.support import servers as servers_module
+from tests.support import virtual
+
+# Two zones with a whole copy each, and a spare for one stage of the first.
+SPANS = (
+    ("a0", "a", (0, 10)),
+    ("a1", "a", (10, 20)),
+    ("b0", "b", (0, 8)),
+    ("b1", "b", (8, 20)),
+    ("spare", "a", (8, 20)),
+)
+EVENTS = 10
+
+
+async def relay(site, **changes):
+    request = site.make_request(**changes)
+    recorder = gateways.Recorder()
+    stream = relays.Stream(site.context, site.prober, request, recorder)
+    await stream.run()
+    return recorder
+
+
+def check_whole(recorder, after=0):
+    assert recorder.finished
+    assert recorder.status == 200
+    numbers = gateways.read_numbers(recorder.body)
+    assert numbers == list(range(after + 1, EVENTS + 1))
+
+
+@cases.run_virtually
+async def test_stream_is_relayed_whole():
+    async with gateways.open_site(gateways.make_servers(SPANS)) as site:
+        check_whole(await relay(site))
+        headers = site.servers["a0"].requests[0]
+        assert headers["x-expect-instance"] == "a0"
+        assert headers["x-tenant"] == "north"
+        path = headers["x-hop-count"]
+        assert path.startswith("10.0.0.1:80=0-10,")
+        assert path.endswith("=10-20")
+
+
+@cases.run_virtually
+async def test_stream_goes_on_elsewhere_after_the_first_server_died():
+    # The caller must get one response, with each event once.
+    async with gateways.open_site(gateways.make_servers(SPANS)) as site:
+        site.servers["a0"].faults = [servers_module.Fault("crash", 4)]
+        check_whole(await relay(site))
+        assert site.servers["b0"].requests[0]["last-event-id"] == "4"
+
+
+@cases.run_virtually
+async def test_dead_stage_is_replaced_without_a_new_run():
+    # Starting anew would read the prompt again in all layers.
+    async with gateways.open_site(gateways.make_servers(SPANS)) as site:
+        used = "a1"
+        for name in ("a1", "spare"):
+            site.servers[name].faults = []
+        site.servers["a0"].faults = [servers_module.Fault("stall", 3)]
+        async with trio.open_nursery() as nursery:
+            box = []
+
+            async def run():
+                box.append(await relay(site))
+
+            nursery.start_soon(run)
+            await trio.sleep(0.1)
+            path = site.servers["a0"].requests[0]["x-hop-count"]
+            used = "a1" if "10.0.0.2:80" in path else "spare"
+            site.kill(used)
+        check_whole(box[0])
+        order = site.servers["a0"].orders[0]
+        assert order["op"] == "repath"
+        assert order["id"] == "r1"
+        address = str(site.servers[used].server.address)
+        assert address not in order["path"]
+        assert site.servers["b0"].runs == []
+
+
+@cases.run_virtually
+async def test_silent_stage_is_replaced_within_the_allowed_pause():
+    async with gateways.open_site(gateways.make_servers(SPANS)) as site:
+        site.servers["a0"].faults = [servers_module.Fault("stall", 3)]
+        async with trio.open_nursery() as nursery:
+            box = []
+
+            async def run():
+                box.append(await relay(site))
+
+            nursery.start_soon(run)
+            await trio.sleep(0.1)
+            path = site.servers["a0"].requests[0]["x-hop-count"]
+            site.cut("a1" if "10.0.0.2:80" in path else "spare")
+        check_whole(box[0])
+        assert len(site.servers["a0"].orders) == 1
+
+
+@cases.run_virtually
+async def test_stall_that_the_first_server_reports_is_mended():
+    # Both ends may live while the link between two stages is cut.
+    async with gateways.open_site(gateways.make_servers(SPANS)) as site:
+        first = site.servers["a0"]
+        first.faults = [servers_module.Fault("stall", 2)]
+        async with trio.open_nursery() as nursery:
+            box = []
+
+            async def run():
+                box.append(await relay(site))
+
+            nursery.start_soon(run)
+            await trio.sleep(0.06)
+            path = first.requests[0]["x-hop-count"]
+            first.culprit = path.split(",")[1].split("=")[0]
+        check_whole(box[0])
+        assert first.culprit not in first.orders[0]["path"]
+
+
+@cases.run_virtually
+async def test_refused_repair_is_followed_by_a_new_run():
+    async with gateways.open_site(gateways.make_servers(SPANS)) as site:
+        first = site.servers["a0"]
+        first.accepts_orders = False
+        first.faults = [servers_module.Fault("stall", 2)]
+        async with trio.open_nursery() as nursery:
+            box = []
+
+            async def run():
+                box.append(await relay(site))
+
+            nursery.start_soon(run)
+            await trio.sleep(0.06)
+            path = first.requests[0]["x-hop-count"]
+            site.kill("a1" if "10.0.0.2:80" in path else "spare")
+        check_whole(box[0])
+
+
+@pytest.mark.parametrize("kind", ["torn", "skip", "repeat"])
+def test_wrong_events_never_reach_the_caller(kind):
+    async def run():
+        async with gateways.open_site(gateways.make_servers(SPANS)) as site:
+            site.servers["a0"].faults = [servers_module.Fault(kind, 4)]
+            check_whole(await relay(site))
+
+    virtual.run(run)
+
+
+@cases.run_virtually
+async def test_refusal_is_followed_by_another_path():
+    async with gateways.open_site(gateways.make_servers(SPANS)) as site:
+        site.servers["a0"].faults = [servers_module.Fault("refuse")]
+        check_whole(await relay(site))
+
+
+@cases.run_virtually
+async def test_answer_without_signature_is_no_success():
+    async with gateways.open_site(gateways.make_servers(SPANS)) as site:
+        site.servers["a0"].faults = [servers_module.Fault("unsigned")]
+        check_whole(await relay(site))
+        assert site.servers["b0"].runs == ["r1"]
+
+
+@cases.run_virtually
+async def test_stream_that_may_run_once_is_cut_and_not_repeated():
+    async with gateways.open_site(gateways.make_servers(SPANS)) as site:
+        site.servers["a0"].faults = [servers_module.Fault("crash", 4)]
+        recorder = await relay(site, repeat=fleet.Repeat.STREAM_ONCE)
+        assert not recorder.finished
+        runs = [name for item in site.servers.values() for name in item.runs]
+        assert runs == ["r1"]
+
+
+@cases.run_virtually
+async def test_caller_resumes_after_its_last_event():
+    async with gateways.open_site(gateways.make_servers(SPANS)) as site:
+        check_whole(await relay(site, last_event=6), after=6)
+
+
+@cases.run_virtually
+async def test_no_path_is_refused_at_once_as_not_run():
+    # A held request could not be sent elsewhere in time.
+    async with gateways.open_site(gateways.make_servers(SPANS[:1])) as site:
+        began = trio.current_time()
+        recorder = await relay(site)
+        assert recorder.status == 503
+        assert b"not-run" in recorder.body
+        assert dict(recorder.headers)[b"retry-after"]
+        assert trio.current_time() - began < 0.1
+
+
+@cases.run_virtually
+async def test_time_limit_ends_a_stream_that_has_begun():
+    async with gateways.open_site(gateways.make_servers(SPANS)) as site:
+        recorder = await relay(site, patience_ms=200)
+        assert recorder.started
+        assert not recorder.finished
+
+
+@cases.run_virtually
+async def test_time_limit_before_the_first_event_is_a_timeout():
+    async with gateways.open_site(gateways.make_servers(SPANS)) as site:
+        recorder = await relay(site, patience_ms=30)
+        assert recorder.status == 504
+        assert b"may-have-run" in recorder.body
+
+
+@cases.run_virtually
+async def test_requests_in_flight_are_counted_back_to_zero():
+    async with gateways.open_site(gateways.make_servers(SPANS)) as site:
+        site.servers["a0"].faults = [servers_module.Fault("crash", 4)]
+        await relay(site)
+        assert site.context.view.count_in_flight() == {}
+
+
+FAULTS = strategies.lists(
+    strategies.builds(
+        servers_module.Fault,
+        strategies.sampled_from(
+            ["", "refuse", "crash", "torn", "skip", "repeat", "unsigned"]
+        ),
+        strategies.integers(0, EVENTS - 1),
+    ),
+    max_size=3,
+)
+
+
+@hypothesis.settings(**cases.DERANDOMIZED)
+@hypothesis.given(first=FAULTS, second=FAULTS, after=strategies.integers(0, 9))
+def test_caller_gets_a_prefix_in_order_and_an_end_only_after_the_last_event(
+    first, second, after
+):
+    async def run():
+        async with gateways.open_site(gateways.make_servers(SPANS)) as site:
+            site.servers["a0"].faults = first
+            site.servers["b0"].faults = second
+            recorder = await relay(site, last_event=after)
+        if recorder.status != 200:
+            assert recorder.finished
+            return
+        numbers = gateways.read_numbers(recorder.body)
+        assert numbers == list(range(after + 1, after + 1 + len(numbers)))
+        assert recorder.finished == (after + len(numbers) == EVENTS)
+        events = b"".join(servers_module.encode_event(n) for n in numbers)
+        assert recorder.body == events
+
+    virtual.run(run)
