Keep retries within the budget and examine silent paths earlier

Each entry restarted by the rolling stop began with a whole share of the reserve, believed that it was alone until its first reading of the store, and sent refused streams to the same first server up to five times.

Ruled out: the mesh (the same with and without it); false deaths (the servers answered reports all the while).

Change: the reserve's share grows during the first window of a process and needs a known number of entries, which counts lost ones for longer than the window. A server that refused is not asked again by the same request, and gets no work from others for 0.4 s, doubling; three refusals in a row make the placement duty replace it. Suspicions and the layers that the duty reads from reports are told to the other entries. Placement rounds start on changes of the fleet instead of polling all servers. Silence is examined after 2.5 mean pauses instead of half the longest one. The build compares contents, not times: a copy with older times had kept an old build.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -2,29 +2,32 @@
 # Puts the packages and their pinned libraries under target/deps, compiled.
 set -eu
 cd "$(dirname "$0")/.."
-stamp=target/built
-if [ -e "$stamp" ] && [ -z "$(find packages platform deploy requirements.lock \
-    -newer "$stamp" -type f -not -path '*/__pycache__/*' \
-    -not -path '*.egg-info/*' -print -quit)" ]; then
-  exit 0
-fi
 python=${PYTHON:-python3}
+deps=target/deps
 mkdir -p target
+
+# Contents and not times decide, since a checkout may be a copy.
+sources=$(find packages/*/src platform/src deploy requirements.lock \
+  -type f -not -name '*.pyc' -not -path '*.egg-info/*' | LC_ALL=C sort)
+digest=$(cksum $sources | cksum)
+if [ "$(cat target/built 2>/dev/null)" = "$digest" ]; then
+  exit 0
+fi
+
 # Only libraries that the entry imports; the tools of development stay out.
-grep -E '^(attrs|h11|hdrhistogram|idna|Logbook|outcome|pbr|PyYAML|returns|sniffio|sortedcontainers|six|statsd|thrift|trio|typing_extensions)==' \
+grep -E '^(attrs|h11|hdrhistogram|idna|Logbook|outcome|pbr|PyYAML|returns|six|sniffio|sortedcontainers|statsd|thrift|trio|typing_extensions)==' \
   requirements.lock > target/requirements.txt
-if ! cmp -s target/requirements.txt target/deps/requirements.txt; then
-  rm -rf target/deps
-  "$python" -m pip install -q --no-deps --target target/deps \
+if ! cmp -s target/requirements.txt $deps/requirements.txt; then
+  rm -rf $deps
+  "$python" -m pip install -q --no-deps --target $deps \
     -r target/requirements.txt
-  cp target/requirements.txt target/deps/requirements.txt
+  cp target/requirements.txt $deps/requirements.txt
 fi
-for package in core daemon; do
-  name=peridotyard_$package
-  rm -rf "target/deps/$name"
-  cp -R "packages/peridotyard-$package/src/$name" target/deps/
+for source in packages/peridotyard-core/src/peridotyard_core \
+  packages/peridotyard-daemon/src/peridotyard_daemon \
+  platform/src/peridotyard_platform; do
+  rm -rf "$deps/$(basename $source)"
+  cp -R $source $deps/
 done
-rm -rf target/deps/peridotyard_platform
-cp -R platform/src/peridotyard_platform target/deps/
-"$python" -m compileall -q -j 0 target/deps || true
-touch "$stamp"
+"$python" -m compileall -q -j 0 $deps
+echo "$digest" > target/built
--- a/packages/peridotyard-core/src/peridotyard_core/budgets.py
+++ b/packages/peridotyard-core/src/peridotyard_core/budgets.py
@@ -49,17 +49,27 @@
     by the process.
     """
 
-    def __init__(self, fraction: float, reserve: float, window_s: float):
+    def __init__(
+        self,
+        fraction: float,
+        reserve: float,
+        window_s: float,
+        started_at: float = float("-inf"),
+    ):
         """Makes a budget.
 
         Args:
             fraction: Retries allowed per request of the window.
             reserve: Retries allowed in a window besides, for all entries.
             window_s: Length of the window, seconds.
+            started_at: Start of the process, seconds. The share of the
+                reserve grows during its first window, as the process that it
+                replaces may have used the whole share just before.
         """
         self._fraction = fraction
         self._reserve = reserve
         self._window_s = window_s
+        self._started_at = started_at
         self._requests = collections.deque()
         self._retries = collections.deque()
 
@@ -73,10 +83,12 @@
 
         Args:
             now: Time, seconds.
-            entries: Entries that share the reserve.
+            entries: Entries that share the reserve; 0 while their number is
+                not known, which leaves the fraction alone.
         """
         self._trim(now)
-        share = self._reserve / max(1, entries)
+        share = self._reserve / entries if entries else 0.0
+        share *= min(1.0, (now - self._started_at) / self._window_s)
         allowed = self._fraction * len(self._requests) + share
         if len(self._retries) + 1 > allowed:
             return False
--- a/packages/peridotyard-core/src/peridotyard_core/fleet.py
+++ b/packages/peridotyard-core/src/peridotyard_core/fleet.py
@@ -131,7 +131,6 @@
         slots: Requests that it serves at a time.
         card: Kind of accelerator, empty for a plain service.
         span: Layers that it holds; None if it holds none.
-        orders: Number of orders that it accepted since its start.
         born_ms: Unix time of its start.
         revision: Revision of the platform's row that this was read from.
     """
@@ -144,7 +143,6 @@
     slots: int = 0
     card: str = ""
     span: Span | None = None
-    orders: int = 0
     born_ms: int = 0
     revision: int = 0
 
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/gateway.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/gateway.py
@@ -126,17 +126,25 @@
         self._mesh = mesh.Mesh(
             self.view,
             self._synchronizer,
+            self._prober,
             self._network,
             name,
             settings.peers,
             self._list_entries,
         )
-        self._synchronizer.notify_routing = self._mesh.announce
         self._placement = placement.Placement(
-            self.view, self._presence, pool, dialect, count
+            self.view,
+            self._presence,
+            pool,
+            dialect,
+            count,
+            self._mesh.announce_layers,
         )
+        self._synchronizer.notify_routing = self._mesh.announce
+        self.view.notify_suspect = self._mesh.announce_suspect
         self._connections: set[callers.CallerConnection] = set()
         self._refusing = False
+        self._started_at = float("-inf")
 
     def _list_entries(self) -> set[addresses.Address]:
         seeds = set(self._settings.seeds) - {self._settings.peers}
@@ -148,6 +156,7 @@
             settings.retry_fraction,
             settings.retry_reserve,
             settings.retry_window_s,
+            self._started_at,
         )
 
     @property
@@ -161,6 +170,7 @@
 
     async def run(self) -> None:
         """Runs until the process has been asked to stop and has drained."""
+        self._started_at = trio.current_time()
         async with trio.open_nursery() as nursery:
             await nursery.start(self._lifecycle.watch_signals)
             for address, handler in (
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/mesh.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/mesh.py
@@ -1,4 +1,4 @@
-"""Connections between the entries: configuration and requests in flight.
+"""Connections between the entries: configuration, loads and suspicions.
 
 Losing them degrades the choice of paths and nothing else, except for an entry
 that the store turns away: it learns a new configuration only here.
@@ -7,11 +7,14 @@
 import collections.abc
 
 from peridotyard_core import addresses
+from peridotyard_core import fleet
+from peridotyard_core import layouts
 import trio
 
 from peridotyard_daemon.connection import peers as peers_module
 from peridotyard_daemon.process import logs
 from peridotyard_daemon.process import network as network_module
+from peridotyard_daemon.process import probes
 from peridotyard_daemon.process import synchronization
 from peridotyard_daemon.process import views
 from peridotyard_daemon.wire.generated import ttypes
@@ -40,6 +43,7 @@
         self,
         view: views.View,
         synchronizer: synchronization.Synchronizer,
+        prober: probes.Prober,
         network: network_module.Network,
         name: str,
         address: addresses.Address,
@@ -50,6 +54,7 @@
         Args:
             view: Gets configuration and loads.
             synchronizer: Decodes and keeps the stored configuration.
+            prober: Asks servers that another entry suspects.
             network: Connections between processes.
             name: Name of this entry, unique for each process start.
             address: Where this entry accepts the others.
@@ -57,16 +62,19 @@
         """
         self._view = view
         self._synchronizer = synchronizer
+        self._prober = prober
         self._name = name
         self._address = address
         self._list_entries = list_entries
         self._peers = peers_module.Peers(network, self, TIMING)
         self._kept: set[addresses.Address] = set()
         self._sent_loads: dict[str, int] = {}
+        self._nursery: trio.Nursery | None = None
 
     async def run(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
         """Serves and keeps the connections until cancelled."""
         async with trio.open_nursery() as nursery:
+            self._nursery = nursery
             await nursery.start(self._peers.run, self._address)
             task_status.started()
             nursery.start_soon(self._dial_all)
@@ -77,6 +85,19 @@
         notice = ttypes.ConfigNotice(revision=self._version())
         self._peers.broadcast(ttypes.Frame(config_notice=notice))
 
+    def announce_suspect(self, server: fleet.Server) -> None:
+        """Tells the other entries that a server did not answer."""
+        suspects = ttypes.Suspects(instances=[server.instance])
+        self._peers.broadcast(ttypes.Frame(suspects=suspects))
+
+    def announce_layers(self, spans: layouts.Spans) -> None:
+        """Tells the other entries which layers servers have reported."""
+        for instance, span in spans.items():
+            offer = ttypes.Offer(instance=instance, kind="model", ready=True)
+            if span is not None:
+                offer.first_layer, offer.end_layer = span.first, span.end
+            self._peers.broadcast(ttypes.Frame(offer=offer))
+
     def make_hello(self) -> ttypes.Hello:
         """Returns the first message for a peer."""
         return ttypes.Hello(
@@ -114,6 +135,17 @@
                     source = f"entry {connection.peer.instance}"
                     value = record.body.encode()
                     self._synchronizer.take_routing(value, source)
+        elif frame.offer is not None:
+            offer = frame.offer
+            span = fleet.Span(offer.first_layer, offer.end_layer)
+            self._view.apply_report(
+                offer.instance, span if span.size > 0 else None
+            )
+        elif frame.suspects is not None:
+            for instance in frame.suspects.instances:
+                server = self._view.servers.get(instance)
+                if server is not None:
+                    self._nursery.start_soon(self._prober.probe, server)
         elif frame.in_flight is not None:
             self._view.apply_foreign(
                 connection.key, dict(frame.in_flight.requests)
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/placement.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/placement.py
@@ -13,13 +13,16 @@
 from peridotyard_daemon.process import presence
 from peridotyard_daemon.process import views
 
-# Time between two rounds. A round asks each server of the fleet for a report;
-# a lost layer costs its zone until a round replaces it.
-ROUND_S = 0.8
+# Longest time between two rounds. A change of the fleet starts one at once;
+# this finds what changed while the duty was elsewhere.
+ROUND_S = 3.0
+# Time between two rounds while orders are being carried out, or the fleet is
+# not complete yet.
+BUSY_ROUND_S = 0.4
+# Pause after a change, as servers that fail together are noticed one by one.
+GATHER_S = 0.05
 # An answer of a live server takes a few milliseconds.
 REPORT_TIMEOUT_S = 0.4
-# Rounds without an answer after which a server's layers are given to others.
-DEAD_ROUNDS = 2
 # The first layout waits until the fleet has been the same for so long, but
 # not longer than the second figure: servers start within a second or two of
 # each other, and a later one is used as a spare.
@@ -32,31 +35,16 @@
 _log = logs.Part("placement")
 
 
-@dataclasses.dataclass
-class _Known:
-    """What the holder knows of one model server.
-
-    Attributes:
-        report: Latest report, None before the first.
-        missed: Rounds without an answer since then.
-    """
-
-    report: exchanges.Report | None = None
-    missed: int = 0
-
-
 @dataclasses.dataclass(frozen=True)
 class _Order:
     """An order that may not have taken effect.
 
     Attributes:
         span: The layers ordered.
-        orders: Number of accepted orders before it.
         until: Time at which it is taken to have failed.
     """
 
     span: fleet.Span
-    orders: int
     until: float
 
 
@@ -70,13 +58,24 @@
         pool: upstreams.Pool,
         dialect: exchanges.Dialect,
         count: collections.abc.Callable[[str], None],
+        publish: collections.abc.Callable[[layouts.Spans], None],
     ):
+        """Makes the duty of one process.
+
+        Args:
+            view: What the entry believes about the fleet.
+            duty: Tells whether this entry holds the lease.
+            pool: Connections to servers.
+            dialect: Translation to the platform's wire.
+            count: Adds one to a counter.
+            publish: Tells the other entries which layers servers reported.
+        """
         self._view = view
         self._duty = duty
         self._pool = pool
         self._dialect = dialect
         self._count = count
-        self._known: dict[str, _Known] = {}
+        self._publish = publish
         self._pending: dict[str, _Order] = {}
         self._fleet: frozenset[str] = frozenset()
         self._first_at: float | None = None
@@ -85,48 +84,69 @@
     async def run(self) -> None:
         """Runs rounds while the duty is held, until cancelled."""
         while True:
-            await trio.sleep(ROUND_S)
+            busy = False
             if self._duty.holds_duty() and self._view.routing is not None:
                 for service in self._view.routing.services.values():
                     if service.engine is not None:
-                        await self._run_round(service)
+                        busy |= await self._run_round(service)
             else:
-                self._forget()
-
-    def _forget(self) -> None:
-        self._known.clear()
-        self._pending.clear()
-        self._first_at = None
+                self._pending.clear()
+                self._first_at = None
+                # Nothing tells when the duty is taken over.
+                busy = True
+            with trio.move_on_after(BUSY_ROUND_S if busy else ROUND_S):
+                await self._view.wait_changed()
+            await trio.sleep(GATHER_S)
 
-    async def _run_round(self, service: fleet.Service) -> None:
+    async def _run_round(self, service: fleet.Service) -> bool:
+        """Orders what is missing; returns whether to look again soon."""
         servers = [
             server
             for server in self._view.servers.values()
             if server.service == service.name and server.ready
         ]
-        names = {server.instance for server in servers}
-        for name in [name for name in self._known if name not in names]:
-            del self._known[name]
-        async with trio.open_nursery() as nursery:
-            for server in servers:
-                nursery.start_soon(self._ask, server)
-        alive = [server for server in servers if self._is_alive(server)]
+        alive = [
+            server
+            for server in servers
+            if not self._view.is_suspected(server)
+            and not self._view.is_leaving(server)
+        ]
+        await self._ask_all(s for s in alive if s.instance in self._pending)
         spans = self._find_spans(alive)
         if not self._is_settled(alive, spans):
-            return
+            return True
+        busy = bool(self._pending)
         for group in layouts.group_zones(alive, service.engine):
-            changes = self._plan(group, spans, service.engine)
-            await self._send_all(group, changes)
+            if self._plan(group, spans, service.engine):
+                await self._order_group(group, service.engine)
+                # Also when all orders were refused.
+                busy = True
+        return busy
+
+    async def _order_group(self, group, engine: fleet.Engine) -> None:
+        """Plans a group on fresh reports and sends the orders."""
+        reports = await self._ask_all(group)
+        # As the reports changed them.
+        alive = [
+            self._view.servers[name]
+            for name in reports
+            if name in self._view.servers
+        ]
+        spans = self._find_spans(alive)
+        changes = self._plan(alive, spans, engine)
+        by_name = {server.instance: server for server in alive}
+        async with trio.open_nursery() as nursery:
+            for instance, span in changes.items():
+                if instance not in self._pending:
+                    nursery.start_soon(
+                        self._send, by_name[instance], span, reports[instance]
+                    )
 
     def _plan(self, group, spans, engine) -> layouts.Spans:
         if not any(server.instance in spans for server in group):
             return layouts.plan_group(group, engine)
         return layouts.repair_group(group, spans, engine)
 
-    def _is_alive(self, server: fleet.Server) -> bool:
-        known = self._known[server.instance]
-        return known.report is not None and known.missed < DEAD_ROUNDS
-
     def _is_settled(self, alive, spans) -> bool:
         """Returns whether the fleet is complete enough to be laid out."""
         now = trio.current_time()
@@ -145,17 +165,34 @@
             or now - self._first_at >= SETTLED_LIMIT_S
         )
 
-    async def _ask(self, server: fleet.Server) -> None:
-        known = self._known.setdefault(server.instance, _Known())
+    async def _ask_all(self, servers) -> dict[str, exchanges.Report]:
+        """Returns the reports of the servers that answer."""
+        reports: dict[str, exchanges.Report] = {}
+        async with trio.open_nursery() as nursery:
+            for server in servers:
+                nursery.start_soon(self._ask, server, reports)
+        changed = {
+            name: report.span
+            for name, report in reports.items()
+            if self._view.apply_report(name, report.span)
+        }
+        if changed:
+            self._publish(changed)
+        return reports
+
+    async def _ask(
+        self, server: fleet.Server, reports: dict[str, exchanges.Report]
+    ) -> None:
+        """Adds the report of a server that answers."""
         self._count("reports")
+        reason = "no answer in time"
         with trio.move_on_after(REPORT_TIMEOUT_S):
             try:
                 status, body = await self._pool.fetch(
                     server.address, "GET", self._dialect.report_target
                 )
                 if status == 200:
-                    known.report = self._dialect.decode_report(body)
-                    known.missed = 0
+                    reports[server.instance] = self._dialect.decode_report(body)
                     return
                 reason = f"status {status}"
             except (
@@ -164,42 +201,35 @@
                 ValueError,
             ) as error:
                 reason = str(error)
-            known.missed += 1
-            _log.debug("No report.", instance=server.instance, reason=reason)
-            return
-        known.missed += 1
         self._pool.forget(server.address)
+        _log.info(
+            "Server is left out of the layout.",
+            instance=server.instance,
+            reason=reason,
+        )
 
     def _find_spans(self, servers) -> layouts.Spans:
         """Returns what servers hold, or are about to hold."""
         now = trio.current_time()
         spans = {}
         for server in servers:
-            report = self._known[server.instance].report
+            span = server.span
             order = self._pending.get(server.instance)
             if order is not None:
-                done = report.orders > order.orders and not report.busy
-                if done or now >= order.until:
+                if span == order.span or now >= order.until:
                     del self._pending[server.instance]
-                    order = None
-            span = order.span if order else report.span
+                else:
+                    span = order.span
             if span is not None:
                 spans[server.instance] = span
         return spans
 
-    async def _send_all(self, group, changes: layouts.Spans) -> None:
-        by_name = {server.instance: server for server in group}
-        async with trio.open_nursery() as nursery:
-            for instance, span in changes.items():
-                if instance in self._pending:
-                    continue
-                nursery.start_soon(self._send, by_name[instance], span)
-
-    async def _send(self, server: fleet.Server, span: fleet.Span) -> None:
+    async def _send(
+        self, server: fleet.Server, span: fleet.Span, report: exchanges.Report
+    ) -> None:
         # Rounds take time; a paused or replaced holder must not go on.
         if not self._duty.holds_duty():
             return
-        report = self._known[server.instance].report
         self._count("orders")
         outcome = "no answer"
         with trio.move_on_after(REPORT_TIMEOUT_S):
@@ -218,7 +248,7 @@
         if not refused:
             # Without an answer it may still be carried out.
             self._pending[server.instance] = _Order(
-                span, report.orders, trio.current_time() + ORDER_LIFE_S
+                span, trio.current_time() + ORDER_LIFE_S
             )
         _log.info(
             "Ordered layers.",
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/presence.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/presence.py
@@ -15,10 +15,12 @@
 TABLE = "peridotyard"
 ENTRY_PREFIX = "entry/"
 LEASE_KEY = "lease/placement"
-# Time between two signs of life. Each costs two calls of the store; an entry
-# that is lost is missed after three.
+# Time between two signs of life. Each costs two calls of the store.
 BEAT_S = 2.0
-LIVE_S = 3 * BEAT_S
+# An entry counts as live for longer than the window of the retry budget (10 s),
+# since what a lost one has spent counts until then.
+LIVE_S = 12.0
+LEASE_S = 3 * BEAT_S
 
 _log = logs.Part("presence")
 
@@ -61,7 +63,7 @@
         self._name = name
         self._address = address
         self._clock = clock
-        self.lease = leases.Lease(name, 3 * BEAT_S)
+        self.lease = leases.Lease(name, LEASE_S)
         self.others: set[addresses.Address] = set()
 
     async def run(self) -> None:
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/probes.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/probes.py
@@ -15,8 +15,8 @@
 # report needs no slot.
 PROBE_TIMEOUT_S = 0.08
 # A positive answer is not asked for again within this time, which bounds the
-# probes of a server to 3 a second however many streams wait for it.
-FRESH_S = 0.3
+# probes of a server to 7 a second however many streams wait for it.
+FRESH_S = 0.15
 # Time between two probes of a suspected server.
 RECHECK_S = 0.4
 
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/synchronization.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/synchronization.py
@@ -13,14 +13,15 @@
 from peridotyard_daemon.process import stores
 from peridotyard_daemon.process import views
 
-# Longest wait of one call for a change. With the time to notice a silent
-# connection it stays below the two seconds within which a configuration has
-# to be in force.
-ROUTING_WAIT_S = 1.4
+# Longest wait of one call for a change of the configuration; the answer to a
+# change comes at once. A connection that went silent is noticed after it and a
+# margin, which stays below the five seconds in which an entry has to be in
+# step again (three until it counts as in touch, and two for a configuration).
+ROUTING_WAIT_S = 4.0
 # Pause between two readings of the servers' changes. They change with every
 # heartbeat, and each call has a price; a leaving server is to be known within
 # two seconds.
-SERVERS_PAUSE_S = 0.7
+SERVERS_PAUSE_S = 1.0
 # Wait for a change of the servers; the pause above sets the pace.
 SERVERS_WAIT_S = 0.7
 # Pause after a failed call, doubled up to the longest one.
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/views.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/views.py
@@ -15,6 +15,17 @@
 # the time after which it is tried without one. Three heartbeats of the
 # platform (1.2 s each) remove a dead server from the list.
 SUSPICION_S = 4.0
+# Time for which a server that refused work is left out of new paths: it leaves,
+# moves its layers or is full, and each further refusal costs a retry. The time
+# doubles with each refusal after it.
+REFUSAL_MIN_S = 0.4
+REFUSAL_MAX_S = 3.2
+# Refusals in a row, each after such a time, that mark a server as leaving
+# although the platform's list does not say so.
+REFUSALS_LEAVING = 3
+# Time for which a report goes before the platform's list, which follows a
+# server's heartbeat (1.2 s) and is read once a second.
+REPORT_HOLD_S = 3.0
 # Weight of the newest outcome in a server's share of failures; about the last
 # ten answers count.
 FAILURE_SMOOTHING = 0.1
@@ -36,8 +47,10 @@
         in_flight: Requests of this entry that the server works on.
         failures: Smoothed share of failed answers.
         duration_s: Smoothed time to answer, 0 before the first.
-        suspected_until: Time until which it is avoided.
-        reason: Why it is avoided.
+        suspected_until: Time until which it is taken for dead.
+        reason: Why it is.
+        refusals: Refusals in a row.
+        refused_until: Time until which it gets no new work after one.
     """
 
     in_flight: int = 0
@@ -45,6 +58,8 @@
     duration_s: float = 0.0
     suspected_until: float = 0.0
     reason: str = ""
+    refusals: int = 0
+    refused_until: float = 0.0
 
 
 class View:
@@ -56,7 +71,8 @@
         routing_at: Time at which the routing was last confirmed.
         servers: Servers of the platform's list, by instance.
         servers_at: Time at which the list was last confirmed.
-        entries: Number of live entries, this one included.
+        notify_suspect: Called with each newly suspected server.
+        entries: Number of live entries, this one included; 0 until known.
     """
 
     def __init__(self, zone: str):
@@ -65,9 +81,18 @@
         self.routing_at = float("-inf")
         self.servers: dict[str, fleet.Server] = {}
         self.servers_at = float("-inf")
-        self.entries = 1
+        self.entries = 0
+        self.notify_suspect: collections.abc.Callable[[fleet.Server], None] = (
+            _ignore
+        )
+        self._changed = trio.Event()
         self._health: dict[str, Health] = collections.defaultdict(Health)
         self._foreign: dict[str, dict[str, int]] = {}
+        self._reports: dict[str, tuple[fleet.Span | None, float]] = {}
+
+    async def wait_changed(self) -> None:
+        """Waits for a change of the servers or of their suspicion."""
+        await self._changed.wait()
 
     def apply_routing(self, routing: fleet.Routing, source: str) -> bool:
         """Puts a configuration in force unless it is an older one."""
@@ -98,11 +123,13 @@
         old = self.servers.get(server.instance)
         if old is not None and server.revision < old.revision:
             return
+        server = self._prefer_report(old, server)
         self.servers[server.instance] = server
         if old is not None and old.born_ms != server.born_ms:
             # Restarted with the same name: what was known is of the past.
             self._reset(server.instance, "restarted")
         if old is None or _differs(old, server):
+            self._announce()
             _log.info(
                 "Server changed.",
                 instance=server.instance,
@@ -114,13 +141,49 @@
                 revision=server.revision,
             )
 
+    def apply_report(self, instance: str, span: fleet.Span | None) -> bool:
+        """Takes the layers that a server reported just now.
+
+        Returns:
+            Whether they are other ones than before.
+        """
+        server = self.servers.get(instance)
+        if server is None:
+            return False
+        self._reports[instance] = (span, trio.current_time())
+        if server.span == span:
+            return False
+        self.servers[instance] = dataclasses.replace(server, span=span)
+        self._announce()
+        _log.info(
+            "Server reported other layers.",
+            instance=instance,
+            address=server.address,
+            span=_describe(span),
+            previous=_describe(server.span),
+        )
+        return True
+
+    def _prefer_report(
+        self, old: fleet.Server | None, server: fleet.Server
+    ) -> fleet.Server:
+        """Returns a listed server with the layers of a newer report."""
+        span, at = self._reports.get(server.instance, (None, float("-inf")))
+        same = old is not None and old.born_ms == server.born_ms
+        if same and trio.current_time() - at < REPORT_HOLD_S:
+            return dataclasses.replace(server, span=span)
+        self._reports.pop(server.instance, None)
+        return server
+
     def remove_server(self, instance: str, revision: int) -> None:
         """Removes a server that left the platform's list."""
         server = self.servers.get(instance)
         if server is None or revision < server.revision:
             return
         del self.servers[instance]
+        self._announce()
         self._health.pop(instance, None)
+        self._reports.pop(instance, None)
         _log.info("Server is gone.", instance=instance, revision=revision)
 
     def replace_servers(
@@ -149,15 +212,19 @@
     def suspect(self, server: fleet.Server, reason: str) -> None:
         """Avoids a server for `SUSPICION_S`, or until a probe succeeds."""
         health = self._health[server.instance]
-        if not self.is_suspected(server):
-            _log.warning(
-                "Server is suspected.",
-                instance=server.instance,
-                address=server.address,
-                reason=reason,
-            )
+        is_new = not self.is_suspected(server)
         health.suspected_until = trio.current_time() + SUSPICION_S
         health.reason = reason
+        if not is_new:
+            return
+        _log.warning(
+            "Server is suspected.",
+            instance=server.instance,
+            address=server.address,
+            reason=reason,
+        )
+        self._announce()
+        self.notify_suspect(server)
 
     def trust(self, server: fleet.Server) -> None:
         """Ends the suspicion of a server that answered a probe."""
@@ -170,18 +237,52 @@
             )
         health.suspected_until = 0.0
 
+    def note_refusal(self, server: fleet.Server) -> None:
+        """Gives a server that refused work none for a time."""
+        health = self._health[server.instance]
+        now = trio.current_time()
+        # Requests that were on their way together count as one.
+        if now < health.refused_until:
+            return
+        pause_s = min(REFUSAL_MIN_S * 2**health.refusals, REFUSAL_MAX_S)
+        health.refusals += 1
+        health.refused_until = now + pause_s
+        _log.info(
+            "Server refuses work.",
+            instance=server.instance,
+            address=server.address,
+            refusals=health.refusals,
+            pause_ms=round(1000 * pause_s),
+        )
+        if self.is_leaving(server):
+            self._announce()
+
+    def note_accepted(self, server: fleet.Server) -> None:
+        """Ends the refusals of a server that works on a request."""
+        health = self._health.get(server.instance)
+        if health is not None and health.refusals:
+            health.refusals = 0
+            health.refused_until = 0.0
+
+    def is_leaving(self, server: fleet.Server) -> bool:
+        """Returns whether a server keeps refusing work."""
+        health = self._health.get(server.instance)
+        return health is not None and health.refusals >= REFUSALS_LEAVING
+
     def list_suspects(self) -> list[fleet.Server]:
         """Returns the suspected servers of the list."""
         return [s for s in self.servers.values() if self.is_suspected(s)]
 
     def list_usable(self, service: str) -> list[fleet.Server]:
         """Returns the servers of a service that take new work."""
+        now = trio.current_time()
         return [
             server
             for server in self.servers.values()
             if server.service == service
             and server.ready
             and not self.is_suspected(server)
+            and now >= self._health[server.instance].refused_until
         ]
 
     def find(self, address: addresses.Address) -> fleet.Server | None:
@@ -249,6 +350,10 @@
         planner = paths.Planner(service.engine, self.zone)
         return planner.choose(servers, self.load)
 
+    def _announce(self) -> None:
+        self._changed.set()
+        self._changed = trio.Event()
+
     def _reset(self, instance: str, reason: str) -> None:
         in_flight = self._health[instance].in_flight
         self._health[instance] = Health(in_flight=in_flight)
@@ -264,5 +369,9 @@
     )
 
 
+def _ignore(_server: fleet.Server) -> None:
+    """Stands in where nobody wants to be notified."""
+
+
 def _describe(span: fleet.Span | None) -> str:
     return f"{span.first}-{span.end}" if span else "none"
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/relays.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/relays.py
@@ -20,13 +20,17 @@
 
 # Sends of one request: the first, and a few refusals or resumptions.
 SEND_LIMIT = 5
-# Share of the longest allowed pause after which the path is examined. Half of
-# it leaves time to replace a dead server before the pause is too long.
+# Mean pauses between events after which the path is examined, but not later
+# than a share of the longest pause that is allowed: half of it leaves time to
+# replace a dead server before the pause is too long.
+SILENCE_GAPS = 2.5
 SILENCE_SHARE = 0.5
 # Bounds of that time. Below a few steps of a full batch, every pass would
 # look like a failure.
-SILENCE_MIN_S = 0.1
+SILENCE_MIN_S = 0.06
 SILENCE_MAX_S = 0.5
+# Weight of the newest pause in the mean.
+GAP_SMOOTHING = 0.2
 # Silence after which a stream is moved although all its servers answer.
 # Callers give up a stream that is silent for two seconds.
 GIVE_UP_S = 1.5
@@ -98,10 +102,7 @@
         self._path: paths.Path = ()
         self._avoid: frozenset[str] = frozenset()
         self._last_at = trio.current_time()
-        limit_s = request.route.gap_s or request.route.objective_s
-        self._silence_s = min(
-            max(SILENCE_SHARE * limit_s, SILENCE_MIN_S), SILENCE_MAX_S
-        )
+        self._gap_s: float | None = None
 
     async def run(self) -> None:
         """Relays the stream, on as many paths as it takes."""
@@ -122,9 +123,7 @@
         may_have_run = 0
         outcome: Outcome | None = None
         for send in range(SEND_LIMIT):
-            path = context.view.choose_path(request.service, self._avoid)
-            if path is None and self._avoid:
-                path = context.view.choose_path(request.service)
+            path = self._choose(outcome)
             if path is None:
                 outcome = outcome or Refused("no path", frozenset())
                 break
@@ -143,6 +142,16 @@
                         break
         await self._conclude(outcome)
 
+    def _choose(self, last: Outcome | None) -> paths.Path | None:
+        """Returns the next path, given how the last one ended."""
+        view, service = self._context.view, self._request.service
+        path = view.choose_path(service, self._avoid)
+        if path is None and isinstance(last, Broken):
+            # A server that lost one stream can serve another attempt, while
+            # one that refused would refuse again.
+            path = view.choose_path(service, last.avoid)
+        return path
+
     def _may_resume(self, may_have_run: int) -> bool:
         route = self._request.route
         if not route.repeat.is_idempotent:
@@ -272,10 +281,16 @@
         for event in arrived:
             self._sequence.accept(event)
         data = b"".join(event.data for event in arrived)
-        self._last_at = trio.current_time()
+        now = trio.current_time()
+        gap_s, self._last_at = now - self._last_at, now
         if self._responder.started:
+            if self._gap_s is None:
+                self._gap_s = gap_s
+            self._gap_s += GAP_SMOOTHING * (gap_s - self._gap_s)
             await self._responder.send(data)
             return
+        for stage in self._path:
+            self._context.view.note_accepted(stage.server)
         self._context.metrics.record(
             "first_event",
             self._request.workspace_name,
@@ -286,12 +301,23 @@
 
     async def _await(self, receive) -> typing.Any:
         """Awaits the server, and examines the path while it is silent."""
+        wait_s = self._find_patience()
         while True:
-            with trio.move_on_after(self._silence_s):
+            with trio.move_on_after(wait_s):
                 return await receive()
             broken = await self._examine_silence()
             if broken is not None:
                 return broken
+            # A path that is only slow is asked less and less often.
+            wait_s = min(2 * wait_s, SILENCE_MAX_S)
+
+    def _find_patience(self) -> float:
+        """Returns the silence after which the path is examined, seconds."""
+        route = self._request.route
+        limit_s = SILENCE_SHARE * (route.gap_s or route.objective_s)
+        if self._gap_s is not None:
+            limit_s = min(limit_s, SILENCE_GAPS * self._gap_s)
+        return min(max(limit_s, SILENCE_MIN_S), SILENCE_MAX_S)
 
     async def _examine_silence(self) -> Broken | None:
         """Repairs the path of a silent stream, or gives it up."""
@@ -364,17 +390,16 @@
         return False
 
     async def _judge_refusal(self, head: exchanges.AnswerHead) -> Refused:
-        avoid = frozenset()
-        if head.culprit is not None:
-            at_fault = [
-                stage.server
-                for stage in self._path
-                if stage.server.address == head.culprit
-            ]
-            avoid = frozenset(server.instance for server in at_fault)
-            await self._prober.find_dead(at_fault)
-        if not avoid:
-            avoid = frozenset([self._path[0].server.instance])
+        at_fault = [
+            stage.server
+            for stage in self._path
+            if stage.server.address == head.culprit
+        ] or [self._path[0].server]
+        for server in at_fault:
+            self._context.view.note_refusal(server)
+        # A server that lives refuses for other reasons than a dead one.
+        await self._prober.find_dead(at_fault)
+        avoid = frozenset(server.instance for server in at_fault)
         return Refused(f"status {head.status} at {head.culprit}", avoid)
 
 
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/wire/peridotyard.thrift
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/wire/peridotyard.thrift
@@ -261,6 +261,11 @@
   1: map<string, i32> requests = {},
 }
 
+/** Backend servers that did not answer the sender; the receiver asks itself. */
+struct Suspects {
+  1: list<string> instances = [],
+}
+
 // Messages to and from the model engine.
 
 struct EngineHello {
@@ -385,6 +390,7 @@
   19: optional Quarantine quarantine,
   20: optional RevisionReport revision_report,
   21: optional InFlight in_flight,
+  22: optional Suspects suspects,
   40: optional EngineHello engine_hello,
   41: optional EngineOpen engine_open,
   42: optional EngineRun engine_run,
--- a/tests/support/gateways.py
+++ b/tests/support/gateways.py
@@ -170,6 +170,7 @@
             stand_in.join(network, nursery)
             stand_ins[server.instance] = stand_in
             view.apply_server(server)
+        view.entries = 1
         view.servers_at = trio.current_time()
         pool = upstreams.Pool(host.dial)
         figures = metrics.Metrics(None, 1.0)
--- a/tests/unit/test_budgets.py
+++ b/tests/unit/test_budgets.py
@@ -39,3 +39,20 @@
     budget = budgets.WindowBudget(0.0, 2, 10.0)
     assert [budget.spend(0.0, 1) for _ in range(3)] == [True, True, False]
     assert budget.spend(10.0, 1)
+
+
+def test_restarted_entry_does_not_spend_its_share_twice():
+    # Seen when all entries were restarted in turn: 303 retries in a window
+    # that allowed 288.
+    budget = budgets.WindowBudget(0.0, 10, 10.0, started_at=100.0)
+    assert not budget.spend(100.0, 1)
+    assert [budget.spend(105.0, 1) for _ in range(6)] == [True] * 5 + [False]
+    assert budget.spend(110.0, 1)
+
+
+def test_reserve_waits_until_the_number_of_entries_is_known():
+    budget = budgets.WindowBudget(0.5, 10, 10.0)
+    assert not budget.spend(0.0, 0)
+    for _ in range(2):
+        budget.record_request(0.0)
+    assert budget.spend(0.0, 0)
--- a/tests/unit/test_placement.py
+++ b/tests/unit/test_placement.py
@@ -45,12 +45,14 @@
             clock,
         )
         self.counts = []
+        self.published = []
         self.placement = placement.Placement(
             self.view,
             self.presence,
             upstreams.Pool(host.dial),
             dialect.Dialect(),
             self.counts.append,
+            self.published.append,
         )
 
     def learn(self, stand_ins):
@@ -116,7 +118,7 @@
 
 @cases.run_virtually
 async def test_layers_of_a_dead_server_are_given_to_others():
-    async with open_fleet(make_servers()) as (network, _, stand_ins, _):
+    async with open_fleet(make_servers()) as (network, _, stand_ins, holders):
         await trio.sleep(8)
         lost = next(
             name
@@ -126,7 +128,8 @@
         address = str(stand_ins[lost].server.address)
         network.stop_serving(address)
         network.reset(address)
-        await trio.sleep(5)
+        holders[0].view.suspect(stand_ins[lost].server, "test")
+        await trio.sleep(2)
         assert not list_missing(stand_ins, without=(lost,))
 
 
--- a/tests/unit/test_relays.py
+++ b/tests/unit/test_relays.py
@@ -161,6 +161,16 @@
         check_whole(await relay(site))
 
 
+@cases.run_virtually
+async def test_server_that_refused_is_not_asked_again():
+    # It would refuse again, and each arrival counts as a retry.
+    async with gateways.open_site(gateways.make_servers(SPANS[:2])) as site:
+        site.servers["a0"].faults = [servers_module.Fault("refuse")] * 5
+        recorder = await relay(site)
+        assert recorder.status == 503
+        assert len(site.servers["a0"].requests) == 1
+
+
 @cases.run_virtually
 async def test_answer_without_signature_is_no_success():
     async with gateways.open_site(gateways.make_servers(SPANS)) as site:
