Read the settings again on SIGHUP and show what an entry believes

A request whose caller left had no closing log line. An outage of the store was visible in the log of the synchronization only.

Ruled out: ignoring the signal (the retry budget's bounds may change).

Change: SIGHUP reads the file again, applies what can change and logs both; a wrong file leaves the settings as they are. The metrics address serves what the entry believes, with ages, and "peridotyard fleet" prints it. Requests that end with their caller are logged and counted as abandoned. Presence logs the first failure of several.

--- a/packages/peridotyard-cli/src/peridotyard_cli/main.py
+++ b/packages/peridotyard-cli/src/peridotyard_cli/main.py
@@ -13,6 +13,7 @@
 
 TOKEN_VARIABLE = "PERIDOTYARD_TOKEN"
 DEFAULT_ADMIN = "http://127.0.0.1:8081"
+DEFAULT_METRICS = "http://127.0.0.1:9464"
 DEFAULT_REQUEST_S = 30.0
 
 EPILOG = """\
@@ -58,6 +59,12 @@
         add_arguments="add_trace_arguments",
         run="run_trace",
     ),
+    "fleet": Command(
+        "show what an entry on prepared machines believes",
+        "status",
+        add_arguments="add_fleet_arguments",
+        run="run_fleet",
+    ),
     "local": Command("run a trial deployment on this machine", "local"),
     "demo": Command("show a failure being survived", "demo"),
 }
@@ -82,12 +89,8 @@
 
 def add_shared_arguments(parser: argparse.ArgumentParser) -> None:
     """Adds the options of all commands that use the administration API."""
-    group = parser.add_argument_group("administration API")
-    group.add_argument(
-        "--admin",
-        metavar="URL",
-        default=DEFAULT_ADMIN,
-        help="administration address of an entry (default: %(default)s)",
+    group = add_connection_arguments(
+        parser, "--admin", DEFAULT_ADMIN, "administration"
     )
     token = group.add_mutually_exclusive_group()
     token.add_argument(
@@ -97,6 +100,30 @@
     token.add_argument(
         "--token-file", metavar="FILE", help="file with the operator token"
     )
+
+
+def add_connection_arguments(
+    parser: argparse.ArgumentParser, flag: str, default: str, kind: str
+):
+    """Adds the options of all commands that ask an entry.
+
+    Args:
+        parser: Parser of the subcommand.
+        flag: Option for the address.
+        default: Its default.
+        kind: Which address of an entry it is.
+
+    Returns:
+        The group of options.
+    """
+    group = parser.add_argument_group(f"{kind} address")
+    group.add_argument(
+        flag,
+        metavar="URL",
+        dest="admin",
+        default=default,
+        help=f"{kind} address of an entry (default: %(default)s)",
+    )
     group.add_argument(
         "--request-timeout",
         metavar="S",
@@ -107,6 +134,7 @@
     group.add_argument(
         "--json", action="store_true", help="print JSON instead of text"
     )
+    return group
 
 
 def read_token(options: argparse.Namespace) -> str:
--- a/packages/peridotyard-cli/src/peridotyard_cli/status.py
+++ b/packages/peridotyard-cli/src/peridotyard_cli/status.py
@@ -1,10 +1,11 @@
-"""The subcommands status, histograms and trace."""
+"""The subcommands status, histograms, trace and fleet."""
 
 import argparse
 import json
 import typing
 import urllib.parse
 
+from peridotyard_cli import client
 from peridotyard_cli import main
 
 
@@ -23,6 +24,13 @@
     main.add_shared_arguments(parser)
 
 
+def add_fleet_arguments(parser: argparse.ArgumentParser) -> None:
+    """Adds the arguments of fleet."""
+    main.add_connection_arguments(
+        parser, "--entry", main.DEFAULT_METRICS, "metrics"
+    )
+
+
 def run(options: argparse.Namespace) -> int:
     """Prints the routing table and the streams in flight."""
     return _show(options, "status")
@@ -39,6 +47,14 @@
     return _show(options, f"traces/{request_id}")
 
 
+def run_fleet(options: argparse.Namespace) -> int:
+    """Prints routing version, servers and layers, with their ages."""
+    # The metrics address is inside the platform and has no operators.
+    entry = client.Client(options.admin, "-", options.request_timeout)
+    print_value(entry.get("fleet"), options.json)
+    return 0
+
+
 def _show(options: argparse.Namespace, path: str) -> int:
     print_value(main.connect(options).get(path), options.json)
     return 0
--- a/packages/peridotyard-core/src/peridotyard_core/budgets.py
+++ b/packages/peridotyard-core/src/peridotyard_core/budgets.py
@@ -73,6 +73,12 @@
         self._requests = collections.deque()
         self._retries = collections.deque()
 
+    def adjust(self, fraction: float, reserve: float, window_s: float) -> None:
+        """Takes other limits; what was spent still counts."""
+        self._fraction = fraction
+        self._reserve = reserve
+        self._window_s = window_s
+
     def record_request(self, now: float) -> None:
         """Counts the first attempt of a request."""
         self._requests.append(now)
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/connection/upstreams.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/connection/upstreams.py
@@ -90,12 +90,10 @@
 
     Attributes:
         address: The server's address.
-        used: Whether an exchange was completed on it.
     """
 
     def __init__(self, address: addresses.Address, stream: trio.abc.Stream):
         self.address = address
-        self.used = False
         self._stream = stream
         self._http = h11.Connection(h11.CLIENT)
         self._request = None
@@ -146,7 +144,7 @@
                 raise LostError(f"{self.address}: {error!r}") from error
             if isinstance(event, h11.InformationalResponse):
                 continue
-            if isinstance(event, (h11.ConnectionClosed, h11.PAUSED.__class__)):
+            if event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
                 raise LostError(f"{self.address}: the answer ended early")
             return event
 
@@ -183,7 +181,6 @@
         if self._http.trailing_data[0]:
             return False
         self._http.start_next_cycle()
-        self.used = True
         return True
 
     def is_quiet(self) -> bool:
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/gateway.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/gateway.py
@@ -1,16 +1,20 @@
 """The entry on a platform whose model servers run the path of a request."""
 
+import collections.abc
 import dataclasses
+import json
 import random as random_module
 
 from peridotyard_core import addresses
 from peridotyard_core import budgets
+from peridotyard_core import errors
 from peridotyard_core import exchanges
 from peridotyard_core import fleet
 from peridotyard_core import verdicts
 import trio
 
 from peridotyard_daemon.connection import callers
+from peridotyard_daemon.connection import http
 from peridotyard_daemon.connection import upstreams
 from peridotyard_daemon.process import lifecycle
 from peridotyard_daemon.process import logs
@@ -34,6 +38,16 @@
 ROTATION_S = 2.3
 # Refused callers come back after this time while no configuration is known.
 RETRY_AFTER_START_S = 1.0
+# Settings that a reload applies; the others need a start.
+RELOADED = (
+    "grace_s",
+    "retry_fraction",
+    "retry_reserve",
+    "retry_window_s",
+    "seeds",
+)
+# Where the metrics address tells what the entry believes.
+FLEET_TARGET = "/admin/v1/fleet"
 # Other entries can take a request that a stopping one refuses.
 RETRY_AFTER_STOP_S = 0.1
 
@@ -98,8 +112,22 @@
         random: random_module.Random,
         dial=upstreams.open_tcp,
         network: network_module.Network | None = None,
+        read_settings: collections.abc.Callable[[], Settings] | None = None,
     ):
+        """Composes an entry.
+
+        Args:
+            settings: Its settings.
+            store: The platform's store.
+            schema: Names and meaning of the store's tables.
+            dialect: Translation to the platform's wire.
+            random: Source of random choices.
+            dial: Makes connections to servers.
+            network: Connections between entries and from callers.
+            read_settings: Reads the settings again; raises `SettingsError`.
+        """
         self._settings = settings
+        self._read_settings = read_settings
         self._network = network or network_module.TcpNetwork()
         self._lifecycle = lifecycle.Lifecycle()
         self.view = views.View(settings.zone)
@@ -176,6 +204,7 @@
         self._started_at = trio.current_time()
         async with trio.open_nursery() as nursery:
             await nursery.start(self._lifecycle.watch_signals)
+            await nursery.start(self._lifecycle.watch_reloads, self.reload)
             for address, handler in (
                 (self._settings.callers, self._serve_caller),
                 (self._settings.readiness, self._serve_readiness),
@@ -198,6 +227,34 @@
             await self._drain()
             nursery.cancel_scope.cancel()
 
+    def reload(self) -> None:
+        """Reads the settings again and applies what can change."""
+        if self._read_settings is None:
+            return
+        try:
+            fresh = self._read_settings()
+        except errors.SettingsError as error:
+            _log.error("Settings are kept; the file is wrong.", error=error)
+            return
+        changed = [
+            field.name
+            for field in dataclasses.fields(fresh)
+            if getattr(fresh, field.name) != getattr(self._settings, field.name)
+        ]
+        # Addresses and names are those of the running process.
+        self._settings = dataclasses.replace(
+            self._settings,
+            **{name: getattr(fresh, name) for name in RELOADED},
+        )
+        self.context.adjust_budgets(
+            fresh.retry_fraction, fresh.retry_reserve, fresh.retry_window_s
+        )
+        _log.info(
+            "Settings were read again.",
+            changed=",".join(changed),
+            applied=",".join(name for name in changed if name in RELOADED),
+        )
+
     async def _drain(self) -> None:
         """Waits for the request to stop, then for the requests to end."""
         await self._lifecycle.draining.wait()
@@ -251,7 +308,17 @@
         body = b"ready\n" if ready else b"not ready\n"
         await out.send_whole(200 if ready else 503, [], body)
 
-    async def _answer_metrics(self, _method, _target, _headers, _body, out):
+    async def _answer_metrics(self, _method, target, _headers, _body, out):
+        if target == FLEET_TARGET:
+            beliefs = self.view.describe() | {
+                "instance": self._settings.instance,
+                "zone": self._settings.zone,
+                "ready": self.is_ready,
+                "holds_duty": self._holds_duty(),
+            }
+            headers = [(b"content-type", http.JSON_TYPE)]
+            await out.send_whole(200, headers, json.dumps(beliefs).encode())
+            return
         text = self.context.metrics.render()
         headers = [(b"content-type", b"text/plain; charset=utf-8")]
         await out.send_whole(200, headers, text.encode())
@@ -274,13 +341,21 @@
         self.context.metrics.increment("requests")
         budget = self.context.find_budget(admitted.service.name)
         budget.record_request(trio.current_time())
-        if admitted.service.engine is not None:
-            stream = relays.Stream(
-                self.context, self._prober, admitted, responder
-            )
-            await stream.run()
-        else:
-            await self._forwarder.handle(admitted, responder)
+        try:
+            await self._serve(admitted, responder)
+        except trio.Cancelled:
+            # The caller closed its connection, or the process ends.
+            self.context.finish(admitted, "abandoned")
+            raise
+
+    async def _serve(
+        self, request: contexts.Request, responder: callers.Responder
+    ) -> None:
+        if request.service.engine is None:
+            await self._forwarder.handle(request, responder)
+            return
+        stream = relays.Stream(self.context, self._prober, request, responder)
+        await stream.run()
 
     def _admit(
         self, head: exchanges.RequestHead, body: bytes
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/lifecycle.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/lifecycle.py
@@ -30,6 +30,18 @@
             async for _ in got:
                 self.request_stop()
 
+    async def watch_reloads(
+        self, reload, task_status=trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Calls a function for each SIGHUP until cancelled.
+
+        Without it the signal would end the process.
+        """
+        with trio.open_signal_receiver(signal.SIGHUP) as got:
+            task_status.started()
+            async for _ in got:
+                reload()
+
     async def wait_drained(self, is_idle, limit_s: float, poll_s=0.02) -> bool:
         """Waits until the process is idle.
 
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/presence.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/presence.py
@@ -77,6 +77,7 @@
         self._listed_at = float("-inf")
         self._written_at = float("-inf")
         self._offset_s = 0.0
+        self._failing = False
 
     async def run(self) -> None:
         """Renews row and lease until cancelled."""
@@ -104,8 +105,9 @@
             return RENEWAL_S
         outcome = await self._store.scan(TABLE)
         if not isinstance(outcome, result.Success):
-            _log.debug("Rows were not read.", failure=repr(outcome.failure()))
+            self._note_failure("Rows were not read.", outcome.failure())
             return RENEWAL_S
+        self._failing = False
         listing = outcome.unwrap()
         self._listed_at = asked_at
         self._offset_s = listing.clock_s - asked_at
@@ -210,7 +212,7 @@
                 # It may have been written, so the next claim has to read the
                 # row's revision first.
                 self._listed_at = float("-inf")
-                _log.debug("Rows were not written.", failure=repr(failure))
+                self._note_failure("Rows were not written.", failure)
         if was_held != self.holds_duty():
             _log.info(
                 "Placement duty changed.",
@@ -219,6 +221,12 @@
                 outcome=type(outcome).__name__,
             )
 
+    def _note_failure(self, message: str, failure) -> None:
+        """Logs the first of several failures in a row."""
+        if not self._failing:
+            _log.warning(message, failure=repr(failure))
+        self._failing = True
+
 
 def _is_stale(row: stores.Row, clock_s: float) -> bool:
     """Returns whether an entry's row is so old that it can be removed."""
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/views.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/views.py
@@ -419,6 +419,47 @@
             trio.current_time() + SLOW_S if slowness > 1.0 else 0.0
         )
 
+    def describe(self) -> dict:
+        """Returns what is believed, with the age of each fact, for JSON."""
+        now = trio.current_time()
+        routing = self.routing
+        return {
+            "routing": {
+                "version": routing.version if routing else None,
+                "age_s": _limit_age(now - self.routing_at),
+            },
+            "list_age_s": _limit_age(now - self.servers_at),
+            "entries": self.entries,
+            "servers": [
+                self._describe_server(server, now)
+                for server in sorted(
+                    self.servers.values(),
+                    key=lambda s: (s.service, s.zone, s.span or _NO_SPAN),
+                )
+            ],
+        }
+
+    def _describe_server(self, server: fleet.Server, now: float) -> dict:
+        health = self._health[server.instance]
+        state = "ready" if server.ready else "leaving"
+        if self.is_suspected(server):
+            state = "suspected"
+        elif now < health.refused_until:
+            state = "refusing"
+        return {
+            "instance": server.instance,
+            "service": server.service,
+            "address": str(server.address),
+            "zone": server.zone,
+            "card": server.card,
+            "layers": _describe(server.span),
+            "state": state,
+            "reason": health.reason if state == "suspected" else "",
+            "streams": round(self.load(server)),
+            "failures": round(health.failures, 3),
+            "revision": server.revision,
+        }
+
     def _announce(self) -> None:
         self._changed.set()
         self._changed = trio.Event()
@@ -438,6 +479,15 @@
     )
 
 
+# Sorts servers without layers first.
+_NO_SPAN = fleet.Span(-1, -1)
+
+
+def _limit_age(age_s: float) -> float | None:
+    """Returns an age for JSON, None for what was never read."""
+    return None if age_s == float("inf") else round(age_s, 3)
+
+
 def _ignore(_server: fleet.Server) -> None:
     """Stands in where nobody wants to be notified."""
 
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/contexts.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/contexts.py
@@ -124,6 +124,13 @@
             self._budgets[service] = self.make_budget()
         return self._budgets[service]
 
+    def adjust_budgets(
+        self, fraction: float, reserve: float, window_s: float
+    ) -> None:
+        """Gives the retry budgets of all services other limits."""
+        for budget in self._budgets.values():
+            budget.adjust(fraction, reserve, window_s)
+
     def spend_retry(self, request: Request) -> bool:
         """Takes one retry from the budget of the request's service."""
         budget = self.find_budget(request.service.name)
--- a/tests/unit/test_gateway.py
+++ b/tests/unit/test_gateway.py
@@ -217,6 +217,32 @@
         assert b"peridotyard_first_event_seconds" in data
 
 
+@cases.run_virtually
+async def test_beliefs_are_shown_with_their_ages():
+    async with open_deployment() as site:
+        data = await site.call(port=83, target=gateway.FLEET_TARGET)
+        beliefs = json.loads(data.partition(b"\r\n\r\n")[2])
+        assert beliefs["routing"]["version"] == 3
+        assert beliefs["routing"]["age_s"] < 5
+        assert beliefs["list_age_s"] < 2
+        assert beliefs["ready"]
+        layers = {s["instance"]: s["layers"] for s in beliefs["servers"]}
+        assert layers == {"x": "0-10", "y": "10-20"}
+
+
+@cases.run_virtually
+async def test_request_whose_caller_left_ends_at_its_server():
+    async with open_deployment(spans=[("x", "a", (0, 20))]) as site:
+        site.servers["x"].events = 100
+        with trio.move_on_after(0.5):
+            await site.call()
+        site.network.reset("caller")
+        await trio.sleep(0.3)
+        assert site.servers["x"].left == ["r1"]
+        data = await site.call(port=83)
+        assert b'peridotyard_outcome_total{kind="abandoned"} 1' in data
+
+
 @cases.run_virtually
 async def test_stopping_entry_ends_its_streams_and_refuses_new_ones():
     async with open_deployment(spans=[("x", "a", (0, 20))]) as site:
--- a/tests/unit/test_platform_main.py
+++ b/tests/unit/test_platform_main.py
@@ -65,6 +65,14 @@
     )
     process = start(path)
     try:
+        assert b" 503 " in ask(ready)[:15]
+        # A changed file is read; a wrong one leaves the settings as they are.
+        path.write_text(path.read_text().replace("graceS: 2", "graceS: 3"))
+        process.send_signal(signal.SIGHUP)
+        time.sleep(0.5)
+        path.write_text("node: 3")
+        process.send_signal(signal.SIGHUP)
+        time.sleep(0.5)
         assert b" 503 " in ask(ready)[:15]
         process.send_signal(signal.SIGTERM)
         output, errors = process.communicate(timeout=20)
@@ -74,6 +82,8 @@
     assert errors == ""
     assert "Started." in output
     assert "Stopped." in output
+    assert '"applied": "grace_s"' in output
+    assert "Settings are kept" in output
 
 
 def test_wrong_settings_end_the_process_with_the_reason(tmp_path):
