--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -12,6 +12,7 @@
     "sidecar": "bench.sidecar",
     "processes": "bench.processes",
     "capacity": "bench.capacity",
+    "layouts": "bench.layouts",
 }
 
 
--- /dev/null
+++ b/bench/layouts.py
@@ -0,0 +1,264 @@
+"""Layouts and path choice on mixed cards, against simpler ways and a bound.
+
+The figures come from the project's own model: a server holds as many streams
+as its memory beside the layers has room for, and the maximum flow from the
+first to the last layer is the number of streams that a layout can hold at a
+time. The bound keeps one copy of the layers and gives all other memory of the
+fleet to streams, which no layout of whole layers reaches.
+"""
+
+import collections
+import dataclasses
+import heapq
+import random as random_module
+
+import networkx
+from peridotyard_core import addresses
+from peridotyard_core import fleet
+from peridotyard_core import layouts
+from peridotyard_core import paths
+
+ENGINE = fleet.Engine(
+    layers=80,
+    layer_mb=1750.0,
+    kv_token_mb=0.918,
+    activation_mb=0.0458,
+    step_ms=0.85,
+    stream_ms=0.00594,
+    prefill_tokens_per_ms=252.0,
+    zone_link_mbps=7900.0,
+    load_s=14.0,
+    parallel_loads=6,
+    prompt_tokens=772,
+    answer_tokens=154,
+    slots=96,
+    stall_s=2.5,
+    cards=(
+        fleet.Card("large", 36000, 3.1, 3.2),
+        fleet.Card("middle", 21600, 16.0, 8.2),
+        fleet.Card("small", 14400, 15.0, 15.0),
+    ),
+)
+# Cards of each zone: large, middle, small.
+FLEETS = {
+    "3 zones, 38 servers": {"a": (3, 3, 5), "b": (1, 5, 8), "c": (1, 7, 5)},
+    "1 zone, small only": {"a": (0, 0, 24)},
+    "4 zones, 59 servers": {
+        "a": (1, 4, 7),
+        "b": (1, 7, 10),
+        "c": (1, 11, 5),
+        "d": (1, 4, 7),
+    },
+}
+SEED = 7
+STREAMS_PER_S = 28.0
+STREAM_S = 3.0
+SIMULATED_S = 200.0
+
+
+def make_fleet(zones: dict[str, tuple[int, int, int]]) -> list[fleet.Server]:
+    """Returns servers without layers."""
+    servers = []
+    for zone, counts in zones.items():
+        for card, count in zip(ENGINE.cards, counts, strict=True):
+            for number in range(count):
+                address = addresses.Address("127.0.0.1", len(servers) + 1)
+                servers.append(
+                    fleet.Server(
+                        f"{zone}-{card.name}-{number}",
+                        "model",
+                        address,
+                        zone,
+                        True,
+                        ENGINE.slots,
+                        card.name,
+                    )
+                )
+    return servers
+
+
+def lay_out_planned(servers) -> layouts.Spans:
+    """Returns the product's layout."""
+    spans = {}
+    for group in layouts.group_zones(servers, ENGINE):
+        spans |= layouts.plan_group(group, ENGINE)
+    return spans
+
+
+def lay_out_by_kind(servers) -> layouts.Spans:
+    """Returns copies that are each on one kind of card, over all zones."""
+    spans = {}
+    for card in ENGINE.cards:
+        members = [s for s in servers if s.card == card.name]
+        if members:
+            spans |= layouts.plan_group(members, ENGINE)
+    return spans
+
+
+def lay_out_randomly(servers) -> layouts.Spans:
+    """Returns ranges of a common size at random places."""
+    random = random_module.Random(SEED)
+    spans = {}
+    for server in servers:
+        card = ENGINE.find_card(server.card)
+        size = int(card.memory_mb * 0.75 / ENGINE.layer_mb)
+        first = random.randrange(ENGINE.layers - size + 1)
+        spans[server.instance] = fleet.Span(first, first + size)
+    return spans
+
+
+def measure_flow(servers) -> float:
+    """Returns the streams that a layout can hold at a time."""
+    graph = networkx.DiGraph()
+    for server in servers:
+        card = ENGINE.find_card(server.card)
+        name = server.instance
+        room = ENGINE.count_streams(card, server.span.size)
+        graph.add_edge((name, "in"), (name, "out"), capacity=room)
+        for layer in range(server.span.first, server.span.end):
+            graph.add_edge(layer, (name, "in"))
+            graph.add_edge((name, "out"), layer + 1)
+    if 0 not in graph or ENGINE.layers not in graph:
+        return 0.0
+    return networkx.maximum_flow_value(graph, 0, ENGINE.layers)
+
+
+def bound_flow(servers) -> float:
+    """Returns the streams for which the fleet has memory at most."""
+    memory_mb = sum(ENGINE.find_card(s.card).memory_mb for s in servers)
+    weights_mb = ENGINE.layers * ENGINE.layer_mb
+    tokens = ENGINE.prompt_tokens + ENGINE.answer_tokens
+    return (memory_mb - weights_mb) / (tokens * ENGINE.kv_token_mb)
+
+
+def place(servers, spans) -> list[fleet.Server]:
+    """Returns the servers that hold layers."""
+    return [
+        dataclasses.replace(server, span=spans[server.instance])
+        for server in servers
+        if server.instance in spans
+    ]
+
+
+def lose_worst(placed) -> float:
+    """Returns the flow after the loss of the server that costs most."""
+    return min(
+        measure_flow([s for s in placed if s is not lost]) for lost in placed
+    )
+
+
+class PathPolicies:
+    """Ways to choose a path, for the comparison."""
+
+    def __init__(self):
+        self._random = random_module.Random(SEED)
+
+    def planned(self, servers, zone, load):
+        """The product's choice."""
+        return paths.Planner(ENGINE, zone).choose(servers, load)
+
+    def shortest_queue(self, servers, zone, load):
+        """At each layer, the server with the fewest streams."""
+        return self._walk(servers, lambda found: min(found, key=load))
+
+    def two_choices(self, servers, zone, load):
+        """At each layer, the better one of two at random."""
+
+        def pick(found):
+            pair = [self._random.choice(found) for _ in range(2)]
+            return min(pair, key=load)
+
+        return self._walk(servers, pick)
+
+    def random_path(self, servers, zone, load):
+        """At each layer, any server that holds it."""
+        return self._walk(servers, self._random.choice)
+
+    def _walk(self, servers, pick):
+        path, layer = [], 0
+        while layer < ENGINE.layers:
+            found = [s for s in servers if s.span.contains(layer)]
+            if not found:
+                return None
+            server = pick(found)
+            path.append(paths.Stage(server, fleet.Span(layer, server.span.end)))
+            layer = server.span.end
+        return tuple(path)
+
+
+def simulate(servers, choose) -> dict[str, float]:
+    """Runs arrivals from all zones; returns what the streams met.
+
+    Returns:
+        Step time through the path, zone changes a path, and the share of
+        streams that began on a server without room for them.
+    """
+    random = random_module.Random(SEED)
+    streams = collections.Counter()
+    ends: list[tuple[float, int, paths.Path]] = []
+    rooms = {
+        s.instance: ENGINE.count_streams(ENGINE.find_card(s.card), s.span.size)
+        for s in servers
+    }
+    zones = sorted({server.zone for server in servers})
+    now, count, full, step_ms, changes = 0.0, 0, 0, 0.0, 0
+    while now < SIMULATED_S:
+        now += random.expovariate(STREAMS_PER_S)
+        while ends and ends[0][0] <= now:
+            for stage in heapq.heappop(ends)[2]:
+                streams[stage.server.instance] -= 1
+        path = choose(
+            servers, random.choice(zones), lambda s: streams[s.instance]
+        )
+        count += 1
+        full += any(
+            streams[stage.server.instance] + 1 > rooms[stage.server.instance]
+            for stage in path
+        )
+        for stage in path:
+            card = ENGINE.find_card(stage.server.card)
+            share = stage.span.size / ENGINE.layers
+            load = streams[stage.server.instance]
+            step = ENGINE.step_ms + ENGINE.stream_ms * load
+            step_ms += share * card.step_factor * step
+            streams[stage.server.instance] += 1
+        changes += sum(
+            a.server.zone != b.server.zone
+            for a, b in zip(path, path[1:], strict=False)
+        )
+        end = now + random.expovariate(1 / STREAM_S)
+        heapq.heappush(ends, (end, count, path))
+    return {
+        "step_ms": step_ms / count,
+        "zone_changes": changes / count,
+        "full": full / count,
+    }
+
+
+def main() -> int:
+    """Prints both tables."""
+    ways = {
+        "random ranges": lay_out_randomly,
+        "copy per kind": lay_out_by_kind,
+        "planned": lay_out_planned,
+    }
+    print("streams at a time: layout, after worst loss, bound")
+    for title, zones in FLEETS.items():
+        servers = make_fleet(zones)
+        for name, lay_out in ways.items():
+            placed = place(servers, lay_out(servers))
+            print(
+                f"  {title:22} {name:14} {measure_flow(placed):7.0f}"
+                f" {lose_worst(placed):7.0f} {bound_flow(servers):7.0f}"
+            )
+    print("path choice on the planned layout: step ms, zone changes, full")
+    policies = PathPolicies()
+    servers = make_fleet(FLEETS["3 zones, 38 servers"])
+    placed = place(servers, lay_out_planned(servers))
+    for name in ("random_path", "shortest_queue", "two_choices", "planned"):
+        found = simulate(placed, getattr(policies, name))
+        print(
+            f"  {name:16} {found['step_ms']:6.1f}"
+            f" {found['zone_changes']:5.2f} {found['full']:6.3f}"
+        )
+    return 0
