--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/gateway.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/gateway.py
@@ -38,6 +38,9 @@
 ROTATION_S = 2.3
 # Refused callers come back after this time while no configuration is known.
 RETRY_AFTER_START_S = 1.0
+# A request that arrives while the process starts waits so long for the first
+# configuration and list; both take two calls of some milliseconds.
+START_WAIT_S = 0.6
 # Settings that a reload applies; the others need a start.
 RELOADED = (
     "grace_s",
@@ -325,6 +328,7 @@
 
     async def _handle(self, method, target, headers, body, responder) -> None:
         head = self.context.dialect.decode_request(method, target, headers)
+        await self._wait_known()
         admitted = self._admit(head, body)
         if isinstance(admitted, verdicts.Failure):
             self.context.metrics.increment(f"outcome.{admitted.code}")
@@ -348,6 +352,13 @@
             self.context.finish(admitted, "abandoned")
             raise
 
+    async def _wait_known(self) -> None:
+        """Waits for the first configuration and list of a new process."""
+        until = self._started_at + START_WAIT_S
+        with trio.move_on_at(until):
+            while self.view.routing is None or not self.view.servers:
+                await self.view.wait_changed()
+
     async def _serve(
         self, request: contexts.Request, responder: callers.Responder
     ) -> None:
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/network.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/network.py
@@ -1,12 +1,13 @@
 """Connections between processes: dialing and listening."""
 
+import collections.abc
+import socket
 import typing
 
 from peridotyard_core import addresses
 import trio
 
-# The longest queue of connections that the kernel has not handed over yet.
-BACKLOG = 1024
+from peridotyard_daemon.process import sockets
 
 
 class Network(typing.Protocol):
@@ -28,6 +29,19 @@
 class TcpNetwork:
     """Connections over TCP."""
 
+    def __init__(
+        self,
+        listening: (
+            collections.abc.Mapping[addresses.Address, socket.socket] | None
+        ) = None,
+    ):
+        """Makes the network of a process.
+
+        Args:
+            listening: Sockets that listen already, by address.
+        """
+        self._listening = dict(listening or {})
+
     async def dial(self, address: addresses.Address) -> trio.abc.Stream:
         """Opens a connection; see `Network`."""
         stream = await trio.open_tcp_stream(address.host, address.port)
@@ -42,10 +56,12 @@
         task_status=trio.TASK_STATUS_IGNORED,
     ) -> None:
         """Accepts connections until it is cancelled; see `Network`."""
-        await trio.serve_tcp(
-            handler,
-            address.port,
-            host=address.host,
-            backlog=BACKLOG,
-            task_status=task_status,
-        )
+        early = self._listening.pop(address, None)
+        if early is None:
+            listeners = await trio.open_tcp_listeners(
+                address.port, host=address.host, backlog=sockets.BACKLOG
+            )
+        else:
+            stream = trio.socket.from_stdlib_socket(early)
+            listeners = [trio.SocketListener(stream)]
+        await trio.serve_listeners(handler, listeners, task_status=task_status)
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/synchronization.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/synchronization.py
@@ -14,10 +14,12 @@
 from peridotyard_daemon.process import views
 
 # Longest wait of one call for a change of the configuration; the answer to a
-# change comes at once. A connection that went silent is noticed after it and a
-# margin, which stays below the five seconds in which an entry has to be in
-# step again (three until it counts as in touch, and two for a configuration).
-ROUTING_WAIT_S = 4.0
+# change comes at once. A call that began in an outage may hang for this time
+# and the store client's margin (0.6 s) after the store's return, which stays
+# below the three seconds after which an entry counts as in touch again.
+ROUTING_WAIT_S = 1.8
+# Longest wait while calls fail, so that the store's return is noticed soon.
+FAILING_WAIT_S = 0.2
 # Pause between two readings of the servers' changes. They change with every
 # heartbeat, and each call has a price; a leaving server is to be known within
 # two seconds.
@@ -140,8 +142,11 @@
             if whole:
                 outcome = await self._store.scan(feed.table)
             else:
+                failing = feed.failing_since is not None
                 outcome = await self._store.watch(
-                    feed.table, feed.revision, wait_s
+                    feed.table,
+                    feed.revision,
+                    FAILING_WAIT_S if failing else wait_s,
                 )
             match outcome:
                 case result.Success(listing):
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/views.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/views.py
@@ -122,6 +122,7 @@
         if current == routing.version:
             return False
         self.routing = routing
+        self._announce()
         _log.info(
             "Configuration is in force.",
             version=routing.version,
--- /dev/null
+++ b/tests/unit/test_network.py
@@ -0,0 +1,40 @@
+"""Tests of peridotyard_daemon.process.network and its early sockets."""
+
+import socket
+
+from peridotyard_core import addresses
+from peridotyard_daemon.process import network
+from peridotyard_daemon.process import sockets
+import pytest
+import trio
+
+HOST = "127.0.64.8"
+
+
+def test_connection_made_before_the_start_is_served():
+    # Callers were turned away while a restarted process loaded its modules.
+    early = sockets.listen(HOST, 0)
+    port = early.getsockname()[1]
+    address = addresses.Address(HOST, port)
+    with socket.create_connection((HOST, port), 5) as caller:
+        caller.sendall(b"hello")
+
+        async def serve():
+            async def echo(stream):
+                await stream.send_all(await stream.receive_some(100))
+
+            async with trio.open_nursery() as nursery:
+                tcp = network.TcpNetwork({address: early})
+                await nursery.start(tcp.serve, address, echo)
+                answer = await trio.to_thread.run_sync(caller.recv, 100)
+                nursery.cancel_scope.cancel()
+                return answer
+
+        assert trio.run(serve) == b"hello"
+
+
+def test_address_in_use_is_an_error():
+    early = sockets.listen(HOST, 0)
+    with pytest.raises(OSError, match="in use"):
+        sockets.listen(HOST, early.getsockname()[1])
+    early.close()
--- a/tests/unit/test_synchronization.py
+++ b/tests/unit/test_synchronization.py
@@ -224,3 +224,19 @@
             assert {k: s.ready for k, s in view.servers.items()} == expected
 
     virtual.run(run)
+
+
+@cases.run_virtually
+async def test_configuration_is_in_force_soon_after_a_silent_outage():
+    # Seen as a call for changes that hung for 3.3 s after the store's return;
+    # an entry counts as in touch three seconds after it.
+    for outage_s in (0.5, 3.0, 7.3):
+        async with open_view() as (stand_in, view):
+            stand_in.put("op", "config", encode_routing(3))
+            await trio.sleep(2.03)
+            stand_in.fault = "silent"
+            await trio.sleep(outage_s)
+            stand_in.fault = ""
+            stand_in.put("op", "config", encode_routing(5))
+            await trio.sleep(2.7)
+            assert view.routing.version == 5
