Trace the scenario of 200 streams and test the view, probes and connections

Cause: "200 streams run through one entry at the same time" failed beside load: an answer was 503 "overloaded", not-run. On a busy machine the entry's estimate of the wait exceeds its 10 s for the first token, and it refuses as designed.

Ruled out: a lost or mixed answer (no token differed, the request had not run); a stopped process (none had ended).

Change: the acceptance deployment allows 60 s for the first token, the limit of all its other conditions; the check itself is unchanged. Unit tests for the view's refusals, reports and suspicions, for mass failures of probes, and for answers that are late, torn, unframed or of another request.

--- a/tests/features/environment.py
+++ b/tests/features/environment.py
@@ -7,6 +7,12 @@
 
 def before_all(context):
     context.deployment = local.Deployment()
+    for plan in context.deployment.plans:
+        if plan.role == "entry":
+            # On a busy machine the last of 200 streams waits longer than the
+            # default of 10 s, and an entry rightly refuses it as overloaded.
+            sections = plan.sections.setdefault("streams", {})
+            sections["first_token_s"] = acceptance.LIMIT_S
     context.deployment.start()
 
 
--- /dev/null
+++ b/tests/unit/test_probes.py
@@ -0,0 +1,74 @@
+"""Tests of peridotyard_daemon.process.probes."""
+
+import trio
+
+from tests.support import cases
+from tests.support import gateways
+
+SPANS = [(f"s{n}", "a", (2 * n, 2 * n + 2)) for n in range(10)]
+
+
+def list_servers(site):
+    return list(site.context.view.servers.values())
+
+
+@cases.run_virtually
+async def test_dead_server_is_found_and_the_others_are_not():
+    async with gateways.open_site(gateways.make_servers(SPANS)) as site:
+        site.kill("s3")
+        site.cut("s7")
+        dead = await site.prober.find_dead(list_servers(site))
+        assert dead == {"s3", "s7"}
+
+
+@cases.run_virtually
+async def test_silent_server_is_found_within_its_timeout():
+    async with gateways.open_site(gateways.make_servers(SPANS)) as site:
+        site.cut("s7")
+        began = trio.current_time()
+        await site.prober.find_dead(list_servers(site))
+        assert trio.current_time() - began < 0.06
+
+
+@cases.run_virtually
+async def test_most_probes_failing_once_suspects_nobody():
+    # Seen as nine live servers suspected at once by an entry that was slow.
+    async with gateways.open_site(gateways.make_servers(SPANS)) as site:
+        for number in range(9):
+            site.cut(f"s{number}")
+
+        async def heal():
+            await trio.sleep(0.045)
+            for item in site.servers.values():
+                site.network.heal(gateways.HOST, str(item.server.address))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(heal)
+            dead = await site.prober.find_dead(list_servers(site))
+        assert dead == frozenset()
+
+
+@cases.run_virtually
+async def test_live_server_is_not_asked_for_each_stream():
+    async with gateways.open_site(gateways.make_servers(SPANS)) as site:
+        servers = list_servers(site)
+        async with trio.open_nursery() as nursery:
+            for _ in range(20):
+                nursery.start_soon(site.prober.find_dead, servers)
+        assert site.context.metrics.count("probes") == len(servers)
+
+
+@cases.run_virtually
+async def test_suspected_server_is_asked_until_it_answers():
+    async with gateways.open_site(gateways.make_servers(SPANS)) as site:
+        site.cut("s7")
+        await site.prober.find_dead(list_servers(site))
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(site.prober.run)
+            await trio.sleep(6)
+            server = site.context.view.servers["s7"]
+            assert site.context.view.is_suspected(server)
+            site.network.heal(gateways.HOST, str(server.address))
+            await trio.sleep(1)
+            assert not site.context.view.is_suspected(server)
+            nursery.cancel_scope.cancel()
--- /dev/null
+++ b/tests/unit/test_upstreams.py
@@ -0,0 +1,157 @@
+"""Tests of peridotyard_daemon.connection.upstreams."""
+
+import contextlib
+
+from peridotyard_core import addresses
+from peridotyard_daemon.connection import upstreams
+from peridotyard_daemon.request import forwards
+from peridotyard_platform import dialect
+import pytest
+import trio
+import trio.testing
+
+from tests.support import cases
+from tests.support import memory
+from tests.support import virtual
+
+ADDRESS = addresses.Address("10.0.0.1", 80)
+
+
+def encode(request_id, body, extra=b""):
+    return (
+        b"HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nContent-Length: %d\r\n%s\r\n%s"
+        % (request_id, len(body), extra, body)
+    )
+
+
+@contextlib.asynccontextmanager
+async def open_pool(*answers):
+    """Serves one scripted answer for each request."""
+    network = memory.MemoryNetwork()
+    script = list(answers)
+    dialed = []
+
+    async def serve(stream):
+        try:
+            while script and await stream.receive_some():
+                for part in script.pop(0):
+                    if part is None:
+                        await stream.aclose()
+                        return
+                    if part == "reset":
+                        network.reset(str(ADDRESS))
+                        return
+                    if isinstance(part, float):
+                        await trio.sleep(part)
+                    else:
+                        await stream.send_all(part)
+            await trio.sleep_forever()
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            return
+
+    async with trio.open_nursery() as nursery:
+        host = network.join(str(ADDRESS))
+        nursery.start_soon(host.serve, ADDRESS, serve)
+        await trio.testing.wait_all_tasks_blocked()
+        dial = network.join("entry").dial
+        yield upstreams.Pool(dial, lambda: dialed.append(1)), dialed
+        nursery.cancel_scope.cancel()
+
+
+async def exchange(pool, request_id="r1"):
+    connection = await pool.acquire(ADDRESS)
+    await connection.send("POST", "/x", [(b"Host", b"a")], b"body")
+    head = await forwards.receive_head(
+        connection, dialect.Dialect(), request_id
+    )
+    body = await forwards.read_body(connection)
+    pool.release(connection, head.keep_alive_s)
+    return body
+
+
+@cases.run_virtually
+async def test_connection_is_used_again():
+    answers = [[encode(b"r1", b"one")], [encode(b"r1", b"two")]]
+    async with open_pool(*answers) as (pool, dialed):
+        assert await exchange(pool) == b"one"
+        assert await exchange(pool) == b"two"
+        assert len(dialed) == 1
+
+
+@cases.run_virtually
+async def test_answer_to_another_request_is_dropped():
+    # Passing it on would show one caller the answer of another.
+    answers = [
+        [encode(b"r1", b"one")],
+        [encode(b"r1", b"one") + encode(b"r2", b"two")],
+    ]
+    async with open_pool(*answers) as (pool, _):
+        assert await exchange(pool) == b"one"
+        assert await exchange(pool, "r2") == b"two"
+
+
+@cases.run_virtually
+async def test_connection_with_bytes_after_the_answer_is_not_used_again():
+    answers = [
+        [encode(b"r1", b"one") + b"HTTP/1.1 200"],
+        [encode(b"r2", b"two")],
+    ]
+    async with open_pool(*answers) as (pool, dialed):
+        assert await exchange(pool) == b"one"
+        assert await exchange(pool, "r2") == b"two"
+        assert len(dialed) == 2
+
+
+@pytest.mark.parametrize(
+    "parts",
+    [
+        [None],
+        ["reset"],
+        [b"nonsense\r\n\r\n"],
+        [encode(b"r1", b"whole")[:-2], None],
+        [encode(b"r1", b"whole")[:-2], "reset"],
+        [b"HTTP/1.1 200 OK\r\nX-Attempt-Id: r1\r\n\r\npart", "reset"],
+    ],
+)
+def test_broken_answer_is_lost_and_not_unsent(parts):
+    # Only a request that was certainly not received may be sent elsewhere.
+    async def run():
+        async with open_pool(parts) as (pool, _):
+            with pytest.raises(upstreams.LostError):
+                await exchange(pool)
+
+    virtual.run(run)
+
+
+@cases.run_virtually
+async def test_answer_without_length_ends_with_its_connection():
+    answer = b"HTTP/1.1 200 OK\r\nX-Attempt-Id: r1\r\n\r\nwhole"
+    async with open_pool([answer, None]) as (pool, _):
+        assert await exchange(pool) == b"whole"
+
+
+@cases.run_virtually
+async def test_nobody_listening_is_unsent():
+    pool = upstreams.Pool(memory.MemoryNetwork().join("entry").dial)
+    with pytest.raises(upstreams.UnsentError):
+        await pool.acquire(ADDRESS)
+
+
+@cases.run_virtually
+async def test_idle_connection_is_dropped_before_the_server_closes_it():
+    answers = [
+        [encode(b"r1", b"one", b"Keep-Alive: timeout=3\r\n")],
+        [encode(b"r1", b"two")],
+    ]
+    async with open_pool(*answers) as (pool, dialed):
+        await exchange(pool)
+        await trio.sleep(2.5)
+        await exchange(pool)
+        assert len(dialed) == 2
+
+
+@cases.run_virtually
+async def test_informational_answers_are_skipped():
+    answer = b"HTTP/1.1 103 Early Hints\r\n\r\n" + encode(b"r1", b"one")
+    async with open_pool([answer]) as (pool, _):
+        assert await exchange(pool) == b"one"
--- /dev/null
+++ b/tests/unit/test_views.py
@@ -0,0 +1,152 @@
+"""Tests of peridotyard_daemon.process.views."""
+
+import dataclasses
+
+from peridotyard_core import addresses
+from peridotyard_core import fleet
+from peridotyard_daemon.process import views
+import pytest
+import trio
+
+from tests.support import cases
+from tests.support import fleets
+
+SERVICE = fleet.Service("model", 100, fleets.make_engine(layers=20))
+
+
+def make_view():
+    view = views.View("a")
+    for name, span in (("x", (0, 10)), ("y", (10, 20)), ("z", (10, 20))):
+        number = "xyz".index(name) + 1
+        view.apply_server(
+            fleets.make_server(
+                name,
+                span=fleet.Span(*span),
+                address=addresses.Address(f"10.0.0.{number}", 80),
+                born_ms=number,
+                revision=1,
+            )
+        )
+    return view
+
+
+def list_used(view):
+    path = view.choose_path(SERVICE)
+    return path and [stage.server.instance for stage in path]
+
+
+@cases.run_virtually
+async def test_refusing_server_gets_no_work_for_a_growing_time():
+    view = make_view()
+    server = view.servers["y"]
+    pauses = []
+    for _ in range(5):
+        view.note_refusal(server)
+        # Requests that were on their way together count once.
+        view.note_refusal(server)
+        began = trio.current_time()
+        while server not in view.list_usable("model"):
+            await trio.sleep(0.1)
+        pauses.append(trio.current_time() - began)
+    # The poll above is 0.1 s.
+    assert pauses == pytest.approx([0.4, 0.8, 1.6, 3.2, 3.2], abs=0.11)
+    assert view.is_leaving(server)
+    view.note_accepted(server)
+    assert not view.is_leaving(server)
+
+
+@cases.run_virtually
+async def test_report_goes_before_an_older_list_for_a_time():
+    # The list follows a server's heartbeat, so a path built from it would
+    # use layers that are given up.
+    view = make_view()
+    view.apply_report("y", fleet.Span(0, 10))
+    listed = dataclasses.replace(view.servers["y"], span=fleet.Span(10, 20))
+    view.apply_server(dataclasses.replace(listed, revision=2))
+    assert view.servers["y"].span == fleet.Span(0, 10)
+    await trio.sleep(views.REPORT_HOLD_S)
+    view.apply_server(dataclasses.replace(listed, revision=3))
+    assert view.servers["y"].span == fleet.Span(10, 20)
+
+
+@cases.run_virtually
+async def test_restart_under_the_same_name_ends_what_was_reported():
+    view = make_view()
+    view.apply_report("y", fleet.Span(0, 10))
+    view.suspect(view.servers["y"], "test")
+    fresh = dataclasses.replace(
+        view.servers["y"], span=None, born_ms=99, revision=2
+    )
+    view.apply_server(fresh)
+    assert view.servers["y"].span is None
+    assert not view.is_suspected(view.servers["y"])
+
+
+@cases.run_virtually
+async def test_older_row_does_not_replace_a_newer_one():
+    view = make_view()
+    server = view.servers["y"]
+    newer = dataclasses.replace(server, ready=False, revision=5)
+    view.apply_server(newer)
+    view.apply_server(dataclasses.replace(server, revision=4))
+    assert not view.servers["y"].ready
+    view.remove_server("y", 4)
+    assert "y" in view.servers
+
+
+@cases.run_virtually
+async def test_suspected_server_is_left_out_until_it_answers():
+    view = make_view()
+    told = []
+    view.notify_suspect = told.append
+    view.suspect(view.servers["y"], "test")
+    view.suspect(view.servers["y"], "test")
+    assert len(told) == 1
+    assert list_used(view) == ["x", "z"]
+    view.trust(view.servers["y"])
+    view.suspect(view.servers["z"], "test")
+    assert list_used(view) == ["x", "y"]
+
+
+@cases.run_virtually
+async def test_loads_of_other_entries_move_new_paths():
+    view = make_view()
+    view.apply_foreign("other", {"y": 60})
+    assert list_used(view) == ["x", "z"]
+    view.apply_foreign("other", {"z": 60})
+    assert list_used(view) == ["x", "y"]
+    view.apply_foreign("other", None)
+    assert view.load(view.servers["z"]) == 0
+
+
+@cases.run_virtually
+async def test_slow_server_is_dearer_for_a_time():
+    view = make_view()
+    view.note_slowness(view.servers["y"], 8.0)
+    assert list_used(view) == ["x", "z"]
+    view.note_slowness(view.servers["y"], 1.0)
+    view.note_slowness(view.servers["z"], 8.0)
+    assert list_used(view) == ["x", "y"]
+
+
+@cases.run_virtually
+async def test_time_without_a_path_is_measured():
+    view = make_view()
+    view.suspect(view.servers["x"], "test")
+    assert view.choose_path(SERVICE) is None
+    await trio.sleep(2)
+    assert view.choose_path(SERVICE) is None
+    assert view.pathless_s("model") == 2
+    view.trust(view.servers["x"])
+    assert view.choose_path(SERVICE) is not None
+    assert view.pathless_s("model") == 0
+
+
+@cases.run_virtually
+async def test_failing_plain_server_is_dearer():
+    view = make_view()
+    good, bad = view.servers["y"], view.servers["z"]
+    for _ in range(5):
+        view.record_outcome(good, True, 0.02)
+        view.record_outcome(bad, False, 0.02)
+    assert view.price(bad) > 2 * view.price(good)
