Do not call a stream "not run" after a path that may have run it

Cause: found by reading: when a path broke and the next one refused, the caller got 503 "not-run", although the first path may have run a part.

Ruled out: plain requests, which already keep count of attempts that may have run; streams that may run once, which are never sent again.

Change: such a stream ends 502 "stream-lost (may-have-run)", with the same time to come back.

--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/relays.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/relays.py
@@ -104,6 +104,8 @@
         self._sequence = events.Sequence(request.head.last_event)
         self._path: paths.Path = ()
         self._avoid: frozenset[str] = frozenset()
+        # Whether a path may have run a part of the request.
+        self._has_begun = False
         self._last_at = trio.current_time()
         self._gap_s: float | None = None
         self._longest_gap_s = 0.0
@@ -140,6 +142,7 @@
                 case Refused(avoid=avoid):
                     self._avoid |= avoid
                 case Broken(avoid=avoid, dead=dead):
+                    self._has_begun = True
                     self._avoid |= avoid
                     may_have_run += not dead
                     if not self._may_resume(may_have_run):
@@ -174,13 +177,15 @@
                 context.finish(request, "status 200")
             case Passed(head=head, body=body):
                 await context.answer(request, self._responder, head, body)
-            case Refused(reason=reason):
+            case Refused(reason=reason) | Broken(reason=reason):
                 failure = context.refuse_busy(request, reason)
-                await context.fail(request, self._responder, failure)
-            case Broken():
-                failure = verdicts.doubt(
-                    "stream-lost", "The stream was lost before it began."
-                )
+                if self._has_begun:
+                    failure = dataclasses.replace(
+                        failure,
+                        code="stream-lost",
+                        verdict=verdicts.Verdict.MAY_HAVE_RUN,
+                        message="The stream was lost before it began.",
+                    )
                 await context.fail(request, self._responder, failure)
 
     async def _try_path(self, path: paths.Path) -> Outcome:
--- a/tests/unit/test_relays.py
+++ b/tests/unit/test_relays.py
@@ -287,3 +287,15 @@
         assert recorder.body == events
 
     virtual.run(run)
+
+
+@cases.run_virtually
+async def test_refusal_after_a_run_does_not_say_that_nothing_ran():
+    # A caller that trusts "not run" would not look for what it has started.
+    async with gateways.open_site(gateways.make_servers(SPANS)) as site:
+        site.servers["a0"].faults = [servers_module.Fault("crash", 0)]
+        site.servers["b0"].faults = [servers_module.Fault("refuse")] * 5
+        recorder = await relay(site)
+        assert recorder.status == 502
+        assert b"may-have-run" in recorder.body
+        assert dict(recorder.headers)[b"retry-after"]
