Read the store in one entry for all connected ones

Cause: every entry followed both tables and the lease by itself, 2.2 calls a second each.

Ruled out: longer waits of the calls alone.

Change: the connected entry with the lowest address reads; it passes each reading on with the store's clock. The others read by themselves once the last reading is older than 1.3 s on that clock, so that a late frame proves nothing. While the holder of the duty is heard, the others leave the lease alone.

--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/gateway.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/gateway.py
@@ -116,6 +116,7 @@
         dial=upstreams.open_tcp,
         network: network_module.Network | None = None,
         read_settings: collections.abc.Callable[[], Settings] | None = None,
+        clock: collections.abc.Callable[[], float] = presence.read_clock,
     ):
         """Composes an entry.
 
@@ -128,6 +129,7 @@
             dial: Makes connections to servers.
             network: Connections between entries and from callers.
             read_settings: Reads the settings again; raises `SettingsError`.
+            clock: Clock of the lease, see `presence.read_clock`.
         """
         self._settings = settings
         self._read_settings = read_settings
@@ -152,12 +154,13 @@
         )
         name = f"{settings.instance}#{random.getrandbits(32):08x}"
         self._presence = presence.Presence(
-            self.view, store, name, settings.peers
+            self.view, store, name, settings.peers, clock
         )
         self._mesh = mesh.Mesh(
             self.view,
             self._synchronizer,
             self._prober,
+            self._presence,
             self._network,
             name,
             settings.peers,
@@ -172,6 +175,7 @@
             self._mesh.announce_layers,
         )
         self._synchronizer.notify_routing = self._mesh.announce
+        self._synchronizer.publish = self._mesh.announce_rows
         self.view.notify_suspect = self._mesh.announce_suspect
         self._connections: set[callers.CallerConnection] = set()
         self._refusing = False
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/mesh.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/mesh.py
@@ -1,7 +1,7 @@
-"""Connections between the entries: configuration, loads and suspicions.
+"""Connections between the entries: readings of the store, loads, suspicions.
 
-Losing them degrades the choice of paths and nothing else, except for an entry
-that the store turns away: it learns a new configuration only here.
+Losing them degrades the choice of paths and costs more calls to the store,
+except for an entry that the store turns away: it learns changes only here.
 """
 
 import collections.abc
@@ -16,6 +16,7 @@
 from peridotyard_daemon.process import network as network_module
 from peridotyard_daemon.process import presence
 from peridotyard_daemon.process import probes
+from peridotyard_daemon.process import stores
 from peridotyard_daemon.process import synchronization
 from peridotyard_daemon.process import views
 from peridotyard_daemon.wire.generated import ttypes
@@ -49,6 +50,7 @@
         view: views.View,
         synchronizer: synchronization.Synchronizer,
         prober: probes.Prober,
+        duty: presence.Presence,
         network: network_module.Network,
         name: str,
         address: addresses.Address,
@@ -60,6 +62,7 @@
             view: Gets configuration and loads.
             synchronizer: Decodes and keeps the stored configuration.
             prober: Asks servers that another entry suspects.
+            duty: Tells and is told which entry holds the placement duty.
             network: Connections between processes.
             name: Name of this entry, unique for each process start.
             address: Where this entry accepts the others.
@@ -68,6 +71,7 @@
         self._view = view
         self._synchronizer = synchronizer
         self._prober = prober
+        self._duty = duty
         self._name = name
         self._address = address
         self._list_entries = list_entries
@@ -78,6 +82,23 @@
         self._stood_in = False
         self._started_at = float("inf")
         self._nursery: trio.Nursery | None = None
+        # Functions that take the messages, by the field of the frame.
+        self._takers = {
+            "heartbeat": self._take_heartbeat,
+            "config_notice": lambda connection, message: self._compare(
+                connection, message.revision
+            ),
+            "config_fetch": lambda connection, _: self._reply_routing(
+                connection
+            ),
+            "config_delta": self._take_routing,
+            "table_rows": self._take_rows,
+            "offer": self._take_layers,
+            "suspects": self._take_suspects,
+            "in_flight": lambda connection, message: self._view.apply_foreign(
+                connection.key, dict(message.requests)
+            ),
+        }
 
     async def run(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
         """Serves and keeps the connections until cancelled."""
@@ -94,6 +115,27 @@
         notice = ttypes.ConfigNotice(revision=self._version())
         self._peers.broadcast(ttypes.Frame(config_notice=notice))
 
+    def announce_rows(
+        self,
+        table: str,
+        after: int,
+        listing: stores.Listing,
+        recovering: bool,
+    ) -> None:
+        """Passes on changes that this entry has read from the store."""
+        frame = ttypes.TableRows(
+            table=table,
+            after=after,
+            revision=listing.revision,
+            rows=[
+                ttypes.TableRow(row.key, row.value, row.revision, row.removed)
+                for row in listing.rows
+            ],
+            clock_ms=round(1000 * listing.clock_s),
+            recovering=recovering,
+        )
+        self._peers.broadcast(ttypes.Frame(table_rows=frame))
+
     def announce_suspect(self, server: fleet.Server) -> None:
         """Tells the other entries that a server did not answer."""
         suspects = ttypes.Suspects(instances=[server.instance])
@@ -144,7 +186,9 @@
         """Returns a heartbeat with version and age of the last reading."""
         age_s = min(self._view.store_age_s(), STORE_LOST_S * 100)
         return ttypes.Heartbeat(
-            revision=self._version(), confirmed_age_ms=round(1000 * age_s)
+            revision=self._version(),
+            confirmed_age_ms=round(1000 * age_s),
+            holds_duty=self._duty.holds_duty(),
         )
 
     def handle_connected(self, connection: peers_module.Connection) -> None:
@@ -157,36 +201,10 @@
         self, connection: peers_module.Connection, frame: ttypes.Frame
     ) -> None:
         """Takes a peer's message."""
-        if frame.heartbeat is not None:
-            age_s = frame.heartbeat.confirmed_age_ms / 1000
-            seen_at = trio.current_time() - age_s
-            self._store_seen_at[connection.key] = seen_at
-            self._compare(connection, frame.heartbeat.revision)
-        elif frame.config_notice is not None:
-            self._compare(connection, frame.config_notice.revision)
-        elif frame.config_fetch is not None:
-            self._reply_routing(connection)
-        elif frame.config_delta is not None:
-            for record in frame.config_delta.records:
-                if record.kind == RECORD_KIND:
-                    source = f"entry {connection.peer.instance}"
-                    value = record.body.encode()
-                    self._synchronizer.take_routing(value, source)
-        elif frame.offer is not None:
-            offer = frame.offer
-            span = fleet.Span(offer.first_layer, offer.end_layer)
-            self._view.apply_report(
-                offer.instance, span if span.size > 0 else None
-            )
-        elif frame.suspects is not None:
-            for instance in frame.suspects.instances:
-                server = self._view.servers.get(instance)
-                if server is not None:
-                    self._nursery.start_soon(self._prober.examine, server)
-        elif frame.in_flight is not None:
-            self._view.apply_foreign(
-                connection.key, dict(frame.in_flight.requests)
-            )
+        for name, take in self._takers.items():
+            message = getattr(frame, name)
+            if message is not None:
+                take(connection, message)
 
     def handle_closed(
         self, connection: peers_module.Connection, reason: str
@@ -195,6 +213,45 @@
         if self._peers.find(connection.key) is None:
             self._view.apply_foreign(connection.key, None)
             self._store_seen_at.pop(connection.key, None)
+            self._duty.note_holder(connection.peer.instance, False)
+
+    def _take_heartbeat(self, connection, message: ttypes.Heartbeat) -> None:
+        age_s = message.confirmed_age_ms / 1000
+        self._store_seen_at[connection.key] = trio.current_time() - age_s
+        self._duty.note_holder(connection.peer.instance, message.holds_duty)
+        self._compare(connection, message.revision)
+
+    def _take_routing(self, connection, message: ttypes.ConfigDelta) -> None:
+        for record in message.records:
+            if record.kind == RECORD_KIND:
+                source = f"entry {connection.peer.instance}"
+                self._synchronizer.take_routing(record.body.encode(), source)
+
+    def _take_layers(self, _connection, message: ttypes.Offer) -> None:
+        span = fleet.Span(message.first_layer, message.end_layer)
+        self._view.apply_report(
+            message.instance, span if span.size > 0 else None
+        )
+
+    def _take_suspects(self, _connection, message: ttypes.Suspects) -> None:
+        for instance in message.instances:
+            server = self._view.servers.get(instance)
+            if server is not None:
+                self._nursery.start_soon(self._prober.examine, server)
+
+    def _take_rows(self, connection, message: ttypes.TableRows) -> None:
+        rows = tuple(
+            stores.Row(row.key, row.value or b"", row.revision, row.removed)
+            for row in message.rows
+        )
+        listing = stores.Listing(
+            rows, message.revision, message.clock_ms / 1000
+        )
+        # One of two entries reads the store for the other.
+        covers = connection.key < str(self._address)
+        self._synchronizer.take_rows(
+            message.table, message.after, listing, message.recovering, covers
+        )
 
     def _version(self) -> int:
         routing = self._view.routing
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/presence.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/presence.py
@@ -15,8 +15,9 @@
 TABLE = "peridotyard"
 ENTRY_PREFIX = "entry/"
 LEASE_KEY = "lease/placement"
-# Time between two signs of life of an entry in the store.
-BEAT_S = 4.0
+# Time between two signs of life of an entry in the store; with one lost write
+# it is still below the time for which the entry counts as live.
+BEAT_S = 5.0
 # An entry counts as live for longer than the window of the retry budget (10 s),
 # since what a lost one has spent counts until then.
 LIVE_S = 12.0
@@ -27,6 +28,9 @@
 RENEWAL_S = 0.8
 # Shortest pause between two readings while another entry holds the duty.
 WATCH_MIN_S = 0.3
+# Time after a holder's sign of life, one each half second, at which the others
+# look at the lease again.
+HEARD_S = 1.1
 
 _log = logs.Part("presence")
 
@@ -78,11 +82,43 @@
         self._written_at = float("-inf")
         self._offset_s = 0.0
         self._failing = False
+        # Connected entry that holds the duty, and when it last said so.
+        self._holder = ""
+        self._heard_at = float("-inf")
+        self._holder_lost = trio.Event()
 
     async def run(self) -> None:
         """Renews row and lease until cancelled."""
         while True:
-            await trio.sleep(await self._beat())
+            await self._pause(await self._beat())
+
+    def note_holder(self, entry: str, holds: bool) -> None:
+        """Takes from a connected entry whether it holds the duty."""
+        if holds:
+            self._holder = entry
+            self._heard_at = self._clock()
+        elif entry == self._holder:
+            self._holder = ""
+            self._heard_at = float("-inf")
+            self._holder_lost.set()
+
+    async def _pause(self, pause_s: float) -> None:
+        """Waits between two beats.
+
+        While a connected entry says that it holds the duty, the lease need not
+        be read. Its end is looked at once when the holder stops saying so.
+        """
+        self._holder_lost = trio.Event()
+        with trio.move_on_after(pause_s):
+            await self._holder_lost.wait()
+        beat_at = self._written_at + BEAT_S
+        while not self.holds_duty():
+            now = self._clock()
+            until = min(beat_at, self._heard_at + HEARD_S)
+            if now >= until:
+                break
+            with trio.move_on_after(until - now):
+                await self._holder_lost.wait()
 
     async def release(self) -> None:
         """Ends the lease early, so that another entry takes over at once."""
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/synchronization.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/synchronization.py
@@ -1,4 +1,9 @@
-"""Following the platform's tables of configuration and servers."""
+"""Following the platform's tables of configuration and servers.
+
+Each call to the store has a price, so that of all entries only the connected
+one with the lowest address reads the tables. It passes what it read on, with
+the store's clock; the others read by themselves as soon as that is too old.
+"""
 
 import collections.abc
 import dataclasses
@@ -13,19 +18,23 @@
 from peridotyard_daemon.process import stores
 from peridotyard_daemon.process import views
 
-# Longest wait of one call for a change of the configuration; the answer to a
-# change comes at once. A call that began in an outage may hang for this time
-# and the store client's margin (0.6 s) after the store's return, which stays
-# below the three seconds after which an entry counts as in touch again.
-ROUTING_WAIT_S = 1.8
+# Time between two readings of a table; the answer to a change comes at once. A
+# call that began in an outage may hang for this time and the store client's
+# margin (0.6 s) after the store's return, which stays below the three seconds
+# after which an entry counts as in touch again.
+READ_S = 0.9
 # Longest wait while calls fail, so that the store's return is noticed soon.
 FAILING_WAIT_S = 0.2
-# Pause between two readings of the servers' changes. They change with every
-# heartbeat, and each call has a price; a leaving server is to be known within
-# two seconds.
-SERVERS_PAUSE_S = 1.0
-# Wait for a change of the servers; the pause above sets the pace.
-SERVERS_WAIT_S = 0.7
+# Shortest time between two readings of the servers' changes: many servers
+# change within a second when they start or take over layers.
+SERVERS_PAUSE_S = 0.4
+# Age at which another entry's reading no longer replaces one of this entry. A
+# configuration has to be in force two seconds after its acknowledgement; a
+# reading, the way between entries, and a delay of each are 0.4 s.
+COVER_S = 1.3
+# Most by which two clocks drift apart, as a share of the time. Those of
+# machines differ by less than a tenth of it.
+DRIFT = 1e-3
 # Pause after a failed call, doubled up to the longest one.
 RETRY_MIN_S = 0.1
 RETRY_MAX_S = 0.5
@@ -58,19 +67,29 @@
         """
 
 
+Publish = collections.abc.Callable[[str, int, stores.Listing, bool], None]
+
+
 @dataclasses.dataclass
 class _Feed:
     """Progress of following one table.
 
     Attributes:
         table: Name of the table.
+        apply: Takes rows, whether they are the whole table, and the time at
+            which the store held them.
+        pause_s: Shortest time between two readings.
         revision: Revision up to which it is known; None before the first.
         failing_since: Time of the first failure in a row, None if it works.
+        covered_until: Time until which another entry's reading suffices.
     """
 
     table: str
+    apply: collections.abc.Callable[[stores.Listing, bool, float], None]
+    pause_s: float = 0.0
     revision: int | None = None
     failing_since: float | None = None
+    covered_until: float = float("-inf")
 
 
 class Synchronizer:
@@ -79,6 +98,8 @@
     Attributes:
         routing_value: Configuration in force as stored, for other entries.
         notify_routing: Called for each new configuration.
+        publish: Called with table, revision before, changes and whether lapsed
+            rows may still return, for each reading of changes.
     """
 
     def __init__(
@@ -95,26 +116,27 @@
         self._unreadable: dict[str, int] = {}
         self._lapsed: dict[str, tuple[float, int]] = {}
         self._return_until = float("-inf")
+        # The store's clock against this process's, at most; and since when.
+        self._offset_s = float("inf")
+        self._offset_at = 0.0
         self.routing_value: bytes | None = None
-        self.notify_routing: collections.abc.Callable[[], None] = _ignore
+        self.notify_routing: collections.abc.Callable[[], None] = lambda: None
+        self.publish: Publish = lambda *_: None
+        self._feeds = {
+            feed.table: feed
+            for feed in (
+                _Feed(schema.routing_table, self._apply_routing),
+                _Feed(
+                    schema.server_table, self._apply_servers, SERVERS_PAUSE_S
+                ),
+            )
+        }
 
     async def run(self) -> None:
         """Follows both tables until cancelled."""
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(
-                self._follow,
-                _Feed(self._schema.routing_table),
-                self._apply_routing,
-                ROUTING_WAIT_S,
-                0.0,
-            )
-            nursery.start_soon(
-                self._follow,
-                _Feed(self._schema.server_table),
-                self._apply_servers,
-                SERVERS_WAIT_S,
-                SERVERS_PAUSE_S,
-            )
+            for feed in self._feeds.values():
+                nursery.start_soon(self._follow, feed)
 
     def take_routing(self, value: bytes, source: str) -> None:
         """Puts a stored configuration in force, if it is a newer one."""
@@ -129,16 +151,45 @@
             self.routing_value = value
             self.notify_routing()
 
-    async def _follow(
+    def take_rows(
         self,
-        feed: _Feed,
-        apply: collections.abc.Callable[[stores.Listing, bool], None],
-        wait_s: float,
-        pause_s: float,
+        table: str,
+        after: int,
+        listing: stores.Listing,
+        recovering: bool,
+        covers: bool,
     ) -> None:
+        """Takes changes that another entry has read.
+
+        Args:
+            table: Name of the table.
+            after: Revision after which these are all changes.
+            listing: The changes, with the store's clock at its answer.
+            recovering: Whether rows that lapsed may still return.
+            covers: Whether they replace readings of this entry for a time.
+        """
+        feed = self._feeds.get(table)
+        if feed is None or feed.revision is None or after > feed.revision:
+            return
+        if listing.revision < feed.revision:
+            return
+        now = trio.current_time()
+        if recovering:
+            self._return_until = max(self._return_until, now + RETURN_S)
+        # An offset that is too large makes the reading look older.
+        at = min(now, listing.clock_s - self._offset_s)
+        if covers and at + COVER_S > now:
+            self._note_success(feed, listing)
+            feed.covered_until = at + COVER_S
+        self._apply(feed, listing, False, at)
+
+    async def _follow(self, feed: _Feed) -> None:
         retry_s = RETRY_MIN_S
+        paused_s = 0.0
         while True:
+            await self._wait_uncovered(feed)
             whole = feed.revision is None
+            asked_at = trio.current_time()
             if whole:
                 outcome = await self._store.scan(feed.table)
             else:
@@ -146,18 +197,16 @@
                 outcome = await self._store.watch(
                     feed.table,
                     feed.revision,
-                    FAILING_WAIT_S if failing else wait_s,
+                    FAILING_WAIT_S if failing else READ_S - paused_s,
                 )
             match outcome:
                 case result.Success(listing):
                     retry_s = RETRY_MIN_S
+                    self._note_clock(listing.clock_s, asked_at)
                     self._note_success(feed, listing)
-                    if feed.revision is None or (
-                        listing.revision >= feed.revision
-                    ):
-                        apply(listing, whole)
-                        feed.revision = listing.revision
-                    await trio.sleep(pause_s)
+                    self._take_reading(feed, listing, whole)
+                    paused_s = feed.pause_s if listing.rows else 0.0
+                    await trio.sleep(paused_s)
                 case result.Failure(stores.HistoryLost()):
                     _log.warning(
                         "History is lost; the table is read again.",
@@ -171,6 +220,49 @@
                     await trio.sleep(retry_s * (0.5 + self._random.random()))
                     retry_s = min(2 * retry_s, RETRY_MAX_S)
 
+    async def _wait_uncovered(self, feed: _Feed) -> None:
+        """Waits while another entry's readings are fresh enough."""
+        if trio.current_time() >= feed.covered_until:
+            return
+        _log.info("Another entry reads the table.", table=feed.table)
+        while trio.current_time() < feed.covered_until:
+            await trio.sleep_until(feed.covered_until)
+        _log.info(
+            "This entry reads the table.",
+            table=feed.table,
+            revision=feed.revision,
+        )
+
+    def _take_reading(
+        self, feed: _Feed, listing: stores.Listing, whole: bool
+    ) -> None:
+        """Applies an answer of the store and passes it on."""
+        after = feed.revision
+        self._apply(feed, listing, whole, trio.current_time())
+        if not whole and listing.revision >= after and listing.clock_s:
+            recovering = trio.current_time() < self._return_until
+            self.publish(feed.table, after, listing, recovering)
+
+    def _apply(
+        self, feed: _Feed, listing: stores.Listing, whole: bool, at: float
+    ) -> None:
+        """Applies the rows that are newer than what is known of a table."""
+        known = feed.revision
+        if known is not None and listing.revision < known:
+            return
+        if not whole:
+            rows = tuple(row for row in listing.rows if row.revision > known)
+            listing = dataclasses.replace(listing, rows=rows)
+        feed.apply(listing, whole, at)
+        feed.revision = listing.revision
+
+    def _note_clock(self, clock_s: float, asked_at: float) -> None:
+        """Takes a reading of the store's clock, made after a time."""
+        drift_s = DRIFT * (asked_at - self._offset_at)
+        sample_s = clock_s - asked_at
+        self._offset_s = min(sample_s, self._offset_s + drift_s)
+        self._offset_at = asked_at
+
     def _note_success(self, feed: _Feed, listing: stores.Listing) -> None:
         if feed.failing_since is None:
             return
@@ -195,16 +287,20 @@
             failure=repr(failure),
         )
 
-    def _apply_routing(self, listing: stores.Listing, _whole: bool) -> None:
-        self._view.routing_at = trio.current_time()
+    def _apply_routing(
+        self, listing: stores.Listing, _whole: bool, at: float
+    ) -> None:
+        self._view.routing_at = max(self._view.routing_at, at)
         for row in listing.rows:
             if row.key != self._schema.routing_key or row.removed:
                 continue
             self.take_routing(row.value, "store")
 
-    def _apply_servers(self, listing: stores.Listing, whole: bool) -> None:
+    def _apply_servers(
+        self, listing: stores.Listing, whole: bool, at: float
+    ) -> None:
         now = trio.current_time()
-        self._view.servers_at = now
+        self._view.servers_at = max(self._view.servers_at, at)
         seen = set()
         for row in listing.rows:
             if row.removed:
@@ -245,7 +341,3 @@
                 )
             self._unreadable[row.key] = row.revision
             return None
-
-
-def _ignore() -> None:
-    """Stands in where nobody wants to be notified."""
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/wire/peridotyard.thrift
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/wire/peridotyard.thrift
@@ -33,6 +33,8 @@
   2: i64 revision = 0,
   /** Milliseconds since the sender last confirmed the revision with the store. */
   3: i64 confirmed_age_ms = 0,
+  /** Whether the sender holds the placement duty. */
+  4: bool holds_duty = false,
 }
 
 /** What a sidecar's backend server can do now. */
@@ -239,9 +241,12 @@
   5: list<ConfigRecord> records,
 }
 
-/** Quarantine of request fingerprints, milliseconds left for each. */
+/**
+ * Crashes of backend servers under requests: by fingerprint of the request, the
+ * random identities of the crashes.
+ */
 struct Quarantine {
-  1: map<i64, i64> fingerprints = {},
+  2: map<i64, list<i64>> crashes = {},
 }
 
 /** What a peer knows of the state of every process it has seen. */
@@ -266,6 +271,28 @@
   1: list<string> instances = [],
 }
 
+struct TableRow {
+  1: string key = "",
+  /** Empty for a removed row. */
+  2: binary value,
+  3: i64 revision = 0,
+  4: bool removed = false,
+}
+
+/** Changes of a table that the sender has read from the store itself. */
+struct TableRows {
+  1: string table = "",
+  /** The changes are all those after this revision, */
+  2: i64 after = 0,
+  /** up to this one. */
+  3: i64 revision = 0,
+  4: list<TableRow> rows = [],
+  /** The store's steady clock when it answered, milliseconds. */
+  5: i64 clock_ms = 0,
+  /** Whether rows that lapsed in an outage of the store may still return. */
+  6: bool recovering = false,
+}
+
 // Messages to and from the model engine.
 
 struct EngineHello {
@@ -391,6 +418,7 @@
   20: optional RevisionReport revision_report,
   21: optional InFlight in_flight,
   22: optional Suspects suspects,
+  23: optional TableRows table_rows,
   40: optional EngineHello engine_hello,
   41: optional EngineOpen engine_open,
   42: optional EngineRun engine_run,
--- a/tests/unit/test_gateway.py
+++ b/tests/unit/test_gateway.py
@@ -161,6 +161,7 @@
                     random.Random(number),
                     host.dial,
                     host,
+                    clock=trio.current_time,
                 )
             )
             nursery.start_soon(started[-1].run)
@@ -278,6 +279,71 @@
         assert b" 401 " in (await site.call(number=2))[:15]
 
 
+@cases.run_virtually
+async def test_one_entry_reads_the_store_for_the_others():
+    # Each call has a price: with each entry reading by itself, the calls of 23
+    # entries took 0.06 of a day's worth.
+    async with open_deployment(entries=4) as site:
+        await trio.sleep(10)
+        before = sum(site.rows.calls.values())
+        await trio.sleep(20)
+        # Two tables by one entry (2.2 a second), one lease (1.25), and the rows
+        # of entries (2.4, as the stand-in takes two calls for five rows).
+        assert sum(site.rows.calls.values()) - before <= 20 * 5.9
+        site.rows.put("op", "config", encode_routing(5))
+        site.rows.put("servers", "x", None)
+        await trio.sleep(0.5)
+        for entry in site.entries:
+            assert entry.view.routing.version == 5
+            assert list(entry.view.servers) == ["y"]
+            assert entry.view.store_age_s() < 1
+
+
+@cases.run_virtually
+async def test_change_is_known_in_time_when_the_reading_entry_is_cut_off():
+    # Its call for changes hangs then, and it cannot tell that it is cut off.
+    for hang in ("store", "entries", "dead"):
+        async with open_deployment(entries=3) as site:
+            await trio.sleep(10)
+            match hang:
+                case "store":
+                    site.turn_away(1)
+                case "entries":
+                    for number in (2, 3):
+                        site.network.cut("10.1.0.1", f"10.1.0.{number}")
+                        site.network.cut(f"10.1.0.{number}", "10.1.0.1")
+                        for port in (1, number):
+                            site.network.cut(
+                                f"10.1.0.{number}", f"10.1.0.{port}:82"
+                            )
+                    site.turn_away(1)
+                case "dead":
+                    site.network.reset("10.1.0.1")
+                    site.network.stop_serving("10.1.0.1:82")
+                    site.turn_away(1)
+            site.rows.put("op", "config", encode_routing(9))
+            await trio.sleep(1.6)
+            for entry in site.entries[1:]:
+                assert entry.view.routing.version == 9, hang
+
+
+@cases.run_virtually
+async def test_lease_passes_on_after_its_holder_ends():
+    # The others look at the lease only when its holder is no longer heard.
+    async with open_deployment(entries=3) as site:
+        await trio.sleep(10)
+        holder = next(
+            number
+            for number, entry in enumerate(site.entries, 1)
+            if entry._presence.holds_duty()
+        )
+        site.turn_away(holder)
+        await trio.sleep(3.5)
+        assert not site.entries[holder - 1]._presence.holds_duty()
+        held = [entry._presence.holds_duty() for entry in site.entries]
+        assert sum(held) == 1
+
+
 @cases.run_virtually
 async def test_entries_tell_each_other_what_they_have_in_flight():
     async with open_deployment(entries=2) as site:
--- a/tests/unit/test_synchronization.py
+++ b/tests/unit/test_synchronization.py
@@ -6,6 +6,7 @@
 
 import hypothesis
 from hypothesis import strategies
+from peridotyard_daemon.process import stores
 from peridotyard_daemon.process import synchronization
 from peridotyard_daemon.process import views
 from peridotyard_platform import schema
@@ -40,7 +41,7 @@
 
 
 @contextlib.asynccontextmanager
-async def open_view():
+async def open_synchronizer():
     network = memory.MemoryNetwork()
     stand_in = platform_store.StandIn()
     view = views.View("a")
@@ -54,10 +55,16 @@
         stand_in.join(network, nursery)
         await trio.testing.wait_all_tasks_blocked()
         nursery.start_soon(synchronizer.run)
-        yield stand_in, view
+        yield stand_in, view, synchronizer
         nursery.cancel_scope.cancel()
 
 
+@contextlib.asynccontextmanager
+async def open_view():
+    async with open_synchronizer() as (stand_in, view, _):
+        yield stand_in, view
+
+
 @cases.run_virtually
 async def test_configuration_is_in_force_at_once():
     async with open_view() as (stand_in, view):
@@ -240,3 +247,78 @@
             stand_in.put("op", "config", encode_routing(5))
             await trio.sleep(2.7)
             assert view.routing.version == 5
+
+
+def make_listing(stand_in, version, clock_s=None):
+    """Returns what another entry has read: a configuration, newly written."""
+    revision = stand_in.put("op", "config", encode_routing(version))
+    row = stores.Row("config", encode_routing(version), revision)
+    if clock_s is None:
+        clock_s = trio.current_time()
+    return stores.Listing((row,), revision, clock_s)
+
+
+@cases.run_virtually
+async def test_reading_of_another_entry_replaces_own_calls():
+    async with open_synchronizer() as (stand_in, view, synchronizer):
+        after = stand_in.put("op", "config", encode_routing(3))
+        await trio.sleep(2)
+        for version in range(4, 20):
+            listing = make_listing(stand_in, version)
+            synchronizer.take_rows("op", after, listing, False, True)
+            after = listing.revision
+            assert view.routing.version == version
+            await trio.sleep(0.9)
+        calls = stand_in.calls["/rows-feed"]
+        # Nothing more is passed on, so this entry reads by itself.
+        stand_in.put("op", "config", encode_routing(30))
+        await trio.sleep(1.5)
+        assert view.routing.version == 30
+        assert stand_in.calls["/rows-feed"] > calls
+
+
+@cases.run_virtually
+async def test_late_or_incomplete_reading_does_not_replace_own_calls():
+    # A frame that waited on a stopped machine says nothing about the present.
+    async with open_synchronizer() as (stand_in, view, synchronizer):
+        after = stand_in.put("op", "config", encode_routing(3))
+        await trio.sleep(2)
+        late_s = trio.current_time() - 1.5
+        listing = make_listing(stand_in, 4, late_s)
+        synchronizer.take_rows("op", after, listing, False, True)
+        stand_in.put("op", "config", encode_routing(5))
+        await trio.sleep(0.1)
+        assert view.routing.version == 5
+        missed = stand_in.put("op", "config", encode_routing(6))
+        listing = make_listing(stand_in, 7)
+        synchronizer.take_rows("op", missed, listing, False, True)
+        stand_in.put("op", "config", encode_routing(8))
+        await trio.sleep(0.1)
+        assert view.routing.version == 8
+
+
+@cases.run_virtually
+async def test_older_reading_of_another_entry_changes_nothing():
+    async with open_synchronizer() as (stand_in, view, synchronizer):
+        stand_in.put("op", "config", encode_routing(3))
+        await trio.sleep(2)
+        old = make_listing(stand_in, 4)
+        stand_in.put("op", "config", encode_routing(5))
+        await trio.sleep(0.1)
+        synchronizer.take_rows("op", 0, old, False, True)
+        assert view.routing.version == 5
+
+
+@cases.run_virtually
+async def test_lapsed_server_may_return_where_another_entry_saw_the_outage():
+    async with open_synchronizer() as (stand_in, view, synchronizer):
+        after = stand_in.put("servers", "s1", encode_server())
+        await trio.sleep(2)
+        revision = stand_in.revision + 1
+        gone = stores.Listing(
+            (stores.Row("s1", b"", revision, True),),
+            revision,
+            trio.current_time(),
+        )
+        synchronizer.take_rows("servers", after, gone, True, True)
+        assert "s1" in view.servers
