Contain requests that crash the servers that run them

Cause: copies of a request that ends its server come again at any entry; each stream was sent up to five times and nothing remembered the crashes.

Ruled out: counting every server that ends under a request. Streams in progress are lost with their server, and a cut entry takes all servers for dead. A crash counts only where the connection was reset, the server then refuses connections, and no event came since the request was sent.

Change: a quarantine by fingerprint of path, workspace and body; crashes have identities and are told to the other entries, also to ones that start later. After the third the request is refused with 429, not run.

--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/gateway.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/gateway.py
@@ -161,6 +161,7 @@
             self._synchronizer,
             self._prober,
             self._presence,
+            self.context.quarantine,
             self._network,
             name,
             settings.peers,
@@ -176,6 +177,7 @@
         )
         self._synchronizer.notify_routing = self._mesh.announce
         self._synchronizer.publish = self._mesh.announce_rows
+        self.context.notify_crash = self._mesh.announce_crash
         self.view.notify_suspect = self._mesh.announce_suspect
         self._connections: set[callers.CallerConnection] = set()
         self._refusing = False
@@ -346,6 +348,10 @@
             )
             await contexts.send_failure(responder, admitted, head.request_id)
             return
+        if self.context.is_contained(admitted):
+            failure = self.context.refuse_contained()
+            await self.context.fail(admitted, responder, failure)
+            return
         self.context.metrics.increment("requests")
         budget = self.context.find_budget(admitted.service.name)
         budget.record_request(trio.current_time())
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/mesh.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/mesh.py
@@ -9,6 +9,7 @@
 from peridotyard_core import addresses
 from peridotyard_core import fleet
 from peridotyard_core import layouts
+from peridotyard_core import quarantines
 import trio
 
 from peridotyard_daemon.connection import peers as peers_module
@@ -51,6 +52,7 @@
         synchronizer: synchronization.Synchronizer,
         prober: probes.Prober,
         duty: presence.Presence,
+        quarantine: quarantines.Quarantine,
         network: network_module.Network,
         name: str,
         address: addresses.Address,
@@ -63,6 +65,7 @@
             synchronizer: Decodes and keeps the stored configuration.
             prober: Asks servers that another entry suspects.
             duty: Tells and is told which entry holds the placement duty.
+            quarantine: Gets the crashes that other entries saw.
             network: Connections between processes.
             name: Name of this entry, unique for each process start.
             address: Where this entry accepts the others.
@@ -72,6 +75,7 @@
         self._synchronizer = synchronizer
         self._prober = prober
         self._duty = duty
+        self._quarantine = quarantine
         self._name = name
         self._address = address
         self._list_entries = list_entries
@@ -94,6 +98,7 @@
             "config_delta": self._take_routing,
             "table_rows": self._take_rows,
             "offer": self._take_layers,
+            "quarantine": self._take_crashes,
             "suspects": self._take_suspects,
             "in_flight": lambda connection, message: self._view.apply_foreign(
                 connection.key, dict(message.requests)
@@ -141,6 +146,11 @@
         suspects = ttypes.Suspects(instances=[server.instance])
         self._peers.broadcast(ttypes.Frame(suspects=suspects))
 
+    def announce_crash(self, fingerprint: int, crash: int) -> None:
+        """Tells the other entries of a server's crash under a request."""
+        crashes = ttypes.Quarantine(crashes={fingerprint: [crash]})
+        self._peers.broadcast(ttypes.Frame(quarantine=crashes))
+
     def announce_layers(self, spans: layouts.Spans) -> None:
         """Tells the other entries which layers servers have reported."""
         for instance, span in spans.items():
@@ -196,6 +206,9 @@
         self._compare(connection, connection.peer.revision)
         loads = ttypes.InFlight(requests=self._sent_loads)
         connection.post(ttypes.Frame(in_flight=loads))
+        if not self._quarantine.is_empty:
+            crashes = ttypes.Quarantine(self._quarantine.list_crashes())
+            connection.post(ttypes.Frame(quarantine=crashes))
 
     def handle_frame(
         self, connection: peers_module.Connection, frame: ttypes.Frame
@@ -239,6 +252,19 @@
             if server is not None:
                 self._nursery.start_soon(self._prober.examine, server)
 
+    def _take_crashes(self, connection, message: ttypes.Quarantine) -> None:
+        now = trio.current_time()
+        for fingerprint, crashes in message.crashes.items():
+            known = 0
+            for crash in crashes:
+                known = self._quarantine.record_crash(fingerprint, crash, now)
+            _log.info(
+                "Another entry saw crashes under a request.",
+                entry=connection.peer.instance,
+                fingerprint=f"{fingerprint & (1 << 64) - 1:016x}",
+                crashes=known,
+            )
+
     def _take_rows(self, connection, message: ttypes.TableRows) -> None:
         rows = tuple(
             stores.Row(row.key, row.value or b"", row.revision, row.removed)
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/contexts.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/contexts.py
@@ -2,12 +2,14 @@
 
 import collections.abc
 import dataclasses
+import functools
 import random as random_module
 
 from peridotyard_core import budgets
 from peridotyard_core import exchanges
 from peridotyard_core import fleet
 from peridotyard_core import paths
+from peridotyard_core import quarantines
 from peridotyard_core import verdicts
 import trio
 
@@ -62,6 +64,13 @@
         """Name of the workspace, empty for a public route."""
         return self.workspace.name if self.workspace else ""
 
+    @functools.cached_property
+    def fingerprint(self) -> int:
+        """What copies of this request have in common."""
+        return quarantines.fingerprint(
+            self.head.target, self.workspace_name, self.body
+        )
+
     def make_dispatch(
         self,
         server: fleet.Server,
@@ -101,6 +110,8 @@
         metrics: Counters and histograms.
         random: Source of random choices.
         make_budget: Makes the retry budget of a service.
+        quarantine: Requests that crash servers.
+        notify_crash: Called with fingerprint and identity of each crash.
     """
 
     view: views.View
@@ -109,6 +120,10 @@
     metrics: metrics_module.Metrics
     random: random_module.Random
     make_budget: collections.abc.Callable[[], budgets.WindowBudget]
+    quarantine: quarantines.Quarantine = dataclasses.field(
+        default_factory=quarantines.Quarantine
+    )
+    notify_crash: collections.abc.Callable[[int, int], None] = lambda *_: None
     _budgets: dict[str, budgets.WindowBudget] = dataclasses.field(
         default_factory=dict
     )
@@ -142,6 +157,37 @@
             )
         return granted
 
+    def is_contained(self, request: Request) -> bool:
+        """Returns whether copies of a request crashed too many servers."""
+        return not self.quarantine.is_empty and self.quarantine.is_contained(
+            request.fingerprint, trio.current_time()
+        )
+
+    def record_crash(self, request: Request, server: fleet.Server) -> None:
+        """Notes that a server ended while it began to run a request."""
+        crash = self.random.getrandbits(63)
+        known = self.quarantine.record_crash(
+            request.fingerprint, crash, trio.current_time()
+        )
+        self.metrics.increment("crashes")
+        request.log(
+            _log,
+            "Server ended as it began to run the request.",
+            instance=server.instance,
+            fingerprint=f"{request.fingerprint & (1 << 64) - 1:016x}",
+            crashes=known,
+            contained=self.is_contained(request),
+        )
+        self.notify_crash(request.fingerprint, crash)
+
+    def refuse_contained(self) -> verdicts.Failure:
+        """Returns the failure of a request that is in quarantine."""
+        return verdicts.refuse(
+            "quarantined",
+            "Copies of this request crashed backend servers.",
+            quarantines.MEMORY_S,
+        )
+
     def refuse_busy(self, request: Request, reason: str) -> verdicts.Failure:
         """Returns the failure of a request that no server took."""
         request.log(_log, "No server took the request.", reason=reason)
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/forwards.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/forwards.py
@@ -22,6 +22,9 @@
 # Share of the time left that a safe request waits for one server while another
 # one could still answer.
 PATIENCE_SHARE = 0.5
+# Time to tell a server that has ended from one that lost an answer: a refused
+# connection takes a round trip, 2 ms within a region.
+CRASH_CHECK_S = 0.02
 
 _log = logs.Part("forward")
 
@@ -133,6 +136,8 @@
             server = self._choose(request.service.name, tried)
             if server is None:
                 break
+            if sends and self._context.is_contained(request):
+                break
             if sends and not self._context.spend_retry(request):
                 break
             last = await self._attempt(request, server, tried)
@@ -194,6 +199,8 @@
             health.in_flight -= 1
         duration_s = trio.current_time() - started
         self._learn(server, outcome, duration_s)
+        if isinstance(outcome, Lost) and await self._has_crashed(server):
+            context.record_crash(request, server)
         request.log(
             _log,
             "Server answered." if isinstance(outcome, Answered) else "Failed.",
@@ -206,6 +213,20 @@
         )
         return outcome
 
+    async def _has_crashed(self, server: fleet.Server) -> bool:
+        """Returns whether a server that lost a request refuses connections.
+
+        A report would wait behind the requests of a full server.
+        """
+        pool = self._context.pool
+        with trio.move_on_after(CRASH_CHECK_S):
+            try:
+                (await pool.acquire(server.address, fresh=True)).abort()
+            except upstreams.UnsentError as error:
+                self._context.view.suspect(server, str(error))
+                return True
+        return False
+
     def _learn(self, server, outcome: Outcome, duration_s: float) -> None:
         view = self._context.view
         match outcome:
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/relays.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/relays.py
@@ -106,6 +106,8 @@
         self._avoid: frozenset[str] = frozenset()
         # Whether a path may have run a part of the request.
         self._has_begun = False
+        # Last event before the present path.
+        self._sent_after = self._sequence.last
         self._last_at = trio.current_time()
         self._gap_s: float | None = None
         self._longest_gap_s = 0.0
@@ -133,6 +135,8 @@
             if path is None:
                 outcome = outcome or Refused("no path", frozenset())
                 break
+            if send and context.is_contained(request):
+                break
             if send and not context.spend_retry(request):
                 break
             outcome = await self._try_path(path)
@@ -193,6 +197,7 @@
         head_server = path[0].server
         self._occupy(path)
         self._last_at = trio.current_time()
+        self._sent_after = self._sequence.last
         request.log(
             _log,
             "Sent on a path.",
@@ -243,6 +248,8 @@
         """Returns the outcome of a lost connection to the first server."""
         dead = await self._prober.find_dead([server])
         avoid = frozenset([server.instance])
+        if server.instance in dead and self._sequence.last == self._sent_after:
+            self._context.record_crash(self._request, server)
         return Broken(reason, avoid, server.instance in dead)
 
     def _occupy(self, path: paths.Path) -> None:
@@ -362,7 +369,8 @@
             return Broken("the first server is dead", dead, True)
         path = self._replace(dead)
         if path is None:
-            return Broken("no server replaces a dead one", dead, False)
+            reason = f"no server replaces {','.join(sorted(dead))}"
+            return Broken(reason, dead, False)
         accepted = await self._order(first, path)
         request.log(
             _log,
--- a/tests/support/servers.py
+++ b/tests/support/servers.py
@@ -19,7 +19,8 @@
     """What goes wrong with one request at a server.
 
     Attributes:
-        kind: "refuse", "crash", "stall", "torn", "skip", "repeat", "extra",
+        kind: "refuse", "crash" (resets the connection), "end" (resets all and
+            accepts no more), "stall", "torn", "skip", "repeat", "extra",
             "unsigned", "hang", "error", "cut" or "" for nothing.
         after: Events, or bytes of a plain answer, before it.
     """
@@ -54,6 +55,7 @@
     def join(self, network, nursery) -> None:
         """Starts to serve on a network in memory."""
         host = network.join(str(self.server.address))
+        self._network = network
 
         async def serve(stream):
             connection = callers.CallerConnection(
@@ -85,6 +87,11 @@
             self.left.append(request_id)
             raise
 
+    def _end(self) -> None:
+        address = str(self.server.address)
+        self._network.stop_serving(address)
+        self._network.reset(address)
+
     async def _report(self, responder) -> None:
         span = self.server.span
         value = {
@@ -141,7 +148,9 @@
         if fault.kind == "hang":
             await trio.sleep_forever()
         await trio.sleep(0.02)
-        if fault.kind == "crash":
+        if fault.kind == "end":
+            self._end()
+        if fault.kind in ("crash", "end"):
             raise trio.BrokenResourceError
         status = 500 if fault.kind == "error" else 200
         body = f"answer to {request_id}".encode()
@@ -175,6 +184,9 @@
         match fault.kind:
             case "crash":
                 raise trio.BrokenResourceError
+            case "end":
+                self._end()
+                raise trio.BrokenResourceError
             case "torn":
                 await responder.send(encode_event(number)[:7])
                 raise trio.BrokenResourceError
--- a/tests/unit/test_forwards.py
+++ b/tests/unit/test_forwards.py
@@ -160,3 +160,28 @@
     if recorder.status == 200:
         assert recorder.body == b"answer to r1"
         assert runs
+
+
+@cases.run_virtually
+async def test_call_that_crashes_servers_is_known_by_its_copies():
+    # A copy at another entry would end the next server.
+    async with gateways.open_site(gateways.make_plain(4)) as site:
+        told = []
+        site.context.notify_crash = lambda *crash: told.append(crash)
+        for item in site.servers.values():
+            item.faults = [servers_module.Fault("end")] * 3
+        for _ in range(2):
+            await forward(site, fleet.Repeat.SAFE)
+        assert len(told) == 3
+        assert len(list_runs(site)) == 3
+        assert site.context.is_contained(site.make_request(fleet.Repeat.SAFE))
+
+
+@cases.run_virtually
+async def test_lost_answer_of_a_living_server_is_no_crash():
+    async with gateways.open_site(gateways.make_plain(4)) as site:
+        for item in site.servers.values():
+            item.faults = [servers_module.Fault("crash")] * 3
+        for _ in range(4):
+            await forward(site, fleet.Repeat.SAFE)
+        assert site.context.quarantine.is_empty
--- a/tests/unit/test_gateway.py
+++ b/tests/unit/test_gateway.py
@@ -395,3 +395,25 @@
         assert not old._presence.holds_duty()
         await trio.sleep(2.5)
         assert new._presence.holds_duty()
+
+
+@cases.run_virtually
+async def test_request_that_crashes_servers_is_contained_on_all_entries():
+    # Its copies come again, at any entry.
+    spans = [(f"s{n}", "a", (0, 20)) for n in range(6)]
+    async with open_deployment(entries=3, spans=spans) as site:
+        await trio.sleep(6)
+        for server in site.servers.values():
+            server.faults = [servers_module.Fault("end", 0)]
+        first = await site.call(number=1)
+        assert b" 200 " not in first[:15]
+        await site.call(number=2)
+        data = await site.call(number=3)
+        assert data.startswith(b"HTTP/1.1 429")
+        assert b"quarantined" in data
+        assert b"not-run" in data
+        ran = [name for s in site.servers.values() for name in s.runs]
+        assert len(ran) == 3
+        for server in site.servers.values():
+            server.faults = []
+        assert b" 200 " in (await site.call(number=3, target="/chat/y"))[:15]
--- /dev/null
+++ b/tests/unit/test_quarantines.py
@@ -0,0 +1,85 @@
+"""Tests of peridotyard_core.quarantines."""
+
+import hypothesis
+from hypothesis import strategies
+from peridotyard_core import quarantines
+
+from tests.support import cases
+
+
+def test_request_is_contained_after_the_third_crash():
+    quarantine = quarantines.Quarantine()
+    assert quarantine.is_empty
+    for crash in (1, 2):
+        quarantine.record_crash(7, crash, 0.0)
+        assert not quarantine.is_contained(7, 1.0)
+    assert quarantine.record_crash(7, 3, 2.0) == 3
+    assert quarantine.is_contained(7, 3.0)
+    assert not quarantine.is_contained(8, 3.0)
+
+
+def test_crash_that_is_told_twice_counts_once():
+    quarantine = quarantines.Quarantine()
+    for _ in range(5):
+        quarantine.record_crash(7, 1, 0.0)
+    assert not quarantine.is_contained(7, 1.0)
+
+
+def test_request_that_keeps_coming_stays_contained():
+    # Its next try would crash one more server.
+    quarantine = quarantines.Quarantine()
+    for crash in range(quarantines.CRASH_LIMIT):
+        quarantine.record_crash(7, crash, 0.0)
+    now = 0.0
+    for _ in range(5):
+        now += quarantines.MEMORY_S - 1
+        assert quarantine.is_contained(7, now)
+    assert not quarantine.is_contained(7, now + quarantines.MEMORY_S)
+    assert quarantine.is_empty
+
+
+def test_memory_is_bounded_and_drops_the_oldest():
+    quarantine = quarantines.Quarantine()
+    for number in range(quarantines.FINGERPRINTS_LIMIT + 10):
+        quarantine.record_crash(number, 1, float(number))
+    kept = quarantine.list_crashes()
+    assert len(kept) == quarantines.FINGERPRINTS_LIMIT
+    assert min(kept) == 10
+
+
+def test_fingerprint_tells_path_workspace_and_body_apart():
+    # Parts must not run into each other.
+    seen = {
+        quarantines.fingerprint("/a", "b", b"c"),
+        quarantines.fingerprint("/ab", "", b"c"),
+        quarantines.fingerprint("/a", "bc", b""),
+        quarantines.fingerprint("/a", "", b"bc"),
+    }
+    assert len(seen) == 4
+    again = quarantines.fingerprint("/a", "b", b"c")
+    assert again in seen
+    assert -(1 << 63) <= again < 1 << 63
+
+
+@hypothesis.settings(**cases.DERANDOMIZED)
+@hypothesis.given(
+    strategies.lists(
+        strategies.tuples(
+            strategies.integers(0, 2),
+            strategies.integers(0, 3),
+            strategies.integers(0, 5),
+        ),
+        max_size=30,
+    )
+)
+def test_entries_that_tell_each_other_all_crashes_agree(steps):
+    entries = [quarantines.Quarantine() for _ in range(3)]
+    for entry, key, crash in steps:
+        entries[entry].record_crash(key, crash, 0.0)
+    for source in entries:
+        for target in entries:
+            for key, crashes in source.list_crashes().items():
+                for crash in crashes:
+                    target.record_crash(key, crash, 0.0)
+    first = entries[0].list_crashes()
+    assert all(entry.list_crashes() == first for entry in entries[1:])
--- a/tests/unit/test_relays.py
+++ b/tests/unit/test_relays.py
@@ -1,5 +1,7 @@
 """Tests of peridotyard_daemon.request.relays."""
 
+import dataclasses
+
 import hypothesis
 from hypothesis import strategies
 from peridotyard_core import fleet
@@ -299,3 +301,39 @@
         assert recorder.status == 502
         assert b"may-have-run" in recorder.body
         assert dict(recorder.headers)[b"retry-after"]
+
+
+@cases.run_virtually
+async def test_request_that_crashes_servers_is_not_sent_on():
+    # It would end one server after the other.
+    spans = [(f"s{n}", "a", (0, 20)) for n in range(6)]
+    async with gateways.open_site(gateways.make_servers(spans)) as site:
+        told = []
+        site.context.notify_crash = lambda *crash: told.append(crash)
+        for server in site.servers.values():
+            server.faults = [servers_module.Fault("end", 0)]
+        recorder = await relay(site)
+        assert recorder.status == 502
+        sent = [s for s in site.servers.values() if s.requests]
+        assert len(sent) <= 3
+        assert len({key for key, _ in told}) == 1
+        request = site.make_request()
+        while not site.context.is_contained(request):
+            assert len(told) < 3
+            await relay(site)
+        assert len([s for s in site.servers.values() if s.requests]) == 3
+        # Another request of the same caller is none of its copies.
+        other = site.make_request()
+        other = dataclasses.replace(other, body=b"other")
+        assert not site.context.is_contained(other)
+
+
+@cases.run_virtually
+async def test_stream_whose_servers_end_later_is_no_cause_of_it():
+    # Streams in progress are lost with their server and must go on.
+    spans = [(f"s{n}", "a", (0, 20)) for n in range(6)]
+    async with gateways.open_site(gateways.make_servers(spans)) as site:
+        for server in site.servers.values():
+            server.faults = [servers_module.Fault("end", 2)]
+        await relay(site)
+        assert site.context.quarantine.is_empty
