Do not let two entries extend the time for a lapsed server's return

Each reading that is passed on said that lapsed servers may return; the receiver took a whole two seconds from that and passed it on in turn, so that two entries extended it for ever and a server that left was kept for two seconds.

Ruled out: a stale reading. The age limit of 1.3 s is on the store's clock, and the entry's other readings were of the last second.

Change: a reading carries the time that is left.

--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/mesh.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/mesh.py
@@ -125,7 +125,7 @@
         table: str,
         after: int,
         listing: stores.Listing,
-        recovering: bool,
+        return_s: float,
     ) -> None:
         """Passes on changes that this entry has read from the store."""
         frame = ttypes.TableRows(
@@ -137,7 +137,7 @@
                 for row in listing.rows
             ],
             clock_ms=round(1000 * listing.clock_s),
-            recovering=recovering,
+            return_ms=int(1000 * return_s),
         )
         self._peers.broadcast(ttypes.Frame(table_rows=frame))
 
@@ -276,7 +276,11 @@
         # One of two entries reads the store for the other.
         covers = connection.key < str(self._address)
         self._synchronizer.take_rows(
-            message.table, message.after, listing, message.recovering, covers
+            message.table,
+            message.after,
+            listing,
+            message.return_ms / 1000,
+            covers,
         )
 
     def _version(self) -> int:
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/synchronization.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/synchronization.py
@@ -67,7 +67,7 @@
         """
 
 
-Publish = collections.abc.Callable[[str, int, stores.Listing, bool], None]
+Publish = collections.abc.Callable[[str, int, stores.Listing, float], None]
 
 
 @dataclasses.dataclass
@@ -98,8 +98,8 @@
     Attributes:
         routing_value: Configuration in force as stored, for other entries.
         notify_routing: Called for each new configuration.
-        publish: Called with table, revision before, changes and whether lapsed
-            rows may still return, for each reading of changes.
+        publish: Called with table, revision before, changes and the seconds in
+            which lapsed rows may return, for each reading of changes.
     """
 
     def __init__(
@@ -156,7 +156,7 @@
         table: str,
         after: int,
         listing: stores.Listing,
-        recovering: bool,
+        return_s: float,
         covers: bool,
     ) -> None:
         """Takes changes that another entry has read.
@@ -165,7 +165,7 @@
             table: Name of the table.
             after: Revision after which these are all changes.
             listing: The changes, with the store's clock at its answer.
-            recovering: Whether rows that lapsed may still return.
+            return_s: Time in which rows that lapsed may return.
             covers: Whether they replace readings of this entry for a time.
         """
         feed = self._feeds.get(table)
@@ -174,8 +174,9 @@
         if listing.revision < feed.revision:
             return
         now = trio.current_time()
-        if recovering:
-            self._return_until = max(self._return_until, now + RETURN_S)
+        # What is left of the other's time, so that two entries that tell each
+        # other do not extend it.
+        self._return_until = max(self._return_until, now + return_s)
         # An offset that is too large makes the reading look older.
         at = min(now, listing.clock_s - self._offset_s)
         if covers and at + COVER_S > now:
@@ -240,8 +241,8 @@
         after = feed.revision
         self._apply(feed, listing, whole, trio.current_time())
         if not whole and listing.revision >= after and listing.clock_s:
-            recovering = trio.current_time() < self._return_until
-            self.publish(feed.table, after, listing, recovering)
+            return_s = max(0.0, self._return_until - trio.current_time())
+            self.publish(feed.table, after, listing, return_s)
 
     def _apply(
         self, feed: _Feed, listing: stores.Listing, whole: bool, at: float
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/wire/peridotyard.thrift
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/wire/peridotyard.thrift
@@ -289,8 +289,8 @@
   4: list<TableRow> rows = [],
   /** The store's steady clock when it answered, milliseconds. */
   5: i64 clock_ms = 0,
-  /** Whether rows that lapsed in an outage of the store may still return. */
-  6: bool recovering = false,
+  /** Time in which rows that lapsed in an outage may return, milliseconds. */
+  6: i64 return_ms = 0,
 }
 
 // Messages to and from the model engine.
