Move streams away from servers that leave or give up layers

Ruled out: slow loads (an empty server ordered in between was fast) and the engine's limit of loads at a time (four of six).

Change: a stream leaves a stage as soon as its server gives up layers, leaves, is gone or is suspected, by an order to its first server. Where no unused server holds the layers, the neighbours in the path take them over. Takers of a gap are not copies of the first stage, which streams cannot leave. Small exchanges with servers and connection resets have one function each now; a path that ends names the servers that nobody replaces.

--- a/packages/peridotyard-core/src/peridotyard_core/layouts.py
+++ b/packages/peridotyard-core/src/peridotyard_core/layouts.py
@@ -238,10 +238,15 @@
             and _fit(server, engine, streams) > 0
         ]
         # An empty server gives up no copy, and a small one gives up less than
-        # a large one, which usually is the faster card too.
+        # a large one, which usually is the faster card too. Streams cannot
+        # leave their first server, so that one loads only after they ended.
         taker = min(
             spare,
-            key=lambda s: (s.instance in current, _fit(s, engine, streams)),
+            key=lambda s: (
+                s.instance in current,
+                s.instance in current and current[s.instance].first == 0,
+                _fit(s, engine, streams),
+            ),
             default=None,
         )
         if taker is None:
--- a/packages/peridotyard-core/src/peridotyard_core/paths.py
+++ b/packages/peridotyard-core/src/peridotyard_core/paths.py
@@ -96,10 +96,11 @@
     ) -> Path | None:
         """Returns the path with other servers for its failed stages.
 
-        The other stages keep their KV cache, so they stay as they are. The
-        new ones are of the same zone: they read the whole stream so far, and
-        for many streams at a time that takes longer over the links between
-        zones than a new run in another zone.
+        The other stages keep their KV cache, so they stay as they are, but for
+        the neighbours of a failed stage that take over its layers where no
+        other server can. The new ones are of the same zone: they read the
+        whole stream so far, and for many streams at a time that takes longer
+        over the links between zones than a new run in another zone.
 
         Args:
             path: The path in use.
@@ -107,26 +108,28 @@
             servers: Usable servers.
             load: Function from a server to its streams.
         """
-        used = list_instances(path)
-        free = [
-            server
+        usable = {
+            server.instance: server
             for server in servers
-            if server.instance not in used and server.instance not in failed
-        ]
-        stages: list[Stage] = []
+            if server.instance not in failed
+        }
+        stages = list(path)
         for stage in path:
             if stage.server.instance not in failed:
-                stages.append(stage)
                 continue
+            index = stages.index(stage)
+            used = list_instances(tuple(stages))
             zone = stage.server.zone
-            near = [server for server in free if server.zone == zone]
+            near = [
+                server
+                for server in usable.values()
+                if server.zone == zone and server.instance not in used
+            ]
             found = self._search(near, stage.span, load, zone)
-            if found is None:
+            if found is not None:
+                stages[index : index + 1] = found[1]
+            elif not _extend(stages, index, usable):
                 return None
-            part = found[1]
-            taken = list_instances(part)
-            free = [item for item in free if item.instance not in taken]
-            stages.extend(part)
         return tuple(stages)
 
     def price(self, server: fleet.Server, layers: int, load: float) -> float:
@@ -202,6 +205,58 @@
         return None
 
 
+def _extend(
+    stages: list[Stage],
+    index: int,
+    usable: collections.abc.Mapping[str, fleet.Server],
+) -> bool:
+    """Gives the layers of a stage to its neighbours, if they hold them.
+
+    The first stage of a path cannot change.
+
+    Args:
+        stages: The path; changed in place.
+        index: Stage that goes.
+        usable: Servers that take new work, by instance.
+    """
+    span = stages[index].span
+    before = _find_neighbour(stages, index - 1, usable)
+    after = _find_neighbour(stages, index + 1, usable)
+    reach, begin = span.first, span.end
+    if before is not None:
+        reach = min(before.span.end, span.end)
+    if after is not None:
+        begin = max(after.span.first, span.first)
+    if begin > reach:
+        return False
+    # One neighbour takes all layers where it can, so that fewer are read.
+    border = span.first if begin == span.first else reach
+    if border > span.first:
+        earlier = stages[index - 1].span.first
+        stages[index - 1] = Stage(before, fleet.Span(earlier, border))
+    if border < span.end:
+        later = stages[index + 1].span.end
+        stages[index + 1] = Stage(after, fleet.Span(border, later))
+    del stages[index]
+    return True
+
+
+def _find_neighbour(
+    stages: list[Stage],
+    index: int,
+    usable: collections.abc.Mapping[str, fleet.Server],
+) -> fleet.Server | None:
+    """Returns the server of a stage that can change and holds its layers."""
+    if not 1 <= index < len(stages):
+        return None
+    server = usable.get(stages[index].server.instance)
+    span = stages[index].span
+    if server is None or server.span is None:
+        return None
+    holds = server.span.first <= span.first and span.end <= server.span.end
+    return server if holds else None
+
+
 def _trace(came_from, state) -> Path:
     stages = []
     while state in came_from:
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/connection/callers.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/connection/callers.py
@@ -8,14 +8,14 @@
 import collections.abc
 import contextlib
 import json
-import socket
-import struct
 import typing
 
 import h11
 from peridotyard_core import fleet
 import trio
 
+from peridotyard_daemon.connection import upstreams
+
 RECEIVE_BYTES = 1 << 16
 # Bytes of further requests that are kept while one is being answered; more
 # stay in the socket's buffer.
@@ -321,10 +321,7 @@
         connection, so that a cut one could not be told from a whole one.
         """
         if self.http.their_http_version == b"1.0":
-            sock = getattr(self._stream, "socket", None)
-            if sock is not None:
-                linger = struct.pack("ii", 1, 0)
-                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            upstreams.reset_on_close(self._stream)
 
 
 def _measure(request: h11.Request) -> int:
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/connection/upstreams.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/connection/upstreams.py
@@ -14,6 +14,7 @@
 import h11
 from peridotyard_core import addresses
 from peridotyard_core import errors
+from returns import result
 import trio
 
 RECEIVE_BYTES = 1 << 16
@@ -54,6 +55,19 @@
         _tune_socket(sock)
 
 
+def reset_on_close(stream: trio.abc.Stream) -> None:
+    """Makes the end of a connection look like a failure to the other side.
+
+    Connections in memory have no such option.
+    """
+    sock = getattr(stream, "socket", None)
+    if sock is not None:
+        # A connection that was already reset refuses the option.
+        with contextlib.suppress(OSError):
+            linger = struct.pack("ii", 1, 0)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
+
 def _tune_socket(sock: trio.socket.SocketType) -> None:
     tcp = socket.IPPROTO_TCP
     sock.setsockopt(tcp, socket.TCP_NODELAY, 1)
@@ -198,14 +212,8 @@
 
     def abort(self) -> None:
         """Closes the connection at once, so that the server stops work."""
-        sock = getattr(self._stream, "socket", None)
-        if sock is not None:
-            linger = struct.pack("ii", 1, 0)
-            with contextlib.suppress(OSError):
-                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-            sock.close()
-        else:
-            self._stream.close()
+        reset_on_close(self._stream)
+        getattr(self._stream, "socket", self._stream).close()
 
 
 class Pool:
@@ -322,5 +330,31 @@
         self.release(connection)
         return head.status_code, bytes(content)
 
+    async def try_fetch(
+        self,
+        address: addresses.Address,
+        method: str,
+        target: str,
+        headers=(),
+        body: bytes = b"",
+        *,
+        timeout_s: float,
+        fresh: bool = False,
+    ) -> result.Result[tuple[int, bytes], str]:
+        """Makes a small exchange within a time; see `fetch`.
+
+        Returns:
+            Status and body, or why there is no answer.
+        """
+        with trio.move_on_after(timeout_s):
+            try:
+                answer = await self.fetch(
+                    address, method, target, headers, body, fresh=fresh
+                )
+                return result.Success(answer)
+            except (UnsentError, LostError) as error:
+                return result.Failure(str(error))
+        return result.Failure(f"no answer within {timeout_s} s")
+
 
 _END = h11.EndOfMessage
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/gateway.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/gateway.py
@@ -179,7 +179,9 @@
         self._synchronizer.publish = self._mesh.announce_rows
         self.context.notify_crash = self._mesh.announce_crash
         self.view.notify_suspect = self._mesh.announce_suspect
+        self.view.notify_leaving = self._move_streams
         self._connections: set[callers.CallerConnection] = set()
+        self._nursery: trio.Nursery | None = None
         self._refusing = False
         self._started_at = float("-inf")
 
@@ -190,6 +192,12 @@
         seeds = set(self._settings.seeds) - {self._settings.peers}
         return seeds | self._presence.others
 
+    def _move_streams(self, instance: str) -> None:
+        """Moves the streams of this entry away from a server."""
+        for stream in self.context.streams:
+            if stream.uses(instance):
+                self._nursery.start_soon(stream.leave, instance)
+
     def _make_budget(self) -> budgets.WindowBudget:
         settings = self._settings
         return budgets.WindowBudget(
@@ -212,6 +220,7 @@
         """Runs until the process has been asked to stop and has drained."""
         self._started_at = trio.current_time()
         async with trio.open_nursery() as nursery:
+            self._nursery = nursery
             await nursery.start(self._lifecycle.watch_signals)
             await nursery.start(self._lifecycle.watch_reloads, self.reload)
             for address, handler in (
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/placement.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/placement.py
@@ -6,6 +6,7 @@
 from peridotyard_core import exchanges
 from peridotyard_core import fleet
 from peridotyard_core import layouts
+from returns import result
 import trio
 
 from peridotyard_daemon.connection import upstreams
@@ -190,22 +191,23 @@
     ) -> None:
         """Adds the report of a server that answers."""
         self._count("reports")
-        reason = "no answer in time"
-        with trio.move_on_after(REPORT_TIMEOUT_S):
-            try:
-                status, body = await self._pool.fetch(
-                    server.address, "GET", self._dialect.report_target
-                )
-                if status == 200:
+        outcome = await self._pool.try_fetch(
+            server.address,
+            "GET",
+            self._dialect.report_target,
+            timeout_s=REPORT_TIMEOUT_S,
+        )
+        match outcome:
+            case result.Success((200, body)):
+                try:
                     reports[server.instance] = self._dialect.decode_report(body)
                     return
+                except ValueError as error:
+                    reason = str(error)
+            case result.Success((status, _)):
                 reason = f"status {status}"
-            except (
-                upstreams.UnsentError,
-                upstreams.LostError,
-                ValueError,
-            ) as error:
-                reason = str(error)
+            case result.Failure(reason):
+                pass
         self._pool.forget(server.address)
         _log.info(
             "Server is left out of the layout.",
@@ -236,19 +238,19 @@
         if not self._holds_duty():
             return
         self._count("orders")
-        outcome = "no answer"
-        with trio.move_on_after(REPORT_TIMEOUT_S):
-            try:
-                status, _ = await self._pool.fetch(
-                    server.address,
-                    "POST",
-                    self._dialect.order_target,
-                    self._dialect.encode_order_headers(server),
-                    self._dialect.encode_place(span, report.orders),
-                )
+        answer = await self._pool.try_fetch(
+            server.address,
+            "POST",
+            self._dialect.order_target,
+            self._dialect.encode_order_headers(server),
+            self._dialect.encode_place(span, report.orders),
+            timeout_s=REPORT_TIMEOUT_S,
+        )
+        match answer:
+            case result.Success((status, _)):
                 outcome = f"status {status}"
-            except (upstreams.UnsentError, upstreams.LostError) as error:
-                outcome = str(error)
+            case result.Failure(outcome):
+                pass
         if outcome.startswith("status 2"):
             # Layers that are given up take nothing new from now on.
             kept = _intersect(report.span, span)
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/probes.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/probes.py
@@ -5,6 +5,7 @@
 from peridotyard_core import addresses
 from peridotyard_core import exchanges
 from peridotyard_core import fleet
+from returns import result
 import trio
 
 from peridotyard_daemon.connection import upstreams
@@ -142,20 +143,17 @@
         """Asks for a report; returns why there is none, or an empty text."""
         self._count("probes")
         asked_at = trio.current_time()
-        reason = "a probe timed out"
-        with trio.move_on_after(PROBE_TIMEOUT_S):
-            try:
-                # An idle connection may have gone silent while the server
-                # lives, so only a new one tells the two apart.
-                status, body = await self._pool.fetch(
-                    server.address,
-                    "GET",
-                    self._dialect.report_target,
-                    fresh=True,
-                )
-            except (upstreams.UnsentError, upstreams.LostError) as error:
-                reason = f"a probe failed: {error}"
-            else:
+        # An idle connection may have gone silent while the server lives, so
+        # only a new one tells the two apart.
+        answer = await self._pool.try_fetch(
+            server.address,
+            "GET",
+            self._dialect.report_target,
+            timeout_s=PROBE_TIMEOUT_S,
+            fresh=True,
+        )
+        match answer:
+            case result.Success((status, body)):
                 # Any answer shows that the process runs.
                 self._alive_at[server.instance] = trio.current_time()
                 self._view.trust(server)
@@ -164,6 +162,8 @@
                     "Probe answered.", instance=server.instance, status=status
                 )
                 return ""
+            case result.Failure(failure):
+                reason = f"probe: {failure}"
         late_s = trio.current_time() - asked_at - PROBE_TIMEOUT_S
         if late_s > PROBE_TIMEOUT_S:
             # This process did not run, so the silence proves nothing.
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/views.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/views.py
@@ -79,6 +79,8 @@
         servers: Servers of the platform's list, by instance.
         servers_at: Time at which the list was last confirmed.
         notify_suspect: Called with each newly suspected server.
+        notify_leaving: Called with the instance of each server that takes no
+            new work or gives up layers, so that streams can move away.
         entries: Number of live entries, this one included; 0 until known.
     """
 
@@ -92,6 +94,7 @@
         self.notify_suspect: collections.abc.Callable[[fleet.Server], None] = (
             _ignore
         )
+        self.notify_leaving: collections.abc.Callable[[str], None] = _ignore
         self._changed = trio.Event()
         self._pathless_since: dict[str, float] = {}
         self._health: dict[str, Health] = collections.defaultdict(Health)
@@ -145,7 +148,7 @@
             # Restarted with the same name: what was known is of the past.
             self._reset(server.instance, "restarted")
         if old is None or _differs(old, server):
-            self._announce()
+            self._announce(server.instance if _gives_up(old, server) else "")
             _log.info(
                 "Server changed.",
                 instance=server.instance,
@@ -188,8 +191,9 @@
         self._reports[instance] = (span, trio.current_time())
         if server.span == span:
             return False
-        self.servers[instance] = dataclasses.replace(server, span=span)
-        self._announce()
+        fresh = dataclasses.replace(server, span=span)
+        self.servers[instance] = fresh
+        self._announce(instance if _gives_up(server, fresh) else "")
         _log.info(
             "Server reported other layers.",
             instance=instance,
@@ -216,7 +220,7 @@
         if server is None or revision < server.revision:
             return
         del self.servers[instance]
-        self._announce()
+        self._announce(instance)
         self._health.pop(instance, None)
         self._reports.pop(instance, None)
         _log.info("Server is gone.", instance=instance, revision=revision)
@@ -258,7 +262,7 @@
             address=server.address,
             reason=reason,
         )
-        self._announce()
+        self._announce(server.instance)
         self.notify_suspect(server)
 
     def trust(self, server: fleet.Server) -> None:
@@ -461,9 +465,16 @@
             "revision": server.revision,
         }
 
-    def _announce(self) -> None:
+    def _announce(self, leaving: str = "") -> None:
+        """Wakes what waits for a change.
+
+        Args:
+            leaving: Instance that streams should move away from, if any.
+        """
         self._changed.set()
         self._changed = trio.Event()
+        if leaving:
+            self.notify_leaving(leaving)
 
     def _reset(self, instance: str, reason: str) -> None:
         in_flight = self._health[instance].in_flight
@@ -480,6 +491,19 @@
     )
 
 
+def _gives_up(old: fleet.Server | None, new: fleet.Server) -> bool:
+    """Returns whether a server takes less work than before."""
+    if old is None:
+        return False
+    if not new.ready or old.born_ms != new.born_ms:
+        return True
+    if old.span is None:
+        return False
+    return new.span is None or not (
+        new.span.first <= old.span.first and old.span.end <= new.span.end
+    )
+
+
 # Sorts servers without layers first.
 _NO_SPAN = fleet.Span(-1, -1)
 
@@ -489,7 +513,7 @@
     return None if age_s == float("inf") else round(age_s, 3)
 
 
-def _ignore(_server: fleet.Server) -> None:
+def _ignore(_subject: fleet.Server | str) -> None:
     """Stands in where nobody wants to be notified."""
 
 
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/contexts.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/contexts.py
@@ -111,6 +111,7 @@
         random: Source of random choices.
         make_budget: Makes the retry budget of a service.
         quarantine: Requests that crash servers.
+        streams: Streams in progress.
         notify_crash: Called with fingerprint and identity of each crash.
     """
 
@@ -123,6 +124,7 @@
     quarantine: quarantines.Quarantine = dataclasses.field(
         default_factory=quarantines.Quarantine
     )
+    streams: set = dataclasses.field(default_factory=set)
     notify_crash: collections.abc.Callable[[int, int], None] = lambda *_: None
     _budgets: dict[str, budgets.WindowBudget] = dataclasses.field(
         default_factory=dict
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/relays.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/relays.py
@@ -9,6 +9,7 @@
 from peridotyard_core import fleet
 from peridotyard_core import paths
 from peridotyard_core import verdicts
+from returns import result
 import trio
 
 from peridotyard_daemon.connection import callers
@@ -103,6 +104,8 @@
         self._responder = responder
         self._sequence = events.Sequence(request.head.last_event)
         self._path: paths.Path = ()
+        # One change of the path at a time, as each order names a whole path.
+        self._changing = trio.Lock()
         self._avoid: frozenset[str] = frozenset()
         # Whether a path may have run a part of the request.
         self._has_begun = False
@@ -114,8 +117,12 @@
 
     async def run(self) -> None:
         """Relays the stream, on as many paths as it takes."""
-        with trio.move_on_at(self._request.deadline) as scope:
-            await self._run_paths()
+        self._context.streams.add(self)
+        try:
+            with trio.move_on_at(self._request.deadline) as scope:
+                await self._run_paths()
+        finally:
+            self._context.streams.discard(self)
         if not scope.cancelled_caught:
             return
         if self._responder.started:
@@ -126,6 +133,30 @@
         )
         await self._context.fail(self._request, self._responder, failure)
 
+    def uses(self, instance: str) -> bool:
+        """Returns whether a server runs a stage of the path after the first."""
+        return any(s.server.instance == instance for s in self._path[1:])
+
+    async def leave(self, instance: str) -> None:
+        """Moves the path away from a server that leaves or is suspected.
+
+        The stream does not wait until the server is silent, and a server that
+        gives up layers waits for the streams that pass through them.
+        """
+        async with self._changing:
+            if not self.uses(instance):
+                return
+            path = self._replace(frozenset([instance]))
+            if path is None:
+                return
+            if await self._change(path):
+                self._request.log(
+                    _log,
+                    "Left a server.",
+                    instance=instance,
+                    path=describe(path),
+                )
+
     async def _run_paths(self) -> None:
         request, context = self._request, self._context
         may_have_run = 0
@@ -351,28 +382,31 @@
                 for server in servers
                 if server.address == stalled
             }
-        if dead:
-            return await self._repair(dead, silent_s)
-        if await self._leave_slow(silent_s) or silent_s < GIVE_UP_S:
-            return None
+        async with self._changing:
+            # The stream may have left a dead server in the meantime.
+            dead &= paths.list_instances(self._path)
+            if dead:
+                return await self._repair(dead, silent_s)
+            if await self._leave_slow(silent_s) or silent_s < GIVE_UP_S:
+                return None
         return Broken(
             f"silent for {silent_s:.1f} s",
             paths.list_instances(self._path),
             False,
         )
 
-    async def _repair(self, dead: frozenset[str], silent_s: float):
+    async def _repair(
+        self, dead: frozenset[str], silent_s: float
+    ) -> Broken | None:
         """Replaces the dead servers of the path, if that is possible."""
-        context, request = self._context, self._request
-        first = self._path[0].server
-        if first.instance in dead:
+        if self._path[0].server.instance in dead:
             return Broken("the first server is dead", dead, True)
         path = self._replace(dead)
         if path is None:
             reason = f"no server replaces {','.join(sorted(dead))}"
             return Broken(reason, dead, False)
-        accepted = await self._order(first, path)
-        request.log(
+        accepted = await self._change(path)
+        self._request.log(
             _log,
             "Path repaired." if accepted else "Repair was not accepted.",
             dead=",".join(sorted(dead)),
@@ -381,8 +415,6 @@
         )
         if not accepted:
             return Broken("the repair was not accepted", dead, False)
-        context.metrics.increment("repairs")
-        self._occupy(path)
         return None
 
     def _replace(self, out: frozenset[str]) -> paths.Path | None:
@@ -408,7 +440,7 @@
             - paths.list_instances(self._path)
         ):
             return False
-        if not await self._order(self._path[0].server, path):
+        if not await self._change(path):
             return False
         request.log(
             _log,
@@ -417,29 +449,40 @@
             path=describe(path),
             silent_ms=round(1000 * silent_s),
         )
-        self._context.metrics.increment("repairs")
-        self._occupy(path)
         return True
 
+    async def _change(self, path: paths.Path) -> bool:
+        """Orders another path; returns whether the first server accepted."""
+        before = self._path
+        accepted = await self._order(before[0].server, path)
+        # The run may have ended while the order was on its way.
+        if accepted and self._path is before:
+            self._context.metrics.increment("repairs")
+            self._occupy(path)
+        return accepted
+
     async def _order(self, first: fleet.Server, path: paths.Path) -> bool:
         context = self._context
         context.metrics.increment("orders")
         body = context.dialect.encode_reroute(
             self._request.head.request_id, path
         )
-        with trio.move_on_after(ORDER_TIMEOUT_S):
-            try:
-                status, _ = await context.pool.fetch(
-                    first.address,
-                    "POST",
-                    context.dialect.order_target,
-                    context.dialect.encode_order_headers(first),
-                    body,
-                )
-            except (upstreams.UnsentError, upstreams.LostError) as error:
-                self._request.log(_log, "Order failed.", reason=str(error))
-                return False
-            return status in (200, 202)
+        answer = await context.pool.try_fetch(
+            first.address,
+            "POST",
+            context.dialect.order_target,
+            context.dialect.encode_order_headers(first),
+            body,
+            timeout_s=ORDER_TIMEOUT_S,
+        )
+        match answer:
+            case result.Success((200 | 202, _)):
+                return True
+            case result.Success((status, _)):
+                reason = f"status {status}"
+            case result.Failure(reason):
+                pass
+        self._request.log(_log, "Order failed.", reason=reason)
         return False
 
     async def _judge_refusal(self, head: exchanges.AnswerHead) -> Refused:
--- a/tests/unit/test_layouts.py
+++ b/tests/unit/test_layouts.py
@@ -110,3 +110,18 @@
         fleet.Span(0, 2),
         fleet.Span(6, 8),
     ]
+
+
+def test_gap_goes_to_a_copy_that_streams_can_leave():
+    # A stream cannot change its first server, so a copy of the first stage
+    # would load its new layers seconds later.
+    engine = fleets.make_engine(layers=30)
+    servers = fleets.make_zone("a", 0, 4, 0)
+    spans = {
+        server.instance: fleet.Span(first, first + 10)
+        for server, first in zip(servers, (0, 0, 10, 10), strict=True)
+    }
+    changes = layouts.repair_group(servers, spans, engine)
+    assert list(changes.values()) == [fleet.Span(20, 30)]
+    (taker,) = changes
+    assert spans[taker].first == 10
--- a/tests/unit/test_paths.py
+++ b/tests/unit/test_paths.py
@@ -137,3 +137,73 @@
     fast = dataclasses.replace(wide, card="fast")
     assert planner.price(fast, 8, 0) < planner.price(wide, 8, 0)
     assert planner.price(wide, 8, 10) < planner.price(wide, 8, 40)
+
+
+def make_path(servers, *stages):
+    """Returns a path of (instance, first, end)."""
+    by_name = {server.instance: server for server in servers}
+    return tuple(
+        paths.Stage(by_name[name], fleet.Span(first, end))
+        for name, first, end in stages
+    )
+
+
+def test_neighbours_take_over_where_no_other_server_can():
+    # Seen as a server that waited five seconds for streams that could not
+    # leave it: the only other holder of its layers was in their path.
+    planner = paths.Planner(fleets.make_engine(layers=40), "a")
+    servers = [
+        fleets.make_server("a", "a", span=fleet.Span(0, 14)),
+        fleets.make_server("b", "a", span=fleet.Span(12, 18)),
+        fleets.make_server("c", "a", span=fleet.Span(14, 23)),
+        fleets.make_server("d", "a", span=fleet.Span(18, 24)),
+        fleets.make_server("e", "a", span=fleet.Span(23, 40)),
+    ]
+    path = make_path(
+        servers, ("a", 0, 14), ("b", 14, 18), ("c", 18, 23), ("d", 23, 24),
+        ("e", 24, 40),
+    )  # fmt: skip
+    failed = frozenset(["b", "d"])
+    moved = planner.replace(path, failed, servers, lambda _: 0)
+    assert moved == make_path(
+        servers, ("a", 0, 14), ("c", 14, 23), ("e", 23, 40)
+    )
+    # The first server of a stream cannot run other layers.
+    assert planner.replace(path, frozenset("c"), servers[:3], lambda _: 0) is (
+        None
+    )
+
+
+@hypothesis.settings(**cases.DERANDOMIZED)
+@hypothesis.given(
+    spans=strategies.lists(SPANS, max_size=10),
+    data=strategies.data(),
+)
+def test_replacement_runs_each_layer_once_and_keeps_the_first_server(
+    spans, data
+):
+    planner = paths.Planner(fleets.make_engine(layers=20), "a")
+    servers = [
+        fleets.make_server(f"s{number}", "a", span=span)
+        for number, span in enumerate([*spans, fleet.Span(0, 20)])
+    ]
+    servers += [
+        fleets.make_server(f"t{number}", "a", span=fleet.Span(first, first + 5))
+        for number, first in enumerate((0, 5, 10, 15))
+    ]
+    loads = {server.instance: 0 for server in servers}
+    loads[f"s{len(spans)}"] = 500
+    path = planner.choose(servers, lambda s: loads[s.instance])
+    others = [stage.server.instance for stage in path[1:]]
+    if not others:
+        return
+    failed = data.draw(strategies.sets(strategies.sampled_from(others)))
+    if data.draw(strategies.booleans()):
+        servers = [s for s in servers if not s.instance.startswith("t")]
+    moved = planner.replace(
+        path, frozenset(failed), servers, lambda s: loads[s.instance]
+    )
+    if moved is not None:
+        check_path(moved, 20)
+        assert not failed & paths.list_instances(moved)
+        assert moved[0] == path[0]
--- a/tests/unit/test_relays.py
+++ b/tests/unit/test_relays.py
@@ -337,3 +337,72 @@
             server.faults = [servers_module.Fault("end", 2)]
         await relay(site)
         assert site.context.quarantine.is_empty
+
+
+async def relay_and_leave(site, change):
+    """Returns the response to a stream during which a server changes."""
+    box = []
+
+    async def run():
+        box.append(await relay(site))
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(run)
+        await trio.sleep(0.1)
+        path = site.servers["a0"].requests[0]["x-hop-count"]
+        used = "a1" if "10.0.0.2:80" in path else "spare"
+        stream = next(iter(site.context.streams))
+        assert stream.uses(used)
+        change(used)
+        await stream.leave(used)
+        assert not stream.uses(used)
+    assert not site.context.streams
+    assert site.context.view.count_in_flight() == {}
+    return box[0], used
+
+
+@cases.run_virtually
+async def test_stream_leaves_a_server_that_gives_up_its_layers():
+    # Seen as six seconds without a path: a server that takes over lost layers
+    # waited for the streams that passed through it.
+    async with gateways.open_site(gateways.make_servers(SPANS)) as site:
+        recorder, used = await relay_and_leave(
+            site, lambda name: site.context.view.apply_report(name, None)
+        )
+        check_whole(recorder)
+        (order,) = site.servers["a0"].orders
+        other = {"a1": "10.0.0.5:80", "spare": "10.0.0.2:80"}[used]
+        assert other in order["path"]
+
+
+@cases.run_virtually
+async def test_stream_stays_where_no_other_server_has_the_layers():
+    spans = [("a0", "a", (0, 10)), ("a1", "a", (10, 20))]
+    async with gateways.open_site(gateways.make_servers(spans)) as site:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(relay, site)
+            await trio.sleep(0.1)
+            stream = next(iter(site.context.streams))
+            await stream.leave("a1")
+            assert stream.uses("a1")
+            assert site.servers["a0"].orders == []
+
+
+@cases.run_virtually
+async def test_order_that_crosses_the_end_of_a_stream_leaves_no_load():
+    # A load that is never taken back would keep the server out of use.
+    async with gateways.open_site(gateways.make_servers(SPANS)) as site:
+        site.servers["a0"].events = 3
+        box = []
+
+        async def run():
+            box.append(await relay(site))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(run)
+            await trio.sleep(0.1)
+            stream = next(iter(site.context.streams))
+            used = "a1" if stream.uses("a1") else "spare"
+            await trio.sleep(0.0195)
+            nursery.start_soon(stream.leave, used)
+        assert site.context.view.count_in_flight() == {}
--- a/tests/unit/test_views.py
+++ b/tests/unit/test_views.py
@@ -150,3 +150,20 @@
         view.record_outcome(good, True, 0.02)
         view.record_outcome(bad, False, 0.02)
     assert view.price(bad) > 2 * view.price(good)
+
+
+@cases.run_virtually
+async def test_streams_are_told_of_each_server_that_takes_less_work():
+    # They would wait for its silence, and it for their end.
+    view = make_view()
+    left = []
+    view.notify_leaving = left.append
+    view.apply_report("x", fleet.Span(0, 8))
+    view.apply_report("x", fleet.Span(0, 12))
+    assert left == ["x"]
+    listed = dataclasses.replace(view.servers["y"], ready=False, revision=2)
+    view.apply_server(listed)
+    view.suspect(view.servers["z"], "test")
+    view.suspect(view.servers["z"], "again")
+    view.remove_server("z", 5)
+    assert left == ["x", "y", "z", "z"]
