Charge a path for the wait at each server it visits

Cause: paths visited servers for one to four layers (14-18 and 23-24 between neighbours that hold them), since the price counted the layers only.

Ruled out: refused moves of streams (409): those streams were stalled at a dead server and were sent anew.

Change: the price of a stage counts half a pass over all layers of its server, the mean wait of a token that arrives within one.

--- a/packages/peridotyard-core/src/peridotyard_core/paths.py
+++ b/packages/peridotyard-core/src/peridotyard_core/paths.py
@@ -18,6 +18,9 @@
 # Share of the prompt's transfer between two zones that a token step is charged
 # with. The link is shared by all streams and fills up long before it shows.
 CROSSING_WEIGHT = 0.5
+# Share of a server's pass over all its layers that a token waits for it: one
+# that arrives at any time within a pass waits for half of it.
+PASS_WAIT = 0.5
 
 
 @dataclasses.dataclass(frozen=True)
@@ -133,14 +136,19 @@
         return tuple(stages)
 
     def price(self, server: fleet.Server, layers: int, load: float) -> float:
-        """Returns the milliseconds of a token step, raised by the load."""
+        """Returns the milliseconds of a token at a server, raised by the load.
+
+        The wait for the server's pass is counted whatever the number of layers
+        is, so that a path does not visit a server for a few of them. Each
+        visited server is one more whose loss interrupts the stream.
+        """
         engine = self.engine
         card = engine.find_card(server.card)
         factor = card.step_factor if card else 1.0
         factor *= self.slowness.get(server.instance, 1.0)
         room = engine.count_streams(card, server.span.size) if card else 1.0
         fill = (load + 1) / max(room, 0.1)
-        share = layers / engine.layers
+        share = (layers + PASS_WAIT * server.span.size) / engine.layers
         step_ms = engine.step_ms + engine.stream_ms * load
         scarcity = 1 + FILL_WEIGHT * fill**FILL_POWER
         return share * factor * step_ms * scarcity
--- a/tests/unit/test_paths.py
+++ b/tests/unit/test_paths.py
@@ -207,3 +207,19 @@
         check_path(moved, 20)
         assert not failed & paths.list_instances(moved)
         assert moved[0] == path[0]
+
+
+def test_path_does_not_visit_a_server_for_a_few_layers():
+    # Seen as paths of 14 servers where 11 hold all layers; the loss of each
+    # interrupts the stream, and the spare servers were never free.
+    planner = paths.Planner(fleets.make_engine(layers=34), "a")
+    servers = [
+        fleets.make_server("a", "a", span=fleet.Span(0, 14)),
+        fleets.make_server("b", "a", span=fleet.Span(6, 16)),
+        fleets.make_server("c", "a", span=fleet.Span(14, 24)),
+        fleets.make_server("d", "a", span=fleet.Span(23, 33)),
+        fleets.make_server("e", "a", span=fleet.Span(24, 34)),
+    ]
+    loads = {"a": 6, "b": 0, "c": 6, "d": 0, "e": 6}
+    path = planner.choose(servers, lambda server: loads[server.instance])
+    assert [stage.server.instance for stage in path] == ["a", "c", "e"]
