Ignore reports from before an accepted order of layers

Cause: a server's report is some hundred milliseconds old.

Ruled out: the platform's list, which a report goes before for three seconds.

Change: a report whose count of orders is not above that of the pending order says nothing about layers.

--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/placement.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/placement.py
@@ -42,10 +42,12 @@
     Attributes:
         span: The layers ordered.
         until: Time at which it is taken to have failed.
+        orders: Orders that the server had accepted before.
     """
 
     span: fleet.Span
     until: float
+    orders: int
 
 
 class Placement:
@@ -180,12 +182,22 @@
         changed = {
             name: report.span
             for name, report in reports.items()
-            if self._view.apply_report(name, report.span)
+            if not self._is_outdated(name, report)
+            and self._view.apply_report(name, report.span)
         }
         if changed:
             self._publish(changed)
         return reports
 
+    def _is_outdated(self, instance: str, report: exchanges.Report) -> bool:
+        """Returns whether a report is from before an accepted order.
+
+        Reports are some hundred milliseconds old. The layers that one of them
+        still shows may have been given up, and paths over them are refused.
+        """
+        order = self._pending.get(instance)
+        return order is not None and report.orders <= order.orders
+
     async def _ask(
         self, server: fleet.Server, reports: dict[str, exchanges.Report]
     ) -> None:
@@ -259,7 +271,7 @@
         if not outcome.startswith("status 4"):
             # Without an answer it may still be carried out.
             self._pending[server.instance] = _Order(
-                span, trio.current_time() + ORDER_LIFE_S
+                span, trio.current_time() + ORDER_LIFE_S, report.orders
             )
         _log.info(
             "Ordered layers.",
--- a/tests/support/servers.py
+++ b/tests/support/servers.py
@@ -38,6 +38,7 @@
         orders: Bodies of the orders.
         faults: Faults of the next requests; none when empty.
         left: Identities of the requests whose caller left.
+        lag_s: Age of the state that a report shows.
     """
 
     def __init__(self, server: fleet.Server, events: int = 10):
@@ -50,6 +51,9 @@
         self.left: list[str] = []
         self.stalled: dict[str, trio.Event] = {}
         self.culprit = ""
+        self.lag_s = 0.0
+        # Time, layers and number of orders after each change.
+        self._states = [(float("-inf"), server.span, 0)]
         self.accepts_orders = True
 
     def join(self, network, nursery) -> None:
@@ -93,10 +97,11 @@
         self._network.reset(address)
 
     async def _report(self, responder) -> None:
-        span = self.server.span
+        shown_at = trio.current_time() - self.lag_s
+        _, span, orders = [s for s in self._states if s[0] <= shown_at][-1]
         value = {
             "busy": False,
-            "sequence": len(self.orders),
+            "sequence": orders,
             "queued": 0,
             "running": 0,
             "kvUsed": 0,
@@ -123,6 +128,8 @@
         if order["op"] == "place":
             span = fleet.Span(order["from"], order["target"])
             self.server = dataclasses.replace(self.server, span=span)
+            state = (trio.current_time(), span, len(self.orders))
+            self._states.append(state)
         elif order["id"] in self.stalled:
             self.stalled.pop(order["id"]).set()
         await responder.send_whole(202, [], b"")
--- a/tests/unit/test_placement.py
+++ b/tests/unit/test_placement.py
@@ -145,6 +145,36 @@
         )
 
 
+@cases.run_virtually
+async def test_late_report_does_not_bring_back_layers_that_were_given_up():
+    # Seen as half a second of refusals: a report from before the order showed
+    # the former layers, and all entries chose paths over them.
+    async with open_fleet(make_servers()) as (network, _, stand_ins, holders):
+        await trio.sleep(8)
+        lost = next(
+            name
+            for name in stand_ins
+            if list_missing(stand_ins, without=(name,))
+        )
+        former = {name: item.server.span for name, item in stand_ins.items()}
+        for item in stand_ins.values():
+            item.lag_s = 0.6
+        holders[0].published.clear()
+        address = str(stand_ins[lost].server.address)
+        network.stop_serving(address)
+        network.reset(address)
+        holders[0].view.suspect(stand_ins[lost].server, "test")
+        await trio.sleep(4)
+        assert not list_missing(stand_ins, without=(lost,))
+        told = [
+            (name, span)
+            for spans in holders[0].published
+            for name, span in spans.items()
+        ]
+        assert told
+        assert not set(told) & set(former.items())
+
+
 @cases.run_virtually
 async def test_only_one_of_two_entries_orders():
     async with open_fleet(make_servers(), ("first", "second")) as (
