Stand in for a lost holder of the placement duty at once

Ruled out: a shorter lease. The store answers within 0.6 s in its slowest state, and each renewal has a price.

Change: when the connection to the holder ends, the connected entry with the lowest address acts until another holder is heard. Orders name the server and its count of orders, so that a holder that lives behind a cut does no harm.

--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/mesh.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/mesh.py
@@ -162,10 +162,12 @@
     def stands_in(self) -> bool:
         """Returns whether this entry acts for the holder of the duty.
 
-        While the store answers nobody, no lease can be granted. The connected
-        entry with the lowest address acts then; a second one, beyond a cut
-        between the entries, is harmless, as all orders are conditional.
+        While the store answers nobody, no lease can be granted, nor as long as
+        the lease of a holder runs that has ended. The connected entry with the
+        lowest address acts then; a second one, beyond a cut between the
+        entries, is harmless, as all orders are conditional.
         """
+        orphaned = self._duty.is_orphaned()
         now = trio.current_time()
         age_s = min(self._view.store_age_s(), now - self._started_at)
         lost = age_s > STORE_LOST_S
@@ -175,10 +177,15 @@
             seen_at = self._store_seen_at.get(connection.key, now)
             lost = lost and now - seen_at > STORE_LOST_S
             first = first and str(self._address) < connection.key
-        acts = lost and first
+        acts = (lost or orphaned) and first
         if acts != self._stood_in:
             self._stood_in = acts
-            _log.info("Standing in for the holder changed.", acts=acts)
+            _log.info(
+                "Standing in for the holder changed.",
+                acts=acts,
+                holder_lost=orphaned,
+                store_lost=lost,
+            )
         return acts
 
     def make_hello(self) -> ttypes.Hello:
@@ -226,7 +233,7 @@
         if self._peers.find(connection.key) is None:
             self._view.apply_foreign(connection.key, None)
             self._store_seen_at.pop(connection.key, None)
-            self._duty.note_holder(connection.peer.instance, False)
+            self._duty.note_lost(connection.peer.instance)
 
     def _take_heartbeat(self, connection, message: ttypes.Heartbeat) -> None:
         age_s = message.confirmed_age_ms / 1000
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/presence.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/presence.py
@@ -84,6 +84,7 @@
         self._failing = False
         # Connected entry that holds the duty, and when it last said so.
         self._holder = ""
+        self._is_orphaned = False
         self._heard_at = float("-inf")
         self._holder_lost = trio.Event()
 
@@ -97,11 +98,27 @@
         if holds:
             self._holder = entry
             self._heard_at = self._clock()
+            self._is_orphaned = False
         elif entry == self._holder:
             self._holder = ""
             self._heard_at = float("-inf")
             self._holder_lost.set()
 
+    def note_lost(self, entry: str) -> None:
+        """Takes that the connection to another entry has ended."""
+        if entry == self._holder:
+            self._is_orphaned = True
+        self.note_holder(entry, False)
+
+    def is_orphaned(self) -> bool:
+        """Returns whether the holder ended and no other is known.
+
+        Its lease still runs, so that nobody can be granted the duty.
+        """
+        if self.holds_duty():
+            self._is_orphaned = False
+        return self._is_orphaned
+
     async def _pause(self, pause_s: float) -> None:
         """Waits between two beats.
 
--- a/tests/unit/test_gateway.py
+++ b/tests/unit/test_gateway.py
@@ -344,6 +344,32 @@
         assert sum(held) == 1
 
 
+@cases.run_virtually
+async def test_duty_is_done_while_the_lease_of_a_lost_holder_runs():
+    # Seen as two seconds in which a layer without a holder stayed lost: the
+    # holder was killed together with a server.
+    async with open_deployment(entries=3) as site:
+        await trio.sleep(10)
+        number = next(
+            number
+            for number, entry in enumerate(site.entries, 1)
+            if entry._presence.holds_duty()
+        )
+        others = [e for e in site.entries if not e._presence.holds_duty()]
+        assert not any(entry._holds_duty() for entry in others)
+        for other in {1, 2, 3} - {number}:
+            site.network.cut(f"10.1.0.{number}", f"10.1.0.{other}:82")
+        site.network.stop_serving(f"10.1.0.{number}:82")
+        site.network.reset(f"10.1.0.{number}:82")
+        site.network.reset(f"10.1.0.{number}")
+        site.turn_away(number)
+        await trio.sleep(0.1)
+        assert [entry._holds_duty() for entry in others] == [True, False]
+        await trio.sleep(4)
+        assert sum(entry._presence.holds_duty() for entry in others) == 1
+        assert not any(entry._mesh.stands_in() for entry in others)
+
+
 @cases.run_virtually
 async def test_entries_tell_each_other_what_they_have_in_flight():
     async with open_deployment(entries=2) as site:
