Keep the pace of probes while servers are silent

Cause: each silent server counted as a probe that took no time, so that ten of them made a busy process look idle, and its second probes had 50 ms again.

Ruled out: the smoothing; with it lower, a burst of load would be seen late.

Change: a silent server only raises the mean time, by how late the timer was.

Test: test_busy_process_suspects_no_live_server passes now.

--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/probes.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/probes.py
@@ -214,8 +214,8 @@
             case result.Failure(error):
                 pass
         late_s = taken_s - timeout_s
-        if isinstance(error, upstreams.LateError):
-            self._note_pace(late_s)
+        # A silent server does not show that the process is fast.
+        self._note_pace(max(late_s, self.pace_s))
         if late_s > PROBE_TIMEOUT_S:
             # This process did not run, so the silence proves nothing.
             _log.warning(
