Bound the probes of a process and gather other entries' suspicions

Entries behind a cut suspect all 59 servers and tell the others, which probed all of them at once, each by itself, in 50 ms; with a third of a core that fails. Each entry also probed all its suspects every 0.4 s, half of its processor.

Change: at most eight probes at a time, whose timeouts begin when they do; suspicions of other entries within 10 ms are examined together; suspects are asked again in eights, and no further while none answers. The exchange of loads slows down with the number of entries.

Tests: test_cut_off_entry_does_not_probe_all_servers_all_the_time, test_suspicions_of_other_entries_are_examined_together.

--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/mesh.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/mesh.py
@@ -25,8 +25,11 @@
 ROLE = "entry"
 # Record kind of a whole configuration as the store holds it.
 RECORD_KIND = "routing"
-# Time between two exchanges of requests in flight; a stream takes seconds.
+# Time between two exchanges of requests in flight with up to so many others; a
+# stream takes seconds. With more entries it grows with their number, since each
+# has less in flight and reads what all others send.
 LOADS_S = 0.25
+LOADS_ENTRIES = 4
 # The list of entries follows the store every two seconds; this adds little.
 DIAL_PAUSE_S = 0.5
 # Time without the store, at this entry and at all it is connected to, after
@@ -85,7 +88,6 @@
         self._store_seen_at: dict[str, float] = {}
         self._stood_in = False
         self._started_at = float("inf")
-        self._nursery: trio.Nursery | None = None
         # Functions that take the messages, by the field of the frame.
         self._takers = {
             "heartbeat": self._take_heartbeat,
@@ -109,7 +111,6 @@
         """Serves and keeps the connections until cancelled."""
         self._started_at = trio.current_time()
         async with trio.open_nursery() as nursery:
-            self._nursery = nursery
             await nursery.start(self._peers.run, self._address)
             task_status.started()
             nursery.start_soon(self._dial_all)
@@ -257,7 +258,7 @@
         for instance in message.instances:
             server = self._view.servers.get(instance)
             if server is not None:
-                self._nursery.start_soon(self._prober.examine, server)
+                self._prober.request(server)
 
     def _take_crashes(self, connection, message: ttypes.Quarantine) -> None:
         now = trio.current_time()
@@ -330,7 +331,8 @@
 
     async def _send_loads(self) -> None:
         while True:
-            await trio.sleep(LOADS_S)
+            others = len(self._peers.connections)
+            await trio.sleep(LOADS_S * max(1.0, others / LOADS_ENTRIES))
             loads = self._view.count_in_flight()
             if loads != self._sent_loads:
                 self._sent_loads = loads
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/probes.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/probes.py
@@ -30,8 +30,16 @@
 # A positive answer is not asked for again within this time, which bounds the
 # probes of a server to 7 a second however many streams wait for it.
 FRESH_S = 0.15
-# Time between two probes of a suspected server.
+# Time between two probes of suspected servers, and how many of them are asked
+# as long as none answers: an entry that is cut off suspects all servers.
 RECHECK_S = 0.4
+RECHECK_COUNT = 8
+# Probes at the same time. With ten of them, an entry with a third of a core
+# takes as long as the timeout.
+PROBES_AT_ONCE = 8
+# Time in which suspicions of other entries are gathered: those of one server
+# come from many entries, and those of a zone from one, within milliseconds.
+GATHER_S = 0.01
 
 _log = logs.Part("probe")
 
@@ -55,7 +63,12 @@
         self._dialect = dialect
         self._count = count
         self.pace_s = 0.0
+        self._limiter = trio.CapacityLimiter(PROBES_AT_ONCE)
         self._alive_at: dict[str, float] = {}
+        self._asked_at: dict[str, float] = {}
+        # Servers that other entries suspect.
+        self._wanted: dict[str, fleet.Server] = {}
+        self._is_wanted = trio.Event()
         self._running: dict[str, trio.Event] = {}
         self._reports: dict[str, exchanges.Report] = {}
 
@@ -110,9 +123,10 @@
         """Takes the time of an answer, or by how much a timer was late."""
         self.pace_s += PACE_SMOOTHING * (duration_s - self.pace_s)
 
-    async def examine(self, server: fleet.Server) -> None:
-        """Probes one server and suspects it if it does not answer."""
-        await self.find_dead([server])
+    def request(self, server: fleet.Server) -> None:
+        """Has a server probed soon that another entry suspects."""
+        self._wanted[server.instance] = server
+        self._is_wanted.set()
 
     async def probe(
         self,
@@ -155,21 +169,43 @@
 
     async def run(self) -> None:
         """Probes suspected servers until they answer or leave the list."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._examine_wanted, nursery)
+            while True:
+                await trio.sleep(RECHECK_S)
+                self._pool.trim()
+                await self._recheck()
+
+    async def _examine_wanted(self, nursery: trio.Nursery) -> None:
         while True:
-            await trio.sleep(RECHECK_S)
-            self._pool.trim()
-            async with trio.open_nursery() as nursery:
-                for server in self._view.list_suspects():
-                    nursery.start_soon(self.examine, server)
+            await self._is_wanted.wait()
+            await trio.sleep(GATHER_S)
+            self._is_wanted = trio.Event()
+            wanted, self._wanted = self._wanted, {}
+            nursery.start_soon(self.find_dead, wanted.values())
+
+    async def _recheck(self) -> None:
+        """Asks the suspected servers, as many as it is of use."""
+        suspects = sorted(
+            self._view.list_suspects(),
+            key=lambda server: self._asked_at.get(server.instance, 0.0),
+        )
+        while suspects:
+            batch = suspects[:RECHECK_COUNT]
+            suspects = suspects[RECHECK_COUNT:]
+            if len(await self.find_dead(batch)) == len(batch):
+                return
+
+    def _keep_listed(self, values: dict) -> dict:
+        """Returns the values of servers that are still in the list."""
+        servers = self._view.servers
+        return {key: value for key, value in values.items() if key in servers}
 
     def _keep_report(
         self, server: fleet.Server, status: int, body: bytes
     ) -> None:
-        self._reports = {
-            name: report
-            for name, report in self._reports.items()
-            if name in self._view.servers
-        }
+        self._reports = self._keep_listed(self._reports)
+        self._asked_at = self._keep_listed(self._asked_at)
         if status != 200:
             return
         try:
@@ -188,17 +224,18 @@
         self, server: fleet.Server, timeout_s: float
     ) -> errors.PeridotyardError | None:
         """Asks for a report; returns why there is none, None if there is."""
-        self._count("probes")
-        asked_at = trio.current_time()
-        # An idle connection may have gone silent while the server lives, so
-        # only a new one tells the two apart.
-        answer = await self._pool.try_fetch(
-            server.address,
-            "GET",
-            self._dialect.report_target,
-            timeout_s=timeout_s,
-            fresh=True,
-        )
+        async with self._limiter:
+            self._count("probes")
+            asked_at = self._asked_at[server.instance] = trio.current_time()
+            # An idle connection may have gone silent while the server lives,
+            # so only a new one tells the two apart.
+            answer = await self._pool.try_fetch(
+                server.address,
+                "GET",
+                self._dialect.report_target,
+                timeout_s=timeout_s,
+                fresh=True,
+            )
         taken_s = trio.current_time() - asked_at
         match answer:
             case result.Success((status, body)):
--- a/tests/unit/test_probes.py
+++ b/tests/unit/test_probes.py
@@ -97,3 +97,43 @@
         site.cut("s7")
         await trio.sleep(1)
         assert await site.prober.find_dead(servers) == {"s3", "s7"}
+
+
+@cases.run_virtually
+async def test_cut_off_entry_does_not_probe_all_servers_all_the_time():
+    # Seen as half of a slow entry's processor spent on probes of 59 servers.
+    spans = [(f"s{n}", "a", (n, n + 1)) for n in range(40)]
+    async with gateways.open_site(gateways.make_servers(spans)) as site:
+        async with trio.open_nursery() as nursery:
+            for name in site.servers:
+                site.cut(name)
+            dead = await site.prober.find_dead(list_servers(site))
+            assert len(dead) == 40
+            nursery.start_soon(site.prober.run)
+            before = site.context.metrics.count("probes")
+            await trio.sleep(3)
+            assert site.context.metrics.count("probes") - before <= 8 * 2 * 8
+            for item in site.servers.values():
+                site.network.heal(gateways.HOST, str(item.server.address))
+            await trio.sleep(0.7)
+            assert site.context.view.list_suspects() == []
+            nursery.cancel_scope.cancel()
+
+
+@cases.run_virtually
+async def test_suspicions_of_other_entries_are_examined_together():
+    # Each by itself, none of them looked like a fault of this process.
+    async with gateways.open_site(gateways.make_servers(SPANS)) as site:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(site.prober.run)
+            await trio.sleep(0.05)
+            set_latency(site, 0.02)
+            for _ in range(3):
+                for server in list_servers(site):
+                    site.prober.request(server)
+            await trio.sleep(0.07)
+            set_latency(site, 0.0005)
+            await trio.sleep(0.2)
+            assert site.context.view.list_suspects() == []
+            assert site.context.metrics.count("probes") <= 2 * len(SPANS)
+            nursery.cancel_scope.cancel()
