Add a randomized soak of real entries

Cause: the users ask for a soak of their promises with real processes.

Change: python -m tests.soak runs three entries as processes before stand-ins of the store and of servers behind loopback proxies. Faults are drawn from a seed: processes paused, killed, stopped and reloaded by signals; connections delayed, held one way or both, and reset; the store refusing, losing or delaying answers and its history; servers that end or leave; configurations in quick succession. It checks what callers and servers saw: whole answers of their own, events in order, calls that may not be repeated run once, true promises, paths with each layer once, versions in force in time and never older, recovery within 12 s.

--- /dev/null
+++ b/tests/soak/__main__.py
@@ -0,0 +1,162 @@
+"""Runs the soak: `python -m tests.soak --seeds 1-50 --seconds 15`."""
+
+import argparse
+import dataclasses
+import pathlib
+import random
+import re
+import sys
+import time
+
+import trio
+
+from tests.soak import callers as callers_module
+from tests.soak import deployment as deployment_module
+from tests.soak import faults as faults_module
+
+CALLERS = 6
+# Time after the last fault in which requests have to be served again.
+RECOVERY_S = 12.0
+# Requests in a row that show that they are.
+RECOVERED_REQUESTS = 12
+BEAT_S = 0.3
+# Seeds that failed once, each with its cause.
+REGRESSIONS = pathlib.Path(__file__).with_name("seeds.txt")
+LOGS = pathlib.Path("target/soak")
+
+
+@dataclasses.dataclass(frozen=True)
+class Result:
+    """Outcome of one seed.
+
+    Attributes:
+        requests: Number of requests.
+        served: Number of whole successes.
+        recovery_s: Time until all requests were served after the last fault.
+        problems: Broken promises.
+        faults: The faults, with their times.
+    """
+
+    requests: int
+    served: int
+    recovery_s: float
+    problems: list[str]
+    faults: list[str]
+
+
+async def run_seed(seed: int, seconds: float) -> Result:
+    """Runs a deployment under faults, and checks what callers saw."""
+    folder = LOGS / f"seed-{seed}"
+    folder.mkdir(parents=True, exist_ok=True)
+    for old in folder.iterdir():
+        old.unlink()
+    draw = random.Random(seed)
+    deployment = deployment_module.Deployment(draw, folder)
+    faults = faults_module.Faults(deployment)
+    callers = [
+        callers_module.Caller(deployment, number) for number in range(CALLERS)
+    ]
+    recovery_s = 0.0
+    try:
+        async with trio.open_nursery() as nursery:
+            await deployment.start(nursery)
+            nursery.start_soon(_beat, deployment)
+            with trio.move_on_after(20):
+                # The first layout.
+                await _serve_in_a_row(callers[0])
+            nursery.start_soon(
+                callers_module.ConfigurationCheck(deployment).run
+            )
+            async with trio.open_nursery() as load:
+                for caller in callers:
+                    load.start_soon(caller.run)
+                await faults.run(seconds)
+                load.cancel_scope.cancel()
+            began = time.monotonic()
+            with trio.move_on_after(RECOVERY_S) as scope:
+                await _serve_in_a_row(callers[0])
+            recovery_s = time.monotonic() - began
+            if scope.cancelled_caught:
+                deployment.problems.append("RECOVER: not served in time")
+            nursery.cancel_scope.cancel()
+    finally:
+        deployment.stop()
+    outcomes = [outcome for caller in callers for outcome in caller.outcomes]
+    runs = [name for item in deployment.runs for name in item.runs]
+    problems = deployment.problems + callers_module.check(outcomes, runs)
+    return Result(
+        len(outcomes),
+        sum(outcome.succeeded for outcome in outcomes),
+        recovery_s,
+        problems,
+        faults.history,
+    )
+
+
+async def _serve_in_a_row(caller: callers_module.Caller) -> None:
+    """Sends requests until so many in a row were served."""
+    in_a_row = 0
+    while in_a_row < RECOVERED_REQUESTS:
+        entry = in_a_row % deployment_module.ENTRIES
+        route = ("chat", "look", "book")[in_a_row // 4]
+        outcome = await caller.send(entry, route)
+        in_a_row = in_a_row + 1 if outcome.succeeded else 0
+        if not outcome.succeeded:
+            await trio.sleep(0.2)
+
+
+async def _beat(deployment: deployment_module.Deployment) -> None:
+    """Writes the rows of servers whose layers changed, and checks entries."""
+    listed = {}
+    while True:
+        deployment.check_processes()
+        for item in deployment.models.values():
+            span = item.server.span
+            if not item.leaving and listed.get(item.server.instance) != span:
+                listed[item.server.instance] = span
+                deployment.list_server(item, ready=True)
+        await trio.sleep(BEAT_S)
+
+
+def read_regressions() -> list[int]:
+    """Returns the seeds that failed once."""
+    text = REGRESSIONS.read_text()
+    return [int(seed) for seed in re.findall(r"^(\d+)\b", text, re.M)]
+
+
+def main() -> int:
+    """Runs the seeds of the arguments; returns the exit status."""
+    parser = argparse.ArgumentParser(prog="python -m tests.soak")
+    parser.add_argument(
+        "--seeds", default="", help="a seed, or a range such as 1-50"
+    )
+    parser.add_argument(
+        "--regressions", action="store_true", help="seeds that failed once"
+    )
+    parser.add_argument("--seconds", type=float, default=15.0)
+    arguments = parser.parse_args()
+    first, _, last = arguments.seeds.partition("-")
+    seeds = list(range(int(first), int(last or first) + 1)) if first else []
+    if arguments.regressions:
+        seeds += read_regressions()
+    failed = 0
+    for seed in seeds:
+        result = trio.run(run_seed, seed, arguments.seconds)
+        failed += bool(result.problems)
+        print(
+            f"seed {seed}: {result.requests} requests, {result.served} served,"
+            f" recovery {result.recovery_s:.1f} s,"
+            f" {len(result.problems)} problems",
+            flush=True,
+        )
+        for problem in result.problems[:20]:
+            print(f"    {problem}")
+        if result.problems:
+            for fault in result.faults:
+                print(f"    fault: {fault}")
+    print(f"{len(seeds)} seeds, {failed} failed")
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/soak/callers.py
@@ -0,0 +1,202 @@
+"""Callers of the soak: what they send, and checks of what they get."""
+
+import dataclasses
+import time
+
+import h11
+from peridotyard_core import addresses
+from peridotyard_daemon.connection import upstreams
+import trio
+
+from tests.soak import deployment as deployment_module
+from tests.support import gateways
+
+EVENTS = 30
+PATIENCE_S = 6.0
+# Statuses that promise that a request has not run and never will.
+PROMISES = (408, 421, 429, 503)
+
+
+@dataclasses.dataclass
+class Outcome:
+    """What a caller saw of one request.
+
+    Attributes:
+        request_id: Identity of the attempt.
+        route: Name of the route.
+        status: Status of the response, 0 without one.
+        complete: Whether the response had its end.
+        body: What arrived of it.
+    """
+
+    request_id: str
+    route: str
+    status: int = 0
+    complete: bool = False
+    body: bytes = b""
+
+    @property
+    def succeeded(self) -> bool:
+        """Whether it is a whole success."""
+        return self.status == 200 and self.complete
+
+
+class Caller:
+    """Keeps one connection to an entry for as long as it works."""
+
+    def __init__(self, deployment: deployment_module.Deployment, number: int):
+        self._deployment = deployment
+        self._number = number
+        self._pool = upstreams.Pool(upstreams.open_tcp)
+        self._sent = 0
+        self.outcomes: list[Outcome] = []
+
+    async def run(self) -> None:
+        """Sends one request after the other until cancelled."""
+        random = self._deployment.random
+        while True:
+            entry = random.randrange(deployment_module.ENTRIES)
+            route = random.choice(("chat", "chat", "look", "book"))
+            await self.send(entry, route)
+            await trio.sleep(random.uniform(0.0, 0.2))
+
+    async def send(self, entry: int, route: str, key: str = "key") -> Outcome:
+        """Sends one request and keeps what came of it."""
+        self._sent += 1
+        outcome = Outcome(f"c{self._number}-{self._sent}", route)
+        self.outcomes.append(outcome)
+        address = self._deployment.entry_address(entry)
+        with trio.move_on_after(PATIENCE_S + 1.0):
+            try:
+                connection = await self._pool.acquire(address)
+            except upstreams.UnsentError:
+                return outcome
+            try:
+                await self._exchange(connection, outcome, key)
+                self._pool.release(connection)
+            except upstreams.LostError:
+                # Closed or reset: `complete` stays False.
+                connection.abort()
+        return outcome
+
+    async def _exchange(self, connection, outcome: Outcome, key: str) -> None:
+        headers = (
+            (b"Host", deployment_module.HOST.encode()),
+            (b"X-Attempt-Id", outcome.request_id.encode()),
+            (b"X-Deadline-Ms", str(int(1000 * PATIENCE_S)).encode()),
+            (b"Api-Key", key.encode()),
+        )
+        body = f"body of {outcome.request_id}".encode()
+        target = f"/{outcome.route}/x"
+        await connection.send("POST", target, headers, body)
+        while not isinstance(event := await connection.receive(), _END):
+            if isinstance(event, h11.Response):
+                outcome.status = event.status_code
+            else:
+                outcome.body += bytes(event.data)
+        outcome.complete = True
+
+
+_END = h11.EndOfMessage
+
+
+def check(outcomes: list[Outcome], runs: list[str]) -> list[str]:
+    """Returns the promises that were broken.
+
+    Args:
+        outcomes: All requests.
+        runs: Identities of the requests that servers ran, once for each run.
+    """
+    problems = []
+    for outcome in outcomes:
+        name = f"{outcome.request_id} {outcome.route} {outcome.status}"
+        ran = runs.count(outcome.request_id)
+        if outcome.route == "book" and ran > 1:
+            problems.append(f"TWICE: {name} ran {ran} times")
+        if outcome.route == "book" and ran and outcome.status in PROMISES:
+            problems.append(f"REFUSED: {name} ran")
+        if outcome.status == 200:
+            problem = _check_success(outcome)
+            if problem:
+                problems.append(f"{problem}: {name}")
+    return problems
+
+
+def _check_success(outcome: Outcome) -> str:
+    """Returns the rule that the body of a success breaks, if any."""
+    if outcome.route != "chat":
+        expected = f"answer to {outcome.request_id}".encode()
+        whole = outcome.body == expected
+        prefix = expected.startswith(outcome.body)
+        return "" if whole or (prefix and not outcome.complete) else "MIXED"
+    numbers = gateways.read_numbers(outcome.body)
+    if numbers != list(range(1, len(numbers) + 1)):
+        return "ORDER"
+    if outcome.complete and len(numbers) != EVENTS:
+        return "ORDER (ends early)"
+    return ""
+
+
+class ConfigurationCheck:
+    """Watches which version is in force on each entry."""
+
+    # Time in which a version has to be in force on an entry without faults.
+    APPLY_S = 2.0
+    # An entry counts as in touch after this time without a fault.
+    CONTACT_S = 3.0
+    # Pause between two readings, and delay of one on a busy machine.
+    SLACK_S = 0.5
+
+    def __init__(self, deployment: deployment_module.Deployment):
+        self._deployment = deployment
+        # Process start, and highest version seen of it, by entry.
+        self._seen: dict[int, tuple[int, int]] = {}
+
+    async def run(self) -> None:
+        """Asks all entries until cancelled."""
+        while True:
+            for number in range(deployment_module.ENTRIES):
+                with trio.move_on_after(0.3):
+                    await self._ask(number)
+            await trio.sleep(0.1)
+
+    async def _ask(self, number: int) -> None:
+        deployment = self._deployment
+        asked_at = time.monotonic()
+        start = deployment.starts[number]
+        host = deployment.entry_address(number).host
+        pool = upstreams.Pool(upstreams.open_tcp)
+        outcome = await pool.try_fetch(
+            addresses.Address(host, 9464),
+            "GET",
+            "/admin/v1/fleet",
+            timeout_s=0.25,
+            fresh=True,
+        )
+        pool.forget(addresses.Address(host, 9464))
+        version = deployment.read_version(outcome)
+        if version is None or start != deployment.starts[number]:
+            return
+        seen_start, seen = self._seen.get(number, (start, 0))
+        if seen_start == start and version < seen:
+            deployment.problems.append(
+                f"CONFIG: entry {number} went back from {seen} to {version}"
+            )
+        self._seen[number] = (start, version)
+        due = max(
+            (
+                v
+                for v, at in deployment.acked.items()
+                if asked_at - at > self.APPLY_S + self.SLACK_S
+            ),
+            default=0,
+        )
+        calm = all(
+            asked_at - deployment.disturbed.get(name, 0.0)
+            > self.CONTACT_S + self.SLACK_S
+            for name in (f"entry {number}", "store")
+        )
+        if calm and version < due:
+            deployment.problems.append(
+                f"CONFIG: entry {number} has {version}, {due} was due"
+            )
--- /dev/null
+++ b/tests/soak/deployment.py
@@ -0,0 +1,315 @@
+"""The soak's deployment: entries as processes, stand-ins behind proxies."""
+
+import itertools
+import json
+import os
+import pathlib
+import random as random_module
+import signal
+import subprocess
+import sys
+import time
+
+from peridotyard_core import addresses
+from peridotyard_core import fleet
+from returns import result
+import trio
+import yaml
+
+from tests.soak import proxies
+from tests.soak import stand_ins
+from tests.support import platform_store
+from tests.support import servers as servers_module
+
+ENTRIES = 3
+ZONES = ("a", "b")
+MODEL_SERVERS = 8
+PLAIN_SERVERS = 3
+GRACE_S = 4.0
+HOST = "api.example"
+ROUTES = (
+    ("chat", "streaming", "model", {"resumable": True, "gapAimMs": 200}),
+    ("look", "safe", "ledger", {}),
+    ("book", "unsafe", "ledger", {}),
+)
+
+
+class Deployment:
+    """Processes and stand-ins, owned by one run of the soak.
+
+    Attributes:
+        models: Model servers by the address that entries know.
+        plain: Plain servers likewise.
+        proxies: Proxies by the address that entries know.
+        acked: Time at which each version of the configuration was written.
+        disturbed: Time until which an entry, or "store", is under a fault.
+        starts: How often each entry was started.
+        stopping: Entries that the soak ended and has not started again.
+        problems: Broken promises, as text.
+    """
+
+    def __init__(self, random: random_module.Random, folder: pathlib.Path):
+        self.random = random
+        self._folder = folder
+        # One network of loopback addresses for each run of the machine.
+        self._network = f"127.{64 + os.getpid() % 128}.{random.randrange(256)}"
+        self._listeners = proxies.Listeners()
+        self._numbers = itertools.count(1)
+        self._nursery: trio.Nursery | None = None
+        self._processes: dict[int, subprocess.Popen] = {}
+        self.stopping: set[int] = set()
+        self.starts = dict.fromkeys(range(ENTRIES), 0)
+        self.rows = platform_store.StandIn()
+        self.models: dict[str, stand_ins.ModelServer] = {}
+        self.plain: dict[str, servers_module.StandIn] = {}
+        self.runs: list[servers_module.StandIn] = []
+        self.proxies: dict[str, proxies.Proxy] = {}
+        self.acked: dict[int, float] = {}
+        self.disturbed: dict[str, float] = {}
+        self.problems: list[str] = []
+        self.store_proxy: proxies.Proxy | None = None
+
+    async def start(self, nursery: trio.Nursery) -> None:
+        """Starts everything and waits until the entries are ready."""
+        self._nursery = nursery
+        store = addresses.Address(f"{self._network}.2", 8000)
+        real = addresses.Address(f"{self._network}.1", 8000)
+        self._listeners.real[platform_store.ADDRESS] = real
+        self.rows.join(self._listeners, nursery)
+        self.store_proxy = await self._open_proxy(store, real)
+        self.write_routing()
+        for number in range(MODEL_SERVERS):
+            await self.add_model(ZONES[number % len(ZONES)])
+        for number in range(PLAIN_SERVERS):
+            await self._add_plain(ZONES[number % len(ZONES)])
+        for number in range(ENTRIES):
+            self._write_settings(number, 0)
+            self.start_entry(number)
+        for number in range(ENTRIES):
+            await self._wait_ready(number)
+
+    def stop(self) -> None:
+        """Ends the processes that this run started."""
+        for process in self._processes.values():
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+                process.wait()
+
+    # Entries.
+
+    def entry_address(self, number: int, port: int = 80) -> addresses.Address:
+        """Returns an address of an entry: 80 callers, 81 readiness."""
+        return addresses.Address(f"{self._network}.{10 + number}", 8000 + port)
+
+    def start_entry(self, number: int) -> None:
+        """Starts the process of an entry."""
+        log = (self._folder / f"entry-{number}.log").open("ab")
+        variables = {"PERIDOTYARD_NODE_FILE": str(self._settings_path(number))}
+        self.stopping.discard(number)
+        self.starts[number] += 1
+        self._processes[number] = subprocess.Popen(
+            [sys.executable, "-m", "peridotyard_platform"],
+            env=os.environ | variables,
+            stdout=log,
+            stderr=log,
+        )
+        log.close()
+
+    def signal_entry(self, number: int, what: signal.Signals) -> None:
+        """Sends a signal to the process of an entry, if it runs."""
+        if self._processes[number].poll() is None:
+            self._processes[number].send_signal(what)
+
+    async def wait_exit(self, number: int, limit_s: float) -> int | None:
+        """Returns the exit status of an entry; None if it still runs."""
+        with trio.move_on_after(limit_s):
+            while self._processes[number].poll() is None:
+                await trio.sleep(0.05)
+        return self._processes[number].poll()
+
+    def check_processes(self) -> None:
+        """Reports entries that ended by themselves."""
+        for number, process in self._processes.items():
+            if process.poll() is not None and number not in self.stopping:
+                self.stopping.add(number)
+                self.problems.append(
+                    f"entry {number} ended by itself: {process.returncode}"
+                )
+
+    @staticmethod
+    def read_version(outcome: result.Result) -> int | None:
+        """Returns the version that an entry says it has in force."""
+        match outcome:
+            case result.Success((200, body)):
+                routing = json.loads(body).get("routing")
+                return routing["version"] if routing else 0
+        # It is stopped, or has just started.
+        return None
+
+    def reload_entry(self, number: int) -> None:
+        """Changes the settings file of an entry and tells it."""
+        self._write_settings(number, self.random.randrange(1, 100))
+        self.signal_entry(number, signal.SIGHUP)
+
+    def _settings_path(self, number: int) -> pathlib.Path:
+        return self._folder / f"entry-{number}.yaml"
+
+    def _write_settings(self, number: int, reserve: int) -> None:
+        host = self.entry_address(number).host
+        values = {
+            "node": f"entry-{number}",
+            "ip": host,
+            "zone": ZONES[number % len(ZONES)],
+            "listen": {
+                "front": str(self.entry_address(number, 80)),
+                "ready": str(self.entry_address(number, 81)),
+                "control": str(self.entry_address(number, 82)),
+            },
+            "seeds": [str(self.entry_address(0, 82))],
+            "bounds": {
+                "graceS": GRACE_S,
+                "retryBudgetRatio": 0.2,
+                "budgetWindowS": 10,
+                "budgetExtra": 200 + reserve,
+                "stall_ms": 1000 * stand_ins.STALL_S,
+            },
+            "provider": {"address": str(self.store_proxy.address)},
+        }
+        path = self._settings_path(number)
+        fresh = path.with_suffix(".new")
+        fresh.write_text(yaml.safe_dump(values))
+        fresh.rename(path)
+
+    async def _wait_ready(self, number: int) -> None:
+        address = self.entry_address(number, 81)
+        with trio.fail_after(20):
+            while True:
+                await trio.sleep(0.1)
+                try:
+                    stream = await trio.open_tcp_stream(
+                        address.host, address.port
+                    )
+                    async with stream:
+                        await stream.send_all(
+                            b"GET /readiness HTTP/1.1\r\nHost: a\r\n\r\n"
+                        )
+                        if b" 200 " in await stream.receive_some(1000):
+                            return
+                except OSError:
+                    # It does not listen yet.
+                    continue
+
+    # Store and servers.
+
+    def write_routing(self) -> int:
+        """Writes the next version; returns it."""
+        version = max(self.acked, default=0) + self.random.randrange(1, 4)
+        engine = {
+            "slots": 96,
+            "kvTokenBytes": 918000,
+            "step_ms": 0.85,
+            "per_seq_ms": 0.006,
+            "read_per_s": 252000,
+            "layers": stand_ins.LAYERS,
+            "layerMb": 1750,
+            "usual": {"prompt": 770, "answer": 150},
+            "kinds": [{"name": "wide", "mb": 18000, "pace": 16, "readX": 8}],
+        }
+        value = {
+            "version": version,
+            "routes": [
+                {
+                    "name": name,
+                    "host": HOST,
+                    "prefix": f"/{name}/",
+                    "kind": kind,
+                    "timeoutMs": 6000,
+                    "targetLatencyMs": 500,
+                    "service": service,
+                    "maxAttempts": 2,
+                }
+                | more
+                for name, kind, service, more in ROUTES
+            ],
+            "services": [
+                {"name": "model", "engine": engine},
+                {"name": "ledger"},
+            ],
+            "tenants": [{"name": "north", "apiKeys": ["key", f"k{version}"]}],
+        }
+        self.rows.put("op", "config", json.dumps(value).encode())
+        self.acked[version] = time.monotonic()
+        return version
+
+    async def add_model(self, zone: str) -> None:
+        """Starts an empty model server behind a proxy."""
+        server = self._make_server("model", zone, "wide")
+        item = stand_ins.ModelServer(server, self.models, self.problems)
+        self.models[str(server.address)] = item
+        await self._add(item)
+
+    async def _add_plain(self, zone: str) -> None:
+        server = self._make_server("ledger", zone, "")
+        item = servers_module.StandIn(server)
+        self.plain[str(server.address)] = item
+        await self._add(item)
+
+    def _make_server(self, service: str, zone: str, card: str) -> fleet.Server:
+        number = next(self._numbers)
+        address = addresses.Address(f"{self._network}.{100 + number}", 8080)
+        real = addresses.Address(f"{self._network}.{100 + number}", 8081)
+        self._listeners.real[address] = real
+        return fleet.Server(
+            instance=f"i-{number}",
+            service=service,
+            address=address,
+            zone=zone,
+            slots=96 if card else 6,
+            ready=True,
+            span=None,
+            card=card,
+            revision=0,
+            born_ms=int(1000 * time.time()) + number,
+        )
+
+    async def _add(self, item: servers_module.StandIn) -> None:
+        address = item.server.address
+        real = self._listeners.real[address]
+        self.proxies[str(address)] = await self._open_proxy(address, real)
+        self.runs.append(item)
+        item.join(self._listeners, self._nursery)
+        self.list_server(item, ready=True)
+
+    async def _open_proxy(self, address, real) -> proxies.Proxy:
+        proxy = proxies.Proxy(address, real)
+        await self._nursery.start(proxy.run)
+        return proxy
+
+    def list_server(self, item: servers_module.StandIn, ready: bool) -> None:
+        """Writes the row of a server."""
+        server = item.server
+        value = {
+            "service": server.service,
+            "address": str(server.address),
+            "zone": server.zone,
+            "slots": server.slots,
+            "state": "ready" if ready else "draining",
+            "kind": server.card,
+            "sequence": 0,
+            "born": server.born_ms,
+        }
+        if server.span is not None:
+            span = server.span
+            value["layers"] = {"from": span.first, "target": span.end}
+        self.rows.put("servers", server.instance, json.dumps(value).encode())
+
+    def end_model(self, address: str) -> None:
+        """Ends a model server, as a crash does."""
+        item = self.models.pop(address)
+        item.alive = False
+        self._listeners.stop_serving(address)
+
+    def unlist_server(self, item: servers_module.StandIn) -> None:
+        """Removes the row of a server."""
+        self.rows.put("servers", item.server.instance, None)
--- /dev/null
+++ b/tests/soak/faults.py
@@ -0,0 +1,164 @@
+"""Faults of the soak, drawn from a seed."""
+
+import signal
+import time
+
+import trio
+
+from tests.soak import deployment as deployment_module
+from tests.soak import proxies
+
+# Time that a server which leaves goes on serving.
+DRAIN_S = 2.0
+# Longest time of one fault; together with the pauses, two or three overlap.
+LONGEST_S = 3.0
+
+
+class Faults:
+    """Injects faults into a deployment."""
+
+    def __init__(self, deployment: deployment_module.Deployment):
+        self._deployment = deployment
+        self._random = deployment.random
+        self.history: list[str] = []
+
+    async def run(self, seconds: float) -> None:
+        """Starts faults for a time and returns when all have ended."""
+        began = time.monotonic()
+        async with trio.open_nursery() as nursery:
+            while time.monotonic() - began < seconds:
+                fault = self._random.choice(FAULTS)
+                length_s = self._random.uniform(0.2, LONGEST_S)
+                self.history.append(
+                    f"{time.monotonic() - began:.2f} {fault.__name__}"
+                    f" {length_s:.2f}"
+                )
+                nursery.start_soon(fault, self, length_s)
+                await trio.sleep(self._random.uniform(0.1, 1.5))
+
+    def _mark(self, name: str, left_s: float) -> None:
+        """Notes that something is disturbed for a time from now on."""
+        until = time.monotonic() + left_s
+        disturbed = self._deployment.disturbed
+        disturbed[name] = max(disturbed.get(name, 0.0), until)
+
+    def _pick_entry(self, left_s: float) -> int:
+        number = self._random.randrange(deployment_module.ENTRIES)
+        self._mark(f"entry {number}", left_s)
+        return number
+
+    async def pause_entry(self, length_s: float) -> None:
+        """Stops a process and lets it go on."""
+        number = self._pick_entry(length_s + 0.5)
+        self._deployment.signal_entry(number, signal.SIGSTOP)
+        await trio.sleep(length_s)
+        self._deployment.signal_entry(number, signal.SIGCONT)
+
+    async def kill_entry(self, length_s: float) -> None:
+        """Kills a process and starts it again."""
+        await self._restart(signal.SIGKILL, 2.0, length_s)
+
+    async def stop_entry(self, length_s: float) -> None:
+        """Asks a process to stop and starts it again."""
+        limit_s = deployment_module.GRACE_S + 1.0
+        await self._restart(signal.SIGTERM, limit_s, length_s)
+
+    async def _restart(self, what, limit_s: float, length_s: float) -> None:
+        deployment = self._deployment
+        number = self._pick_entry(limit_s + length_s + 2.0)
+        if number in deployment.stopping:
+            # Another fault is restarting it, but signals may overlap.
+            deployment.signal_entry(number, what)
+            return
+        deployment.stopping.add(number)
+        deployment.signal_entry(number, what)
+        status = await deployment.wait_exit(number, limit_s)
+        # A pause or a kill that overlaps may keep it from ending in time.
+        if status is None:
+            deployment.signal_entry(number, signal.SIGCONT)
+            deployment.signal_entry(number, signal.SIGKILL)
+            await deployment.wait_exit(number, 2.0)
+        await trio.sleep(length_s / 3)
+        deployment.start_entry(number)
+        self._mark(f"entry {number}", 2.0)
+
+    async def reload_entry(self, _length_s: float) -> None:
+        """Changes a settings file."""
+        self._deployment.reload_entry(self._pick_entry(0.5))
+
+    async def disturb_store(self, length_s: float) -> None:
+        """Delays, cuts or resets the way to the store."""
+        self._mark("store", length_s + 0.5)
+        await self._disturb(self._deployment.store_proxy, length_s)
+
+    async def break_store(self, length_s: float) -> None:
+        """Makes the store lose answers or history."""
+        rows = self._deployment.rows
+        self._mark("store", length_s + 0.5)
+        fault = self._random.choice(("refuse", "lose", "late", "forget"))
+        if fault == "forget":
+            rows.forget_history()
+            return
+        rows.fault = fault
+        await trio.sleep(length_s)
+        rows.fault = ""
+
+    async def disturb_server(self, length_s: float) -> None:
+        """Delays, cuts or resets the way to a server."""
+        names = sorted(self._deployment.proxies)
+        proxy = self._deployment.proxies[self._random.choice(names)]
+        await self._disturb(proxy, length_s)
+
+    async def _disturb(self, proxy: proxies.Proxy, length_s: float) -> None:
+        mode = self._random.choice(list(proxies.Mode)[1:])
+        proxy.set_mode(mode, self._random.uniform(0.02, 0.5))
+        await trio.sleep(length_s)
+        proxy.set_mode(proxies.Mode.PASS)
+
+    async def end_model(self, length_s: float) -> None:
+        """Ends a model server; another one starts, empty."""
+        models = self._deployment.models
+        if len(models) < deployment_module.MODEL_SERVERS - 1:
+            return
+        address = self._random.choice(sorted(models))
+        item = models[address]
+        self._deployment.end_model(address)
+        await trio.sleep(length_s)
+        self._deployment.unlist_server(item)
+        await self._deployment.add_model(item.server.zone)
+
+    async def drain_model(self, length_s: float) -> None:
+        """Lets a model server leave; another one starts first."""
+        models = self._deployment.models
+        if len(models) < deployment_module.MODEL_SERVERS:
+            return
+        address = self._random.choice(sorted(models))
+        item = models[address]
+        await self._deployment.add_model(item.server.zone)
+        self._deployment.list_server(item, ready=False)
+        item.leaving = True
+        await trio.sleep(DRAIN_S + length_s)
+        if address in models:
+            self._deployment.end_model(address)
+        self._deployment.unlist_server(item)
+
+    async def change_configuration(self, length_s: float) -> None:
+        """Writes one version, or several in quick succession."""
+        for _ in range(self._random.choice((1, 1, 4))):
+            self._deployment.write_routing()
+            await trio.sleep(length_s / 10)
+
+
+FAULTS = (
+    Faults.pause_entry,
+    Faults.kill_entry,
+    Faults.stop_entry,
+    Faults.reload_entry,
+    Faults.disturb_store,
+    Faults.break_store,
+    Faults.disturb_server,
+    Faults.disturb_server,
+    Faults.end_model,
+    Faults.drain_model,
+    Faults.change_configuration,
+)
--- /dev/null
+++ b/tests/soak/proxies.py
@@ -0,0 +1,130 @@
+"""Loopback addresses, listeners that can end, and proxies with faults."""
+
+import enum
+
+from peridotyard_core import addresses
+from peridotyard_daemon.connection import upstreams
+import trio
+
+CHUNK_BYTES = 1 << 16
+
+
+class Mode(enum.Enum):
+    """What a proxy does with the bytes of its connections."""
+
+    PASS = "pass"
+    DELAY = "delay"
+    # Holds bytes back as a lossy link does; they arrive when it is over.
+    SILENT = "silent"
+    MUTE = "mute"
+    DEAF = "deaf"
+    RESET = "reset"
+
+
+class Listeners:
+    """Network of the stand-ins; see `tests.support.memory.HostNetwork`.
+
+    Attributes:
+        real: Where a stand-in listens, by the address that entries know.
+    """
+
+    def __init__(self):
+        self.real: dict[addresses.Address, addresses.Address] = {}
+        self._scopes: dict[str, trio.CancelScope] = {}
+
+    def join(self, _host: str) -> "Listeners":
+        """Returns the network as seen by a host."""
+        return self
+
+    async def serve(self, address: addresses.Address, handler) -> None:
+        """Accepts connections until the stand-in ends."""
+        real = self.real[address]
+
+        async def run(stream):
+            upstreams.tune(stream)
+            try:
+                await handler(stream)
+            except* (trio.BrokenResourceError, trio.ClosedResourceError):
+                upstreams.reset_on_close(stream)
+                await trio.aclose_forcefully(stream)
+
+        with trio.CancelScope() as scope:
+            self._scopes[str(address)] = scope
+            await trio.serve_tcp(run, real.port, host=real.host)
+
+    def stop_serving(self, address: str) -> None:
+        """Ends a stand-in; its connections break."""
+        self._scopes[address].cancel()
+
+    def reset(self, _address: str) -> None:
+        """Does nothing: the connections ended with the listener."""
+
+
+class Proxy:
+    """Forwards connections from one address to another, with a fault."""
+
+    def __init__(self, address: addresses.Address, target: addresses.Address):
+        self.address = address
+        self._target = target
+        self._mode = Mode.PASS
+        self._delay_s = 0.0
+        self._changed = trio.Event()
+        self._connections: set[trio.CancelScope] = set()
+
+    def set_mode(self, mode: Mode, delay_s: float = 0.0) -> None:
+        """Changes what happens to the bytes from now on."""
+        self._mode = mode
+        self._delay_s = delay_s
+        self._changed.set()
+        self._changed = trio.Event()
+        if mode is Mode.RESET:
+            for scope in list(self._connections):
+                scope.cancel()
+
+    async def run(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
+        """Accepts connections until cancelled."""
+        await trio.serve_tcp(
+            self._serve,
+            self.address.port,
+            host=self.address.host,
+            task_status=task_status,
+        )
+
+    async def _serve(self, stream: trio.SocketStream) -> None:
+        with trio.CancelScope() as scope:
+            self._connections.add(scope)
+            try:
+                if self._mode is not Mode.RESET:
+                    await self._forward(stream)
+            except* OSError:
+                # The target does not listen; the caller sees a reset.
+                pass
+            finally:
+                self._connections.discard(scope)
+        upstreams.reset_on_close(stream)
+        await trio.aclose_forcefully(stream)
+
+    async def _forward(self, stream: trio.SocketStream) -> None:
+        target = await trio.open_tcp_stream(
+            self._target.host, self._target.port
+        )
+        async with target, trio.open_nursery() as nursery:
+
+            async def pump(source, sink, held: Mode) -> None:
+                try:
+                    while data := await source.receive_some(CHUNK_BYTES):
+                        await self._wait_passing(held)
+                        await sink.send_all(data)
+                    await self._wait_passing(held)
+                    await sink.send_eof()
+                except (trio.BrokenResourceError, trio.ClosedResourceError):
+                    nursery.cancel_scope.cancel()
+
+            nursery.start_soon(pump, stream, target, Mode.MUTE)
+            nursery.start_soon(pump, target, stream, Mode.DEAF)
+
+    async def _wait_passing(self, held: Mode) -> None:
+        while self._mode in (Mode.SILENT, held):
+            await self._changed.wait()
+        if self._mode is Mode.DELAY:
+            await trio.sleep(self._delay_s)
--- /dev/null
+++ b/tests/soak/stand_ins.py
@@ -0,0 +1,101 @@
+"""Model servers whose paths depend on each other, with checks of the layers."""
+
+from peridotyard_core import fleet
+import trio
+
+from tests.support import servers
+
+LAYERS = 20
+# Time after which a server ends work that depends on a dead one.
+STALL_S = 2.5
+
+
+class ModelServer(servers.StandIn):
+    """A server that refuses wrong paths and stalls on dead stages.
+
+    Attributes:
+        alive: Whether the process runs.
+        leaving: Whether it takes no new work.
+        peers: All model servers by the address that entries know.
+        faults_seen: Paths that did not run each layer once and in order.
+    """
+
+    def __init__(self, server: fleet.Server, peers: dict, faults_seen: list):
+        super().__init__(server, events=30)
+        self.alive = True
+        self.leaving = False
+        self.peers = peers
+        self.faults_seen = faults_seen
+        self._paths: dict[str, list[tuple[str, int, int]]] = {}
+
+    async def _stream(self, values, fault, responder) -> None:
+        path = read_path(values["x-hop-count"])
+        if self.leaving or not self._accepts(path):
+            await self._refuse(responder)
+            return
+        request_id = values["x-attempt-id"]
+        self._paths[request_id] = path
+        try:
+            await super()._stream(values, fault, responder)
+        finally:
+            self._paths.pop(request_id, None)
+            self.stalled.pop(request_id, None)
+
+    async def _before_event(self, request_id: str) -> None:
+        """Waits while a stage of the path is dead, as the platform does."""
+        dead = [
+            address
+            for address, _, _ in self._paths[request_id]
+            if not self._is_alive(address)
+        ]
+        if not dead:
+            return
+        self.culprit = dead[0]
+        self.stalled[request_id] = trio.Event()
+        with trio.move_on_after(STALL_S) as scope:
+            await self.stalled[request_id].wait()
+        if scope.cancelled_caught:
+            raise trio.BrokenResourceError
+
+    async def _order(self, order, responder) -> None:
+        if order["op"] == "repath":
+            path = read_path(order["path"])
+            if order["id"] not in self._paths:
+                await responder.send_whole(404, [], b"")
+                return
+            if not self._accepts(path):
+                await responder.send_whole(409, [], b"")
+                return
+            self._paths[order["id"]] = path
+        await super()._order(order, responder)
+
+    def _is_alive(self, address: str) -> bool:
+        return address in self.peers and self.peers[address].alive
+
+    def _accepts(self, path) -> bool:
+        layer = 0
+        for _, first, end in path:
+            if first != layer or end <= first:
+                self.faults_seen.append(f"LAYERS: path {path}")
+                return False
+            layer = end
+        if layer != LAYERS or path[0][0] != str(self.server.address):
+            self.faults_seen.append(f"LAYERS: path {path}")
+            return False
+        return all(self._holds(*part) for part in path)
+
+    def _holds(self, address: str, first: int, end: int) -> bool:
+        if not self._is_alive(address):
+            return False
+        span = self.peers[address].server.span
+        return span is not None and span.first <= first and end <= span.end
+
+
+def read_path(text: str) -> list[tuple[str, int, int]]:
+    """Returns address, first layer and the one after the last, by stage."""
+    parts = []
+    for part in text.split(","):
+        address, _, span = part.strip().partition("=")
+        first, _, end = span.partition("-")
+        parts.append((address, int(first), int(end)))
+    return parts
--- a/tests/support/servers.py
+++ b/tests/support/servers.py
@@ -181,11 +181,15 @@
         await responder.start(200, headers, b"")
         for sent, number in enumerate(range(begin, self.events + 1)):
             await trio.sleep(EVENT_GAP_S)
+            await self._before_event(request_id)
             if fault.kind and sent == fault.after:
                 number = await self._fail(request_id, fault, number, responder)
             await responder.send(encode_event(number))
         await responder.finish()
 
+    async def _before_event(self, request_id: str) -> None:
+        """Is called before each event of a stream."""
+
     async def _fail(self, request_id, fault, number, responder) -> int:
         """Does what the fault says; returns the number of the next event."""
         match fault.kind:
--- /dev/null
+++ b/tests/unit/test_soak.py
@@ -0,0 +1,57 @@
+"""A short run of the soak (tests.soak), and tests of its checks."""
+
+import subprocess
+import sys
+
+from tests.soak import callers
+from tests.soak import stand_ins
+
+SECONDS = 4
+
+
+def test_promises_hold_in_a_short_seeded_run():
+    done = subprocess.run(
+        [sys.executable, "-m", "tests.soak", "--seeds", "1"]
+        + ["--seconds", str(SECONDS)],
+        capture_output=True,
+        text=True,
+        timeout=180,
+        check=False,
+    )
+    assert done.returncode == 0, done.stdout + done.stderr
+
+
+def make_outcome(route, status, body=b"", complete=True):
+    return callers.Outcome("c1", route, status, complete, body)
+
+
+def test_checks_see_each_broken_promise():
+    # A check that never fails would make the soak worthless.
+    events = b"".join(
+        f"id: {n}\ndata: token {n}\n\n".encode()
+        for n in range(1, callers.EVENTS + 1)
+    )
+    broken = {
+        "TWICE": (make_outcome("book", 200, b"answer to c1"), ["c1", "c1"]),
+        "REFUSED": (make_outcome("book", 503), ["c1"]),
+        "MIXED": (make_outcome("look", 200, b"answer to c2"), ["c1"]),
+        "ORDER": (make_outcome("chat", 200, events[len(events) // 2 :]), []),
+    }
+    for rule, (outcome, runs) in broken.items():
+        (problem,) = callers.check([outcome], runs)
+        assert problem.startswith(rule)
+    (problem,) = callers.check([make_outcome("chat", 200, events[:40])], [])
+    assert "ends early" in problem
+    for outcome, runs in (
+        (make_outcome("book", 200, b"answer to c1"), ["c1"]),
+        (make_outcome("book", 502), ["c1"]),
+        (make_outcome("look", 200, b"answer", complete=False), ["c1", "c1"]),
+        (make_outcome("chat", 200, events), ["c1", "c1"]),
+        (make_outcome("chat", 200, events[:40], complete=False), ["c1"]),
+    ):
+        assert callers.check([outcome], runs) == []
+
+
+def test_path_of_a_request_is_read():
+    parts = stand_ins.read_path("10.0.0.1:80=0-8, 10.0.0.2:80=8-20")
+    assert parts == [("10.0.0.1:80", 0, 8), ("10.0.0.2:80", 8, 20)]
