Let the soak's plain servers lose answers

Ruled out: the check itself; its own test sees the case.

Change: plain servers run requests and lose, cut or fail their answers for a time, and half of the requests are such calls.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -14,7 +14,7 @@
 from tests.soak import deployment as deployment_module
 from tests.soak import faults as faults_module
 
-CALLERS = 6
+CALLERS = 14
 # Time after the last fault in which requests have to be served again.
 RECOVERY_S = 12.0
 # Requests in a row that show that they are.
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -56,7 +56,7 @@
         random = self._deployment.random
         while True:
             entry = random.randrange(deployment_module.ENTRIES)
-            route = random.choice(("chat", "chat", "look", "book"))
+            route = random.choice(("chat", "look", "book", "book"))
             await self.send(entry, route)
             await trio.sleep(random.uniform(0.0, 0.2))
 
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -7,6 +7,7 @@
 
 from tests.soak import deployment as deployment_module
 from tests.soak import proxies
+from tests.support import servers
 
 # Time that a server which leaves goes on serving.
 DRAIN_S = 2.0
@@ -115,6 +116,15 @@
         await trio.sleep(length_s)
         proxy.set_mode(proxies.Mode.PASS)
 
+    async def lose_answers(self, length_s: float) -> None:
+        """Lets a plain server run requests and lose their answers."""
+        plain = self._deployment.plain
+        item = plain[self._random.choice(sorted(plain))]
+        kind = self._random.choice(("crash", "cut", "error", "hang"))
+        item.faults = [servers.Fault(kind)] * 8
+        await trio.sleep(length_s)
+        item.faults = []
+
     async def end_model(self, length_s: float) -> None:
         """Ends a model server; another one starts, empty."""
         models = self._deployment.models
@@ -158,6 +168,8 @@
     Faults.break_store,
     Faults.disturb_server,
     Faults.disturb_server,
+    Faults.lose_answers,
+    Faults.lose_answers,
     Faults.end_model,
     Faults.drain_model,
     Faults.change_configuration,
