Limit for how long others act for a lost holder

Cause: found by reading. An entry that is cut off from all others, or all others where the holder is cut off, would have acted for the holder until another one is heard: for the whole cut, with orders against those of the holder, which keeps its lease. A lost holder whose successor is heard in the same moment would also have made the wait for the lease return at once, over and over, for a second.

Ruled out: harm by single orders (they are conditional); it is the two plans that move layers to and fro.

Change: 3 s at most (the lease and the time to grant the next), and not by an entry without any connection where there are more than two. The wait takes a new event each time. The second round of probes is its own step, so that its log line is written once.

Tests: test_entry_that_is_cut_off_does_not_act_for_the_holder, test_others_act_only_for_a_time_for_a_holder_that_lives.

--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/mesh.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/mesh.py
@@ -173,7 +173,10 @@
         lowest address acts then; a second one, beyond a cut between the
         entries, is harmless, as all orders are conditional.
         """
-        orphaned = self._duty.is_orphaned()
+        # An entry without any connection is more likely cut off itself, unless
+        # the holder was the only other one.
+        alone = not self._peers.connections and self._view.entries > 2
+        orphaned = self._duty.is_orphaned() and not alone
         now = trio.current_time()
         age_s = min(self._view.store_age_s(), now - self._started_at)
         lost = age_s > STORE_LOST_S
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/presence.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/presence.py
@@ -28,6 +28,10 @@
 RENEWAL_S = 0.8
 # Shortest pause between two readings while another entry holds the duty.
 WATCH_MIN_S = 0.3
+# Time after the end of the connection to a holder in which others may act for
+# it: what its lease runs at most, and the time to grant the next one. A holder
+# that lives behind a cut keeps the lease beyond that.
+ORPHANED_S = LEASE_S + 0.6
 # Time after a holder's sign of life, one each half second, at which the others
 # look at the lease again.
 HEARD_S = 1.1
@@ -84,7 +88,7 @@
         self._failing = False
         # Connected entry that holds the duty, and when it last said so.
         self._holder = ""
-        self._is_orphaned = False
+        self._orphaned_until = float("-inf")
         self._heard_at = float("-inf")
         self._holder_lost = trio.Event()
 
@@ -98,7 +102,7 @@
         if holds:
             self._holder = entry
             self._heard_at = self._clock()
-            self._is_orphaned = False
+            self._orphaned_until = float("-inf")
         elif entry == self._holder:
             self._holder = ""
             self._heard_at = float("-inf")
@@ -107,17 +111,15 @@
     def note_lost(self, entry: str) -> None:
         """Takes that the connection to another entry has ended."""
         if entry == self._holder:
-            self._is_orphaned = True
+            self._orphaned_until = self._clock() + ORPHANED_S
         self.note_holder(entry, False)
 
     def is_orphaned(self) -> bool:
-        """Returns whether the holder ended and no other is known.
+        """Returns whether the holder was just lost and no other is known.
 
-        Its lease still runs, so that nobody can be granted the duty.
+        Its lease may still run, so that nobody can be granted the duty.
         """
-        if self.holds_duty():
-            self._is_orphaned = False
-        return self._is_orphaned
+        return self._clock() < self._orphaned_until and not self.holds_duty()
 
     async def _pause(self, pause_s: float) -> None:
         """Waits between two beats.
@@ -134,6 +136,7 @@
             until = min(beat_at, self._heard_at + HEARD_S)
             if now >= until:
                 break
+            self._holder_lost = trio.Event()
             with trio.move_on_after(until - now):
                 await self._holder_lost.wait()
 
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/probes.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/probes.py
@@ -41,6 +41,8 @@
 # come from many entries, and those of a zone from one, within milliseconds.
 GATHER_S = 0.01
 
+Silence = tuple[fleet.Server, errors.PeridotyardError]
+
 _log = logs.Part("probe")
 
 
@@ -77,29 +79,24 @@
     ) -> frozenset[str]:
         """Probes servers at the same time; returns those that are dead."""
         servers = list(servers)
-        asked = servers
-        timeout_s = PROBE_TIMEOUT_S
-        for _ in range(2):
-            silent: list[tuple[fleet.Server, errors.PeridotyardError]] = []
-            async with trio.open_nursery() as nursery:
-                for server in asked:
-                    nursery.start_soon(self.probe, server, silent, timeout_s)
-            asked = [
-                server
-                for server, error in silent
-                if not isinstance(error, upstreams.RefusedError)
-            ]
-            if not asked or not self._is_doubtful(len(asked), len(servers)):
-                break
+        silent = await self._probe_all(servers, PROBE_TIMEOUT_S)
+        # A refused connection leaves no doubt.
+        late = [
+            server
+            for server, error in silent
+            if not isinstance(error, upstreams.RefusedError)
+        ]
+        if late and self._is_doubtful(len(late), len(servers)):
+            self._note_silent(item for item in silent if item[0] not in late)
             _log.info(
                 "Silent servers are asked again.",
-                silent=len(asked),
+                silent=len(late),
                 asked=len(servers),
                 pace_ms=round(1000 * self.pace_s),
             )
-            self._note_silent(item for item in silent if item[0] not in asked)
-            if self.pace_s > BUSY_S:
-                timeout_s = SECOND_TIMEOUT_S
+            busy = self.pace_s > BUSY_S
+            timeout_s = SECOND_TIMEOUT_S if busy else PROBE_TIMEOUT_S
+            silent = await self._probe_all(late, timeout_s)
         self._note_silent(silent)
         # A server that left the list may go on serving for seconds.
         return frozenset(
@@ -108,6 +105,14 @@
             if self._view.is_suspected(server)
         )
 
+    async def _probe_all(self, servers, timeout_s: float) -> list[Silence]:
+        """Returns the servers that do not answer, each with the error."""
+        silent: list[Silence] = []
+        async with trio.open_nursery() as nursery:
+            for server in servers:
+                nursery.start_soon(self.probe, server, silent, timeout_s)
+        return silent
+
     def _is_doubtful(self, silent: int, asked: int) -> bool:
         """Returns whether silence may be due to this process or its link."""
         mass = silent >= max(MASS_MIN, MASS_SHARE * asked)
@@ -131,7 +136,7 @@
     async def probe(
         self,
         server: fleet.Server,
-        silent: list[tuple[fleet.Server, errors.PeridotyardError]],
+        silent: list[Silence],
         timeout_s: float = PROBE_TIMEOUT_S,
     ) -> None:
         """Probes one server, unless it has answered just before.
--- a/tests/unit/test_gateway.py
+++ b/tests/unit/test_gateway.py
@@ -389,6 +389,44 @@
         assert not any(entry._mesh.stands_in() for entry in others)
 
 
+@cases.run_virtually
+async def test_entry_that_is_cut_off_does_not_act_for_the_holder():
+    # It would move layers for servers that only it cannot reach.
+    async with open_deployment(entries=4) as site:
+        await trio.sleep(10)
+        holder = next(e for e in site.entries if e._presence.holds_duty())
+        number = next(
+            n for n, e in enumerate(site.entries, 1) if e is not holder
+        )
+        for other in {1, 2, 3, 4} - {number}:
+            site.network.cut(f"10.1.0.{number}", f"10.1.0.{other}:82")
+            site.network.cut(f"10.1.0.{other}", f"10.1.0.{number}:82")
+        cut = site.entries[number - 1]
+        for _ in range(60):
+            await trio.sleep(0.1)
+            assert not cut._holds_duty()
+            assert holder._holds_duty()
+
+
+@cases.run_virtually
+async def test_others_act_only_for_a_time_for_a_holder_that_lives():
+    # A holder behind a cut goes on with its duty.
+    async with open_deployment(entries=4) as site:
+        await trio.sleep(10)
+        number, holder = next(
+            (n, e)
+            for n, e in enumerate(site.entries, 1)
+            if e._presence.holds_duty()
+        )
+        for other in {1, 2, 3, 4} - {number}:
+            site.network.cut(f"10.1.0.{number}", f"10.1.0.{other}:82")
+            site.network.cut(f"10.1.0.{other}", f"10.1.0.{number}:82")
+        await trio.sleep(6)
+        others = [entry for entry in site.entries if entry is not holder]
+        assert holder._holds_duty()
+        assert not any(entry._holds_duty() for entry in others)
+
+
 @cases.run_virtually
 async def test_entries_tell_each_other_what_they_have_in_flight():
     async with open_deployment(entries=2) as site:
