Measure the processor time of a log line and of an event

Cause: the cost of the logs and the time that an entry adds to an event were budgets without a figure.

Change: python -m bench entry.

--- /dev/null
+++ b/bench/entry.py
@@ -0,0 +1,81 @@
+"""Processor time that an entry spends on a log line and on an event."""
+
+import os
+import time
+
+import h11
+from peridotyard_core import events
+from peridotyard_daemon.process import logs
+
+LINES = 5000
+EVENTS = 20000
+# Lines of one streamed request: sent, path ended, request ended, and a share
+# of repairs and refusals.
+LINES_PER_REQUEST = 4
+# Events of one streamed request on the users' sites.
+EVENTS_PER_REQUEST = 77
+# An event of the platform has some hundred bytes.
+EVENT = b"id: %d\ndata: " + b"x" * 120 + b"\n\n"
+
+
+class _Settings:
+    """What the log handler needs."""
+
+    log_level = "info"
+    log_format = "json"
+    debug = ()
+
+
+def measure_line() -> float:
+    """Returns the processor seconds of one line of a request."""
+    sink = os.open(os.devnull, os.O_WRONLY)
+    # The clock grants each line, so that none is dropped.
+    ticks = iter(range(1_000_000))
+    logs.start(_Settings(), logs.BoundedOutput(sink, lambda: next(ticks)))
+    part = logs.Part("stream")
+    began = time.process_time()
+    for number in range(LINES):
+        part.info(
+            "Sent on a path.",
+            request=f"{number:016x}",
+            path="10.1.64.33:8606=0-14," * 10,
+            after=None,
+            routing=14,
+            fleet_age_ms=312,
+        )
+    taken_s = time.process_time() - began
+    logs.stop()
+    os.close(sink)
+    return taken_s / LINES
+
+
+def measure_event() -> float:
+    """Returns the processor seconds from a server's bytes to a caller's."""
+    splitter = events.Splitter()
+    sequence = events.Sequence(None)
+    http = h11.Connection(h11.SERVER)
+    http.receive_data(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+    http.next_event()
+    http.next_event()
+    http.send(h11.Response(status_code=200, headers=[]))
+    began = time.process_time()
+    for number in range(1, EVENTS + 1):
+        for event in splitter.feed(EVENT % number):
+            sequence.accept(event)
+            http.send(h11.Data(data=event.data))
+    return (time.process_time() - began) / EVENTS
+
+
+def main() -> int:
+    """Prints the table."""
+    line_s, event_s = measure_line(), measure_event()
+    rows = (
+        ("log line", line_s, LINES_PER_REQUEST),
+        ("event: split, check order, chunk", event_s, EVENTS_PER_REQUEST),
+    )
+    print("| step | processor us | a request | processor us a request |")
+    print("| --- | --- | --- | --- |")
+    for name, seconds, count in rows:
+        each = 1e6 * seconds
+        print(f"| {name} | {each:.1f} | {count} | {each * count:.0f} |")
+    return 0
