Fuzz the readings that entries pass on

Change: hypothesis draws configurations, cuts of entries from the store, and readings that are late, out of order or lost; an entry in touch has each version within 1.8 s and never goes back.

--- a/tests/unit/test_synchronization.py
+++ b/tests/unit/test_synchronization.py
@@ -347,3 +347,124 @@
         stand_in.put("servers", "s1", None)
         await trio.sleep(0.5)
         assert "s1" not in view.servers
+
+
+class Group:
+    """Entries that pass their readings on, with delays and losses."""
+
+    def __init__(self, network, nursery, count):
+        self._nursery = nursery
+        self.delay_s = 0.0
+        self.drops = False
+        self.views = []
+        self.synchronizers = []
+        for number in range(count):
+            view = views.View("a")
+            client = store.PlatformStore(
+                platform_store.ADDRESS, network.join(f"e{number}").dial
+            )
+            synchronizer = synchronization.Synchronizer(
+                view, client, schema.Schema(2.5), random.Random(number)
+            )
+            synchronizer.publish = self._make_publish(number)
+            self.views.append(view)
+            self.synchronizers.append(synchronizer)
+            nursery.start_soon(synchronizer.run)
+
+    def _make_publish(self, number):
+        def publish(*reading):
+            if not self.drops:
+                self._nursery.start_soon(self._deliver, number, reading)
+
+        return publish
+
+    async def _deliver(self, number, reading):
+        await trio.sleep(self.delay_s)
+        for other, synchronizer in enumerate(self.synchronizers):
+            if other != number:
+                # One entry reads for those after it.
+                synchronizer.take_rows(*reading, number < other)
+
+
+GROUP_STEPS = strategies.lists(
+    strategies.tuples(
+        strategies.sampled_from(
+            ["config", "config", "cut", "heal", "delay", "drop", "wait", "wait"]
+        ),
+        strategies.integers(0, 2),
+    ),
+    max_size=25,
+)
+# Configurations have to be in force after two seconds.
+APPLY_S = 1.8
+CONTACT_S = 3.0
+
+
+class Trial:
+    """Faults of one example, and what has to hold meanwhile."""
+
+    def __init__(self, network, stand_in, group):
+        self._network = network
+        self._stand_in = stand_in
+        self._group = group
+        self._disturbed = [float("-inf")] * 3
+        self._cut = [False] * 3
+        self._acked = []
+        self._seen = [0] * 3
+
+    async def step(self, kind, number):
+        """Makes one step of the example."""
+        host, address = f"e{number}", str(platform_store.ADDRESS)
+        match kind:
+            case "config":
+                version = len(self._acked) + 1
+                self._stand_in.put("op", "config", encode_routing(version))
+                self._acked.append((version, trio.current_time()))
+            case "cut":
+                self._cut[number] = True
+                self._network.cut(host, address)
+            case "heal":
+                if self._cut[number]:
+                    self._disturbed[number] = trio.current_time()
+                self._cut[number] = False
+                self._network.heal(host, address)
+            case "delay":
+                self._group.delay_s = (0.0, 0.4, 2.5)[number]
+            case "drop":
+                self._group.drops = number > 0
+            case "wait":
+                for _ in range(5 * (number + 1)):
+                    await trio.sleep(0.1)
+                    self._check()
+
+    def _check(self):
+        now = trio.current_time()
+        old = [v for v, at in self._acked if now - at > APPLY_S]
+        due = max(old, default=0)
+        for number, view in enumerate(self._group.views):
+            version = view.routing.version if view.routing else 0
+            assert version >= self._seen[number]
+            self._seen[number] = version
+            calm_s = now - self._disturbed[number]
+            calm = not self._cut[number] and calm_s > CONTACT_S
+            assert not calm or version >= due
+
+
+@hypothesis.settings(**cases.DERANDOMIZED)
+@hypothesis.given(steps=GROUP_STEPS)
+def test_entries_in_touch_have_each_configuration_in_time(steps):
+    # Whatever the others do: an entry that reads the store for all may be cut
+    # off, and what it passes on may be late or lost.
+    async def run():
+        network = memory.MemoryNetwork()
+        stand_in = platform_store.StandIn()
+        async with trio.open_nursery() as nursery:
+            stand_in.join(network, nursery)
+            await trio.testing.wait_all_tasks_blocked()
+            trial = Trial(network, stand_in, Group(network, nursery, 3))
+            await trio.sleep(1)
+            for kind, number in [*steps, ("wait", 2), ("wait", 2), ("wait", 2)]:
+                await trial.step(kind, number)
+            nursery.cancel_scope.cancel()
+
+    virtual.run(run)
