End the soak's processes when it is terminated

Change: SIGTERM interrupts the run, so that its end stops the processes.

Ruled out: process groups; the soak ends only processes by their ids.

Test: test_processes_end_with_the_soak.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -5,6 +5,7 @@
 import pathlib
 import random
 import re
+import signal
 import sys
 import time
 
@@ -135,6 +136,8 @@
     )
     parser.add_argument("--seconds", type=float, default=15.0)
     arguments = parser.parse_args()
+    # As for an interrupt, the processes that the soak started have to end.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     first, _, last = arguments.seeds.partition("-")
     seeds = list(range(int(first), int(last or first) + 1)) if first else []
     if arguments.regressions:
--- a/tests/unit/test_soak.py
+++ b/tests/unit/test_soak.py
@@ -1,7 +1,9 @@
 """A short run of the soak (tests.soak), and tests of its checks."""
 
+import pathlib
 import subprocess
 import sys
+import time
 
 from tests.soak import callers
 from tests.soak import stand_ins
@@ -55,3 +57,23 @@
 def test_path_of_a_request_is_read():
     parts = stand_ins.read_path("10.0.0.1:80=0-8, 10.0.0.2:80=8-20")
     assert parts == [("10.0.0.1:80", 0, 8), ("10.0.0.2:80", 8, 20)]
+
+
+def test_processes_end_with_the_soak():
+    # Left behind, they would hold their addresses and load the machine.
+    soak = subprocess.Popen(
+        [sys.executable, "-m", "tests.soak", "--seeds", "2"]
+        + ["--seconds", "60"],
+        stdout=subprocess.DEVNULL,
+        stderr=subprocess.DEVNULL,
+    )
+    children = pathlib.Path(f"/proc/{soak.pid}/task/{soak.pid}/children")
+    deadline = time.monotonic() + 60
+    while not (pids := children.read_text().split()):
+        assert time.monotonic() < deadline
+        time.sleep(0.1)
+    time.sleep(1)
+    pids = children.read_text().split()
+    soak.terminate()
+    soak.wait(timeout=30)
+    assert not [pid for pid in pids if pathlib.Path("/proc", pid).exists()]
