Use one function for what the change wrote twice

Cause: found by reading the whole change. View.replace_servers was called by nobody, the revision of an unreadable row was kept and never read, and each answered probe copied two tables to drop servers that left the list, which never happened to a third one.

A rejected HEAD request gets no body any more, which h11 would have refused; nothing else that is sent changes.

Ruled out: dropping report and engine fields that no decision reads, since a malformed one makes the report or configuration invalid today.

Tests are unchanged by it.

--- a/packages/peridotyard-core/src/peridotyard_core/quarantines.py
+++ b/packages/peridotyard-core/src/peridotyard_core/quarantines.py
@@ -30,6 +30,11 @@
     return int.from_bytes(digest.digest(), "big", signed=True)
 
 
+def describe(key: int) -> str:
+    """Returns a fingerprint for the log."""
+    return f"{key & (1 << 64) - 1:016x}"
+
+
 @dataclasses.dataclass
 class _Evidence:
     """Crashes under the copies of one request.
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/connection/callers.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/connection/callers.py
@@ -138,7 +138,8 @@
 
     def closing_headers(self) -> list[tuple[bytes, bytes]]:
         """Returns the header that announces the end of the connection."""
-        return [(b"Connection", b"close")] if self._is_draining() else []
+        closing = self._closing or self._is_draining()
+        return [(b"Connection", b"close")] if closing else []
 
     def close_soon(self) -> None:
         """Closes the connection now, or after the request in progress."""
@@ -207,6 +208,8 @@
     async def _read_request(self):
         """Returns the next request with its body; (None, b"") at the end."""
         limits = self._read_limits()
+        # A head that is refused has no method; that of the last one is over.
+        self.method = ""
         request = None
         with trio.move_on_after(limits.idle_timeout_s) as self._idle_scope:
             # A connection that has sent nothing yet counts as idle.
@@ -295,18 +298,10 @@
             self.http.our_state is not h11.SEND_RESPONSE
         ):
             return
+        self._closing = True
         body = json.dumps({"error": str(error)}).encode()
-        headers = [
-            (b"Content-Type", b"application/json"),
-            (b"Content-Length", str(len(body)).encode()),
-            (b"Connection", b"close"),
-        ]
-        data = self.http.send(
-            h11.Response(status_code=error.status, headers=headers, reason=b"")
-        )
-        data += self.http.send(h11.Data(data=body))
-        data += self.http.send(h11.EndOfMessage())
-        await self.write(data)
+        headers = [(b"Content-Type", b"application/json")]
+        await Responder(self).send_whole(error.status, headers, body)
         # Bytes that are still unread at the close would reset the connection
         # before the caller has read the response.
         with trio.move_on_after(LINGER_S):
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/mesh.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/mesh.py
@@ -279,7 +279,7 @@
             _log.info(
                 "Another entry saw crashes under a request.",
                 entry=connection.peer.instance,
-                fingerprint=f"{fingerprint & (1 << 64) - 1:016x}",
+                fingerprint=quarantines.describe(fingerprint),
                 crashes=known,
             )
 
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/probes.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/probes.py
@@ -178,7 +178,7 @@
             nursery.start_soon(self._examine_wanted, nursery)
             while True:
                 await trio.sleep(RECHECK_S)
-                self._pool.trim()
+                self._trim()
                 await self._recheck()
 
     async def _examine_wanted(self, nursery: trio.Nursery) -> None:
@@ -201,6 +201,13 @@
             if len(await self.find_dead(batch)) == len(batch):
                 return
 
+    def _trim(self) -> None:
+        """Drops what belongs to servers that left the list."""
+        self._pool.trim()
+        self._reports = self._keep_listed(self._reports)
+        self._asked_at = self._keep_listed(self._asked_at)
+        self._alive_at = self._keep_listed(self._alive_at)
+
     def _keep_listed(self, values: dict) -> dict:
         """Returns the values of servers that are still in the list."""
         servers = self._view.servers
@@ -209,8 +216,6 @@
     def _keep_report(
         self, server: fleet.Server, status: int, body: bytes
     ) -> None:
-        self._reports = self._keep_listed(self._reports)
-        self._asked_at = self._keep_listed(self._asked_at)
         if status != 200:
             return
         try:
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/synchronization.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/synchronization.py
@@ -113,7 +113,7 @@
         self._store = store
         self._schema = schema
         self._random = random
-        self._unreadable: dict[str, int] = {}
+        self._unreadable: set[str] = set()
         self._lapsed: dict[str, tuple[float, int]] = {}
         self._return_until = float("-inf")
         # The store's clock against this process's, at most; and since when.
@@ -342,5 +342,5 @@
                     revision=row.revision,
                     error=str(error),
                 )
-            self._unreadable[row.key] = row.revision
+            self._unreadable.add(row.key)
             return None
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/views.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/views.py
@@ -227,18 +227,6 @@
         self._reports.pop(instance, None)
         _log.info("Server is gone.", instance=instance, revision=revision)
 
-    def replace_servers(
-        self, servers: collections.abc.Iterable[fleet.Server], revision: int
-    ) -> None:
-        """Takes a complete list."""
-        fresh = {server.instance: server for server in servers}
-        for instance in list(self.servers):
-            if instance not in fresh:
-                self.remove_server(instance, revision)
-        for server in fresh.values():
-            self.apply_server(server)
-        self.servers_at = trio.current_time()
-
     def health(self, server: fleet.Server) -> Health:
         """Returns the evidence of a server."""
         return self._health[server.instance]
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/contexts.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/contexts.py
@@ -176,7 +176,7 @@
             _log,
             "Server ended as it began to run the request.",
             instance=server.instance,
-            fingerprint=f"{request.fingerprint & (1 << 64) - 1:016x}",
+            fingerprint=quarantines.describe(request.fingerprint),
             crashes=known,
             contained=self.is_contained(request),
         )
