Ignore reports from before an order that has taken effect

Cause: an order that only releases layers is in effect once the server accepts it, so it left the pending orders at once, and a report from before it, some hundred milliseconds old, restored the released layers. Paths over them were refused. Change: the last order of each server is kept for ORDER_LIFETIME_S, and decides which reports are outdated.

--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/placement.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/placement.py
@@ -91,6 +91,9 @@
         self._count = count
         self._publish = publish
         self._pending: dict[str, _Order] = {}
+        # The last order of each server, kept after it has taken effect, since
+        # reports from before it may still arrive.
+        self._last_orders: dict[str, _Order] = {}
         self._alive_instances: frozenset[str] = frozenset()
         self._first_alive_at: float | None = None
         self._alive_changed_at = 0.0
@@ -105,6 +108,7 @@
                         busy |= await self._run_round(service)
             else:
                 self._pending.clear()
+                self._last_orders.clear()
                 self._first_alive_at = None
                 # There is no notification when this entry becomes the holder.
                 busy = True
@@ -130,6 +134,12 @@
         await self._fetch_reports(
             s for s in alive if s.instance in self._pending
         )
+        now = trio.current_time()
+        self._last_orders = {
+            instance: order
+            for instance, order in self._last_orders.items()
+            if now < order.until
+        }
         layer_ranges = self._find_layer_ranges(alive)
         if not self._is_fleet_stable(alive, layer_ranges):
             return True
@@ -221,13 +231,19 @@
     def _is_outdated(
         self, instance: str, report: exchanges.ServerReport
     ) -> bool:
-        """Returns whether a report is older than a pending order.
+        """Returns whether a report is older than a recent order.
 
         Reports are some hundred milliseconds old. Layers in an outdated one may
-        have been released, and paths over them would be refused.
+        have been released, and paths over them would be refused. An order that
+        only releases layers is in effect once it is accepted, so it is no
+        longer pending then.
         """
-        order = self._pending.get(instance)
-        return order is not None and report.order_count <= order.order_count
+        order = self._last_orders.get(instance)
+        return (
+            order is not None
+            and trio.current_time() < order.until
+            and report.order_count <= order.order_count
+        )
 
     async def _fetch_report(
         self, server: fleet.Server, reports: dict[str, exchanges.ServerReport]
@@ -305,11 +321,13 @@
                 self._publish({server.instance: remaining})
         if not outcome.startswith("status 4"):
             # An order without a response may still be carried out.
-            self._pending[server.instance] = _Order(
+            order = _Order(
                 layer_range,
                 trio.current_time() + ORDER_LIFETIME_S,
                 report.order_count,
             )
+            self._pending[server.instance] = order
+            self._last_orders[server.instance] = order
         _log.info(
             "layers ordered",
             instance=server.instance,
