--- a/packages/peridotyard-core/src/peridotyard_core/layouts.py
+++ b/packages/peridotyard-core/src/peridotyard_core/layouts.py
@@ -17,6 +17,11 @@
 MIN_STREAM_CAPACITY = 6.0
 # Factor between two stream capacities that `find_stream_capacity` tries.
 CAPACITY_STEP_FACTOR = 0.9
+# Fraction of the stream capacity without spare servers that a plan with spare
+# servers must keep. Below it, spares would cost more streams in normal operation
+# than they save after a loss, which the remaining servers repair by loading the
+# lost layers in addition to their own.
+SPARE_MIN_CAPACITY_SHARE = 0.4
 
 
 @dataclasses.dataclass(frozen=True)
@@ -94,10 +99,9 @@
     """Assigns all layers to a group, regardless of what its servers hold.
 
     One chain of servers holds each layer once, with as few stages as the
-    accelerators allow. The stream capacity is the largest one at which the
-    spare servers of the group can take over the layers of any single server.
-    The spare servers hold second copies of the largest stages, which take
-    longest to load again.
+    accelerators allow. The spare servers of the group hold second copies of the
+    largest stages, which take longest to load again. A group with little memory
+    has no spares, see `find_stream_capacity`.
     """
     stream_capacity = find_stream_capacity(servers, engine)
     sizes = {
@@ -128,7 +132,27 @@
     """Returns the stream capacity of a plan for a group.
 
     That is the number of streams of mean length for whose KV cache each server
-    keeps memory beside its layers.
+    keeps memory beside its layers. It is the largest one at which the spare
+    servers of the group can take over the layers of any single server, unless
+    that is too small a part of the capacity without spares.
+    """
+    with_spares = _find_largest_capacity(servers, engine, needs_spares=True)
+    without = _find_largest_capacity(servers, engine, needs_spares=False)
+    if with_spares >= SPARE_MIN_CAPACITY_SHARE * without:
+        return with_spares
+    return without
+
+
+def _find_largest_capacity(
+    servers: Servers, engine: fleet.Engine, needs_spares: bool
+) -> float:
+    """Returns the largest stream capacity at which a chain holds all layers.
+
+    Args:
+        servers: Servers of the group.
+        engine: The engine.
+        needs_spares: Whether the servers outside the chain must be able to hold
+            the layers of any server in it.
     """
     # Together the servers accept no more streams than they have slots.
     stream_capacity = float(max(engine.slots, MIN_STREAM_CAPACITY))
@@ -143,7 +167,8 @@
         chain_layers, largest = 0, sizes[0] if sizes else 0
         while sizes and chain_layers < engine.layers:
             chain_layers += sizes.pop(0)
-        if chain_layers >= engine.layers and sum(sizes) >= largest:
+        has_spares = sum(sizes) >= largest
+        if chain_layers >= engine.layers and (has_spares or not needs_spares):
             return stream_capacity
         stream_capacity *= CAPACITY_STEP_FACTOR
     return MIN_STREAM_CAPACITY
--- a/tests/unit/test_layouts.py
+++ b/tests/unit/test_layouts.py
@@ -166,3 +166,44 @@
     assert list(changes.values()) == [fleet.LayerRange(20, 30)]
     (receiver,) = changes
     assert layer_ranges[receiver].first == 10
+
+
+def test_group_that_barely_holds_the_model_keeps_no_spares():
+    """Guards against a plan whose spares leave no memory for streams.
+
+    Load pattern: a steady load on a small zone. With spares, each server kept
+    room for six streams, and the servers rejected a third of the requests.
+    """
+    engine = fleets.make_engine(kv_token_mb=0.33)
+    servers = fleets.make_zone("a", 1, 4, 4)
+    layer_ranges = layouts.plan_group(servers, engine)
+    check_memory(servers, layer_ranges, engine)
+    assert not layouts.list_uncovered_ranges(
+        layer_ranges.values(), engine.layers
+    )
+    room = min(
+        engine.compute_stream_capacity(
+            engine.find_accelerator_type(server.accelerator_type),
+            layer_ranges[server.instance].size,
+        )
+        for server in servers
+    )
+    memory_mb = sum(
+        engine.find_accelerator_type(server.accelerator_type).memory_mb
+        for server in servers
+    )
+    stream_mb = engine.kv_token_mb * (
+        engine.prompt_tokens + engine.response_tokens
+    )
+    bound = (memory_mb - engine.layers * engine.layer_mb) / stream_mb
+    # Whole layers cannot divide the memory evenly.
+    assert room >= bound / 2
+
+
+def test_spares_are_kept_where_memory_allows():
+    """Guards against a group with ample memory that has no spare servers."""
+    engine = fleets.make_engine()
+    servers = fleets.make_zone("a", 2, 6, 8)
+    layer_ranges = layouts.plan_group(servers, engine)
+    held = sum(layer_range.size for layer_range in layer_ranges.values())
+    assert held >= engine.layers + max(r.size for r in layer_ranges.values())
