Forward only changed rows of servers to other entries

Cause: the entry that reads the list of servers forwarded every row to all other entries. Change: rows that differ only in the heartbeat are left out (process.listings). A reader that has read more than the sender knew applies the changes only if it knows of none beside them. Layers return to the listed ones when a report has expired, since unchanged rows no longer do that.

--- a/packages/peridotyard-core/src/peridotyard_core/layouts.py
+++ b/packages/peridotyard-core/src/peridotyard_core/layouts.py
@@ -18,9 +18,9 @@
 # Factor between two stream capacities that `find_stream_capacity` tries.
 CAPACITY_STEP_FACTOR = 0.9
 # Fraction of the stream capacity without spare servers that a plan with spare
-# servers must keep. Below it, spares would cost more streams in normal operation
-# than they save after a loss, which the remaining servers repair by loading the
-# lost layers in addition to their own.
+# servers must keep. Below it, spares would cost more streams in normal
+# operation than they save after a loss, which the remaining servers repair by
+# loading the lost layers in addition to their own.
 SPARE_MIN_CAPACITY_SHARE = 0.4
 
 
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/synchronization.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/synchronization.py
@@ -15,6 +15,7 @@
 from returns import result
 import trio
 
+from peridotyard_daemon.process import listings
 from peridotyard_daemon.process import logs
 from peridotyard_daemon.process import stores
 from peridotyard_daemon.process import views
@@ -126,8 +127,7 @@
         self._store = store
         self._schema = schema
         self._random = random
-        # Keys of unreadable rows that have been logged.
-        self._unreadable: set[str] = set()
+        self._server_rows = listings.ServerRows(schema.decode_server)
         # Servers whose rows have expired but that may register again, by
         # instance: the time from which they are removed, and the revision at
         # which the row was missing.
@@ -202,6 +202,12 @@
             return
         if listing.revision < feed.revision:
             return
+        if (
+            after < feed.revision
+            and table == self._schema.server_table
+            and self._server_rows.has_change_outside(after, listing.rows)
+        ):
+            return
         now = trio.current_time()
         # The other entry sends the remaining time, so that two entries that
         # forward to each other do not extend it.
@@ -214,7 +220,8 @@
         if may_skip_reads and at + PEER_READ_MAX_AGE_S > now:
             self._record_success(feed, listing)
             feed.skip_reads_until = at + PEER_READ_MAX_AGE_S
-        self._apply(feed, listing, False, at)
+        feed.apply(self._select_changes(feed, listing), False, at)
+        feed.revision = listing.revision
 
     async def _follow(self, feed: _Feed) -> None:
         retry_s = RETRY_MIN_S
@@ -277,32 +284,33 @@
     ) -> None:
         """Forwards a response of the store to other entries and applies it."""
         after = feed.revision
+        if after is not None and listing.revision < after:
+            return
+        now = trio.current_time()
+        if is_full_scan:
+            feed.apply(listing, True, now)
+            feed.revision = listing.revision
+            return
+        changes = self._select_changes(feed, listing)
         # Published before this entry announces a newer version, so that the
         # other entries do not request what is already being sent.
-        if not is_full_scan and listing.revision >= after and listing.clock_s:
-            reregistration_s = max(
-                0.0, self._reregistration_until - trio.current_time()
-            )
-            self.publish(feed.table, after, listing, reregistration_s)
-        self._apply(feed, listing, is_full_scan, trio.current_time())
-
-    def _apply(
-        self,
-        feed: _Feed,
-        listing: stores.Listing,
-        is_full_scan: bool,
-        at: float,
-    ) -> None:
-        """Applies the rows that are newer than the known revision."""
-        known = feed.revision
-        if known is not None and listing.revision < known:
-            return
-        if not is_full_scan:
-            rows = tuple(row for row in listing.rows if row.revision > known)
-            listing = dataclasses.replace(listing, rows=rows)
-        feed.apply(listing, is_full_scan, at)
+        if listing.clock_s:
+            reregistration_s = max(0.0, self._reregistration_until - now)
+            self.publish(feed.table, after, changes, reregistration_s)
+        feed.apply(changes, False, now)
         feed.revision = listing.revision
 
+    def _select_changes(
+        self, feed: _Feed, listing: stores.Listing
+    ) -> stores.Listing:
+        """Returns a listing without rows that are known or only heartbeats."""
+        rows = tuple(
+            row for row in listing.rows if row.revision > feed.revision
+        )
+        if feed.table == self._schema.server_table:
+            rows = self._server_rows.update(rows)
+        return dataclasses.replace(listing, rows=rows)
+
     def _update_clock_offset(self, clock_s: float, sent_at: float) -> None:
         """Tightens the bound of the store's clock offset.
 
@@ -353,20 +361,20 @@
     ) -> None:
         now = trio.current_time()
         self._view.servers_at = max(self._view.servers_at, at)
-        seen = set()
-        for row in listing.rows:
+        rows = listing.rows
+        if is_full_scan:
+            rows, missing = self._server_rows.replace(rows, listing.revision)
+            for instance in missing:
+                self._expire_server(instance, listing.revision, now)
+        for row in rows:
             if row.removed:
                 self._expire_server(row.key, row.revision, now)
                 continue
-            seen.add(row.key)
-            server = self._read_server(row)
+            server = self._server_rows.get(row.key)
             if server is not None:
                 self._expired.pop(row.key, None)
                 self._view.apply_server(server)
-        if is_full_scan:
-            for instance in list(self._view.servers):
-                if instance not in seen:
-                    self._expire_server(instance, listing.revision, now)
+        self._view.expire_reports()
         for instance, (until, revision) in list(self._expired.items()):
             if now >= until:
                 del self._expired[instance]
@@ -385,19 +393,3 @@
                 instance, (self._reregistration_until, 0)
             )[0]
             self._expired[instance] = (until, revision)
-
-    def _read_server(self, row: stores.Row) -> fleet.Server | None:
-        try:
-            return self._schema.decode_server(row.key, row.value, row.revision)
-        except ValueError as error:
-            # Logged once for each key, since a server that writes its row with
-            # each heartbeat would fill the log.
-            if row.key not in self._unreadable:
-                _log.warning(
-                    "unreadable server row ignored",
-                    key=row.key,
-                    revision=row.revision,
-                    error=str(error),
-                )
-            self._unreadable.add(row.key)
-            return None
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/views.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/views.py
@@ -114,6 +114,8 @@
         self._health: dict[str, Health] = collections.defaultdict(Health)
         self._peer_loads: dict[str, dict[str, int]] = {}
         self._reports: dict[str, tuple[fleet.LayerRange | None, float]] = {}
+        # Layers of the servers as listed, without reports.
+        self._listed_layers: dict[str, fleet.LayerRange | None] = {}
 
     def get_store_age_s(self) -> float:
         """Returns the age in seconds of the newest response of the store."""
@@ -164,6 +166,7 @@
             return
         if not self._remove_superseded(server):
             return
+        self._listed_layers[server.instance] = server.layer_range
         server = self._retain_reported_layers(old, server)
         self.servers[server.instance] = server
         if old is not None and old.started_at_ms != server.started_at_ms:
@@ -221,8 +224,30 @@
         if server is None:
             return False
         self._reports[instance] = (layer_range, trio.current_time())
+        return self._change_layers(server, layer_range)
+
+    def expire_reports(self) -> None:
+        """Returns to the listed layers where a report no longer takes precedence.
+
+        The list only states changes, so without this a report that was older
+        than the row would stay in effect until the next change.
+        """
+        now = trio.current_time()
+        for instance, (_, at) in list(self._reports.items()):
+            if now - at < REPORT_PRECEDENCE_S:
+                continue
+            del self._reports[instance]
+            server = self.servers.get(instance)
+            if server is not None and instance in self._listed_layers:
+                self._change_layers(server, self._listed_layers[instance])
+
+    def _change_layers(
+        self, server: fleet.Server, layer_range: fleet.LayerRange | None
+    ) -> bool:
+        """Sets the layers of a server; returns whether they differ."""
         if server.layer_range == layer_range:
             return False
+        instance = server.instance
         updated = dataclasses.replace(server, layer_range=layer_range)
         self.servers[instance] = updated
         self._signal_changed(
@@ -269,6 +294,7 @@
         self._signal_changed(instance)
         self._health.pop(instance, None)
         self._reports.pop(instance, None)
+        self._listed_layers.pop(instance, None)
         _log.info("server removed", instance=instance, revision=revision)
 
     def get_health(self, server: fleet.Server) -> Health:
--- a/tests/unit/test_synchronization.py
+++ b/tests/unit/test_synchronization.py
@@ -476,3 +476,54 @@
             nursery.cancel_scope.cancel()
 
     virtual_clock.run(run)
+
+
+@cases.run_on_virtual_clock
+async def test_heartbeats_of_servers_are_not_forwarded():
+    """Guards against traffic between entries that grows with all heartbeats.
+
+    Load pattern: a large fleet without load. 130 servers write their rows each
+    1.2 s, and one entry with a slow link forwarded all of them to 67 others.
+    """
+    async with open_synchronizer() as (stand_in, view, synchronizer):
+        names = [f"s{number}" for number in range(130)]
+        for number, name in enumerate(names):
+            address = f"10.0.1.{number + 1}:80"
+            stand_in.put("servers", name, encode_server(address=address))
+        await trio.sleep(2)
+        published = []
+        synchronizer.publish = lambda *reading: published.append(reading[2])
+        for sequence in range(2, 10):
+            for number, name in enumerate(names):
+                address = f"10.0.1.{number + 1}:80"
+                value = encode_server(address=address, sequence=sequence)
+                stand_in.put("servers", name, value)
+            await trio.sleep(1.2)
+        assert published[-1].revision == stand_in.revision
+        assert not any(listing.rows for listing in published)
+        stand_in.put("servers", "s7", encode_server(state="draining"))
+        stand_in.put("servers", "s8", None)
+        await trio.sleep(1.2)
+        rows = [row for listing in published for row in listing.rows]
+        assert sorted(row.key for row in rows) == ["s7", "s8"]
+        assert "s8" not in view.servers
+
+
+@cases.run_on_virtual_clock
+async def test_changes_of_another_entry_do_not_hide_a_change_back():
+    """Guards against a server that stays leaving for one entry.
+
+    This entry has read that the server leaves. The other one has read before
+    and after, and found no difference.
+    """
+    async with open_synchronizer() as (stand_in, view, synchronizer):
+        before = stand_in.put("servers", "s1", encode_server())
+        await trio.sleep(2)
+        stand_in.put("servers", "s1", encode_server(state="draining"))
+        await trio.sleep(1)
+        assert not view.servers["s1"].ready
+        after = stand_in.put("servers", "s1", encode_server())
+        no_changes = stores.Listing((), after, trio.current_time())
+        synchronizer.apply_peer_rows("servers", before, no_changes, 0.0, True)
+        await trio.sleep(1)
+        assert view.servers["s1"].ready
--- a/tests/unit/test_views.py
+++ b/tests/unit/test_views.py
@@ -170,3 +170,16 @@
     view.suspect(view.servers["z"], "again")
     view.remove_server("z", 5)
     assert leaving == ["x", "y", "z", "z"]
+
+
+@cases.run_on_virtual_clock
+async def test_outdated_report_does_not_stay_in_effect():
+    """Guards against a late report that hides the layers of a server for good.
+
+    The list is forwarded between entries only when a server changes.
+    """
+    view = make_view()
+    view.apply_report("y", None)
+    await trio.sleep(views.REPORT_PRECEDENCE_S)
+    view.expire_reports()
+    assert view.servers["y"].layer_range == fleet.LayerRange(10, 20)
