--- a/tests/unit/test_gateway.py
+++ b/tests/unit/test_gateway.py
@@ -120,7 +120,9 @@
         await trio.sleep(4)
         deployment.cut_from_store(2)
         await trio.sleep(3)
-        deployment.rows.put("op", "config", deployments.encode_routing(9, key="key-2"))
+        deployment.rows.put(
+            "op", "config", deployments.encode_routing(9, key="key-2")
+        )
         await trio.sleep(1)
         assert deployment.entries[1].view.routing.version == 9
         assert b" 401 " in (await deployment.call(number=2))[:15]
--- a/tests/unit/test_mesh.py
+++ b/tests/unit/test_mesh.py
@@ -21,9 +21,7 @@
 
 
 def list_hubs(deployment) -> list:
-    return [
-        entry for entry in deployment.entries if not entry._mesh.is_member
-    ]
+    return [entry for entry in deployment.entries if not entry._mesh.is_member]
 
 
 def list_members(deployment) -> list:
