Let hubs write the rows of their members

Change: a hub writes the rows of its members with its own and sends them the list; a member writes by itself 6 s after the last list. Entries that have just started read the list again after 1.2 s, so that hubs are known sooner. Tests: writes of 17 entries, and a member cut off from its hubs stays listed.

--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/mesh.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/mesh.py
@@ -10,6 +10,7 @@
 """
 
 import collections.abc
+import contextlib
 
 from peridotyard_core import addresses
 from peridotyard_core import fleet
@@ -52,6 +53,8 @@
 HUB_RETRY_S = 5.0
 # Time in which a suspicion is forwarded once, however many entries report it.
 SUSPICION_FORWARD_INTERVAL_S = 0.3
+# Members whose rows a hub writes; the store takes 100 rows in one write.
+MAX_REPRESENTED = 90
 # Share of suspected servers from which on the fault is more likely in this
 # entry or its link, so that the others do not rely on its findings.
 MASS_SUSPICION_SHARE = 0.5
@@ -150,6 +153,8 @@
             "in_flight": self._handle_loads,
         }
         own_presence.may_claim = lambda: not self.is_member
+        own_presence.list_represented = self._list_represented
+        own_presence.publish = self._send_entries
 
     async def run(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
         """Accepts and opens connections until cancelled."""
@@ -291,6 +296,7 @@
             address=str(self._address),
             revision=self._get_version(),
             protocol=peers_module.PROTOCOL_VERSION,
+            capacity=self._own.capacity,
         )
 
     def make_heartbeat(self) -> ttypes.Heartbeat:
@@ -336,6 +342,8 @@
             self._reporting.discard(connection.key)
             self._store_seen_at.pop(connection.key, None)
             self._presence.record_entry_lost(connection.peer.instance)
+            if connection is self._reported_to:
+                self._presence.record_hub_lost()
 
     def _handle_heartbeat(self, connection, message: ttypes.Heartbeat) -> None:
         age_s = message.confirmed_age_ms / 1000
@@ -458,6 +466,10 @@
         listing = stores.Listing(
             rows, message.revision, message.clock_ms / 1000
         )
+        if message.table == presence.TABLE:
+            if connection is self._find_primary():
+                self._presence.apply_listing(listing)
+            return
         # Of two hubs, the one with the lower address reads for the other, and
         # hubs read for members.
         origin = message.origin or connection.key
@@ -477,6 +489,46 @@
         if is_newer:
             self._forward(ttypes.Frame(table_rows=message), connection)
 
+    def _list_reporting_members(self) -> list[peers_module.Connection]:
+        """Returns the connections to the members that report to this hub."""
+        return [
+            connection
+            for connection in self._peers.connections
+            if connection.key in self._reporting
+            and not self._is_hub(connection)
+        ]
+
+    def _list_represented(self) -> dict[str, topologies.Entry]:
+        """Returns the entries whose rows this hub writes, by name."""
+        if self.is_member:
+            return {}
+        represented = {}
+        for connection in self._list_reporting_members()[:MAX_REPRESENTED]:
+            peer = connection.peer
+            # A member without a valid address writes its row by itself.
+            with contextlib.suppress(ValueError):
+                represented[peer.instance] = topologies.Entry(
+                    addresses.Address.from_text(peer.address),
+                    peer.zone,
+                    peer.capacity,
+                )
+        return represented
+
+    def _send_entries(self, listing: stores.Listing) -> None:
+        """Sends the rows of the live entries to the represented members."""
+        message = ttypes.TableRows(
+            table=presence.TABLE,
+            revision=listing.revision,
+            rows=[
+                ttypes.TableRow(row.key, row.value, row.revision, row.removed)
+                for row in listing.rows
+                if row.key.startswith(presence.ENTRY_PREFIX)
+            ],
+            clock_ms=round(1000 * listing.clock_s),
+        )
+        members = self._list_reporting_members()[:MAX_REPRESENTED]
+        self._peers.post_all(ttypes.Frame(table_rows=message), members)
+
     def _is_hub(self, connection: peers_module.Connection) -> bool:
         """Returns whether the peer of a connection is a hub."""
         if not self._topology.is_grouped:
@@ -611,12 +663,7 @@
         that report to it, these members those of all entries.
         """
         connections = self._peers.connections
-        members = [
-            connection
-            for connection in connections
-            if not self._is_hub(connection)
-            and connection.key in self._reporting
-        ]
+        members = self._list_reporting_members()
         if self.is_member:
             self._report_to_primary()
         else:
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/presence.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/presence.py
@@ -28,6 +28,12 @@
 # window of the retry budget (10 s), since the retries of a lost entry count
 # until the end of that window.
 ENTRY_TTL_S = 12.0
+# Time after the first read of the rows at which they are read again. Entries
+# that start together see only some of the others at first.
+FIRST_READ_PAUSE_S = 1.2
+# Time after a listing from a hub for which a member does not write its row by
+# itself. A hub writes the rows of its members with each heartbeat of its own.
+REPRESENTED_S = HEARTBEAT_INTERVAL_S + 1.0
 # Time for which the placement lease is granted. If the holder ends, a layer
 # that no server holds may have to wait for this time for a new holder. The
 # store responds within 0.6 s in its slowest state.
@@ -66,6 +72,9 @@
         may_claim: Returns whether this entry may claim the lease. Otherwise it
             leaves the lease to entries that it is connected to, and reads the
             rows only with its own heartbeat.
+        list_represented: Returns the entries whose rows this entry writes
+            beside its own, by name.
+        publish: Called with the listing that was read before each such write.
     """
 
     def __init__(
@@ -93,6 +102,12 @@
         self.lease = leases.Lease(name, LEASE_DURATION_S)
         self.entries: frozenset[topologies.Entry] = frozenset()
         self.may_claim: collections.abc.Callable[[], bool] = lambda: True
+        self.list_represented: collections.abc.Callable[
+            [], dict[str, topologies.Entry]
+        ] = dict
+        self.publish: collections.abc.Callable[[stores.Listing], None] = (
+            lambda _: None
+        )
         # Revision of the lease's row, as last read or written.
         self._revision = 0
         # Times of this process's clock, and the difference between the store's
@@ -107,6 +122,8 @@
         self._holder_lost_until = float("-inf")
         self._holder_heartbeat_at = float("-inf")
         self._holder_lost_event = trio.Event()
+        # Time until which a hub writes the row of this entry.
+        self._represented_until = float("-inf")
 
     async def run(self) -> None:
         """Renews row and lease until cancelled."""
@@ -129,6 +146,18 @@
             self._holder_heartbeat_at = float("-inf")
             self._holder_lost_event.set()
 
+    def apply_listing(self, listing: stores.Listing) -> None:
+        """Applies the rows that the hub of this entry has read.
+
+        The hub has written the row of this entry as well.
+        """
+        self._update_entries(listing)
+        self._represented_until = self._clock() + REPRESENTED_S
+
+    def record_hub_lost(self) -> None:
+        """Records that this entry has lost its connection to a hub."""
+        self._holder_lost_event.set()
+
     def record_entry_lost(self, entry: str) -> None:
         """Records that the connection to another entry has ended."""
         if entry == self._holder:
@@ -163,12 +192,13 @@
         heartbeat_at = self._written_at + HEARTBEAT_INTERVAL_S
         while not self.is_lease_holder():
             now = self._clock()
-            until = heartbeat_at
             if self.may_claim():
                 until = min(
                     heartbeat_at,
                     self._holder_heartbeat_at + HOLDER_HEARTBEAT_TIMEOUT_S,
                 )
+            else:
+                until = max(heartbeat_at, self._represented_until)
             if now >= until:
                 break
             self._holder_lost_event = trio.Event()
@@ -212,6 +242,7 @@
             return LEASE_RENEWAL_INTERVAL_S
         self._failing = False
         listing = outcome.unwrap()
+        is_first_read = self._scanned_at == float("-inf")
         self._scanned_at = sent_at
         self._clock_offset_s = listing.clock_s - sent_at
         self._update_entries(listing)
@@ -232,6 +263,8 @@
             return LEASE_RENEWAL_INTERVAL_S
         # Another entry holds the lease, which is read again when it expires.
         left_s = record.until_s - listing.clock_s if record else 0.0
+        if is_first_read:
+            left_s = min(left_s, FIRST_READ_PAUSE_S)
         return max(left_s, LEASE_READ_PAUSE_MIN_S)
 
     async def _renew(self, sent_at: float) -> None:
@@ -264,7 +297,7 @@
                 entry = topologies.Entry(
                     addresses.Address.from_text(fields["address"]),
                     str(fields.get("zone", "")),
-                    float(fields.get("capacity", 0.0)),
+                    max(0.0, float(fields.get("capacity", 0.0))),
                 )
             except (
                 ValueError,
@@ -306,14 +339,11 @@
                 only with a claim.
             sent_at: Time before the read, from which a lease is counted.
         """
-        fields = {
-            "clock_s": listing.clock_s,
-            "address": str(self._own.address),
-            "zone": self._own.zone,
-            "capacity": self._own.capacity,
-        }
-        own = json.dumps(fields).encode()
-        writes = (stores.Write(TABLE, ENTRY_PREFIX + self._name, own),)
+        represented = self.list_represented()
+        writes = tuple(
+            _make_entry_write(name, entry, listing.clock_s)
+            for name, entry in {self._name: self._own, **represented}.items()
+        )
         conditions = ()
         if claim is not None:
             conditions, claims = self._encode_claim(claim)
@@ -326,6 +356,8 @@
         outcome = await self._store.commit(conditions, writes, stale)
         if isinstance(outcome, result.Success):
             self._written_at = sent_at
+            if represented:
+                self.publish(listing)
         self._record_write(claim, outcome, sent_at)
 
     def _record_write(
@@ -361,6 +393,25 @@
         self._failing = True
 
 
+def _make_entry_write(
+    name: str, entry: topologies.Entry, clock_s: float
+) -> stores.Write:
+    """Returns the write of the row of a live entry.
+
+    Args:
+        name: Name of the entry.
+        entry: The entry.
+        clock_s: Time on the store's clock, seconds.
+    """
+    fields = {
+        "clock_s": clock_s,
+        "address": str(entry.address),
+        "zone": entry.zone,
+        "capacity": entry.capacity,
+    }
+    return stores.Write(TABLE, ENTRY_PREFIX + name, json.dumps(fields).encode())
+
+
 def _is_stale(row: stores.Row, clock_s: float) -> bool:
     """Returns whether an entry's row is old enough to be removed."""
     if not row.key.startswith(ENTRY_PREFIX):
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/wire/peridotyard.thrift
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/wire/peridotyard.thrift
@@ -25,6 +25,8 @@
   8: i32 heartbeat_ms = 0,
   /** Longest pause of the sender on an idle connection, milliseconds. */
   9: i32 idle_heartbeat_ms = 0,
+  /** Processor capacity, in cores of normal speed; 0: unknown. */
+  10: double capacity = 0.0,
 }
 
 /** Sign of life; also the digest of the configuration exchange. */
--- a/tests/unit/test_mesh.py
+++ b/tests/unit/test_mesh.py
@@ -78,8 +78,29 @@
         # Two tables, about one read a second each.
         assert reads < 3 * 10
         writes = deployment.rows.calls["/rows-tx"] - before["/rows-tx"]
-        # One of each entry each 5 s, and those of the holder for the lease.
-        assert writes <= 2 * ENTRIES + 10 / 0.8 + 1
+        # One of each of the four hubs each 5 s, and those for the lease.
+        assert writes <= 2 * 4 + 10 / 0.8 + 2
+        listed = {len(entry._presence.entries) for entry in deployment.entries}
+        assert listed == {ENTRIES - 1}
+        assert {e.view.entry_count for e in deployment.entries} == {ENTRIES}
+
+
+@cases.run_on_virtual_clock
+async def test_member_writes_its_row_again_if_its_hubs_are_lost():
+    """Guards against a live entry that the others take for an ended one.
+
+    Its share of the retry budget would be spent by the others.
+    """
+    async with open_large_deployment() as deployment:
+        member = list_members(deployment)[0]
+        number = deployment.entries.index(member) + 1
+        deployment.isolate(number)
+        deployment.network.reset(f"10.1.0.{number}")
+        deployment.network.reset(f"10.1.0.{number}:82")
+        others = [e for e in deployment.entries if e is not member]
+        for _ in range(30):
+            await trio.sleep(0.5)
+            assert {e.view.entry_count for e in others} == {ENTRIES}
 
 
 @cases.run_on_virtual_clock
