Measure the silence of a stream from its last event

Cause: each received byte restarted the time after which the path of a stream is probed, so a server that sent a byte now and then, comments or bytes that are no event held the stream until its deadline. In the other direction, a stream without events for 1.5 s was cut although its servers responded and it could not continue elsewhere: not idempotent, at its limit of servers, or no other path. Bytes between two events that are no event were forwarded to the caller. Change: the checks of a path count from the last event with an id; a path is given up only if the stream can continue on another one, or if its first server has terminated; lines that are neither a field nor a comment break the stream.

--- a/packages/peridotyard-core/src/peridotyard_core/events.py
+++ b/packages/peridotyard-core/src/peridotyard_core/events.py
@@ -5,7 +5,10 @@
 
 # An event ends with an empty line; lines end with LF or CR LF.
 _END = re.compile(rb"\r?\n\r?\n")
+_END_BYTES = 4
 _ID = re.compile(rb"^id:[ ]?(\d+)\r?$", re.MULTILINE)
+# A comment, or a field with or without a value.
+_LINE = re.compile(rb":|[A-Za-z][\w-]*(:|$)")
 # Largest size of an event. Events of the platform have some hundred bytes; the
 # limit prevents a server that never ends an event from filling the memory of
 # the entry.
@@ -13,7 +16,7 @@
 
 
 class SequenceError(ValueError):
-    """A server repeated or skipped an event, or sent one that is too long."""
+    """A server repeated or skipped an event, or sent a malformed one."""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -52,16 +55,21 @@
             data: The next bytes.
 
         Raises:
-            SequenceError: An event is longer than `EVENT_LIMIT_BYTES`.
+            SequenceError: An event is longer than `EVENT_LIMIT_BYTES`, or its
+                bytes are no event.
         """
+        # The end of an event may have arrived in two parts.
+        searched = max(0, len(self._rest) - _END_BYTES)
         data = self._rest + data if self._rest else data
         events = []
         begin = 0
-        for match in _END.finditer(data):
+        for match in _END.finditer(data, searched):
             chunk = data[begin : match.end()]
             begin = match.end()
             found = _ID.search(chunk)
             number = int(found.group(1)) if found else None
+            if number is None:
+                _check_lines(chunk)
             events.append(Event(number, chunk))
         self._rest = data[begin:]
         if len(self._rest) > EVENT_LIMIT_BYTES:
@@ -69,6 +77,17 @@
         return events
 
 
+def _check_lines(chunk: bytes) -> None:
+    """Checks that an event without an id consists of comments and fields.
+
+    Raises:
+        SequenceError: A line is neither.
+    """
+    for line in chunk.splitlines():
+        if line and not _LINE.match(line):
+            raise SequenceError(f"bytes that are no event: {line[:20]!r}")
+
+
 class Sequence:
     """Checks the sequence of the events of one response, owned by the response.
 
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/relays.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/relays.py
@@ -125,7 +125,12 @@
         self._may_have_run = False
         # Number of the last event before the current path.
         self._path_start_event = self._sequence.last
+        # Times of the last event and of the next check of a silent path.
         self._last_activity_at = trio.current_time()
+        self._check_at = self._last_activity_at
+        self._check_interval_s = 0.0
+        # Number of paths that may still run a part of the request.
+        self._possible_runs = 0
         self._mean_gap_s: float | None = None
         self._longest_gap_s = 0.0
 
@@ -177,7 +182,6 @@
 
     async def _run_paths(self) -> None:
         request, context = self._request, self._context
-        possible_runs = 0
         outcome: Outcome | None = None
         for sends in range(SEND_LIMIT):
             path = self._choose_path(outcome)
@@ -197,8 +201,8 @@
                 case Broken(avoid=avoid, ended=ended):
                     self._may_have_run = True
                     self._avoid |= avoid
-                    possible_runs += not ended
-                    if not self._may_resume(possible_runs):
+                    self._possible_runs += not ended
+                    if not self._may_resume(self._possible_runs):
                         break
         await self._finish_response(outcome)
 
@@ -251,7 +255,7 @@
         request, context = self._request, self._context
         first_server = path[0].server
         self._set_path(path)
-        self._last_activity_at = trio.current_time()
+        self._record_activity()
         self._path_start_event = self._sequence.last
         request.log(
             _log,
@@ -357,13 +361,19 @@
         for event in arrived:
             self._sequence.accept_event(event)
         data = b"".join(event.data for event in arrived)
-        now = trio.current_time()
-        gap_s, self._last_activity_at = now - self._last_activity_at, now
+        if all(event.number is None for event in arrived):
+            # Comments show no progress, so they do not delay the next check.
+            if self._responder.started:
+                await self._responder.send(data)
+            return
+        gap_s = trio.current_time() - self._last_activity_at
         if self._responder.started:
             self._longest_gap_s = max(self._longest_gap_s, gap_s)
             if self._mean_gap_s is None:
                 self._mean_gap_s = gap_s
             self._mean_gap_s += GAP_SMOOTHING * (gap_s - self._mean_gap_s)
+        self._record_activity()
+        if self._responder.started:
             await self._responder.send(data)
             return
         for stage in self._path:
@@ -377,16 +387,28 @@
         await self._responder.start(head.status, head.headers, data)
 
     async def _receive_monitored(self, receive) -> typing.Any:
-        """Awaits `receive`; during a silence, probes and repairs the path."""
-        wait_s = self._compute_silence_limit()
+        """Awaits `receive`; without events, probes and repairs the path.
+
+        The time counts from the last event and not from the last byte, since a
+        server in trouble may send bytes that never complete an event.
+        """
         while True:
-            with trio.move_on_after(wait_s):
+            with trio.move_on_at(self._check_at):
                 return await receive()
             broken = await self._handle_silence()
             if broken is not None:
                 return broken
             # Back off, since a path that is only slow needs fewer probes.
-            wait_s = min(2 * wait_s, SILENCE_MAX_S)
+            self._check_interval_s = min(
+                2 * self._check_interval_s, SILENCE_MAX_S
+            )
+            self._check_at = trio.current_time() + self._check_interval_s
+
+    def _record_activity(self) -> None:
+        """Records an event or the start of a path."""
+        self._last_activity_at = trio.current_time()
+        self._check_interval_s = self._compute_silence_limit()
+        self._check_at = self._last_activity_at + self._check_interval_s
 
     def _compute_silence_limit(self) -> float:
         """Returns the silence after which the path is probed, seconds."""
@@ -423,6 +445,7 @@
             if (
                 await self._replace_slow_servers(silent_s)
                 or silent_s < STREAM_SILENCE_LIMIT_S
+                or not self._has_other_path()
             ):
                 return None
         return Broken(
@@ -431,6 +454,17 @@
             False,
         )
 
+    def _has_other_path(self) -> bool:
+        """Returns whether the stream can continue on another path.
+
+        The current one counts as a path that still runs the request.
+        """
+        if not self._may_resume(self._possible_runs + 1):
+            return False
+        avoid = self._avoid | paths.list_instances(self._path)
+        view, service = self._context.view, self._request.service
+        return view.choose_path(service, avoid) is not None
+
     async def _repair_path(
         self, failed: frozenset[str], silent_s: float
     ) -> Broken | None:
@@ -438,11 +472,11 @@
         first = self._path[0].server
         if first.instance in failed:
             ended = self._context.view.has_ended(first)
-            return Broken("first server failed", failed, ended)
+            return self._abandon_path("first server failed", failed, ended)
         path = self._plan_replacement(failed)
         if path is None:
             reason = f"no replacement for {','.join(sorted(failed))}"
-            return Broken(reason, failed, False)
+            return self._abandon_path(reason, failed)
         accepted = await self._change_path(path)
         self._request.log(
             _log,
@@ -452,9 +486,27 @@
             silent_ms=round(1000 * silent_s),
         )
         if not accepted:
-            return Broken("path repair not accepted", failed, False)
+            return self._abandon_path("path repair not accepted", failed)
         return None
 
+    def _abandon_path(
+        self, reason: str, failed: frozenset[str], ended: bool = False
+    ) -> Broken | None:
+        """Returns the outcome of a path with failed servers.
+
+        It is None if the stream can only continue on this path: a server that
+        is silent for a time may respond again, and work that cannot be run
+        again must not be given up for it.
+
+        Args:
+            reason: Why the path failed.
+            failed: Instances that failed.
+            ended: Whether the process of the first server has terminated.
+        """
+        if not ended and not self._may_resume(self._possible_runs + 1):
+            return None
+        return Broken(reason, failed, ended)
+
     def _plan_replacement(self, excluded: frozenset[str]) -> paths.Path | None:
         """Returns the path with the excluded servers replaced, or None."""
         view, service = self._context.view, self._request.service
--- a/tests/unit/test_relays.py
+++ b/tests/unit/test_relays.py
@@ -495,3 +495,83 @@
         recorder, used = await relay_and_lose(harness, harness.kill, 3)
         assert len(used) == 4
         check_complete(recorder)
+
+
+@pytest.mark.parametrize("kind", ["drip", "comments", "endless"])
+@cases.run_on_virtual_clock
+async def test_stream_without_further_events_moves_on(kind):
+    """Guards against a stalled stream that never ends.
+
+    Each received byte restarted the time after which the path is probed, so
+    that a server which sent one now and then held the stream to its deadline.
+    """
+    async with gateways.open_harness(
+        gateways.make_servers(LAYER_RANGES)
+    ) as harness:
+        harness.servers["a0"].faults = [servers_module.Fault(kind, 3)]
+        began = trio.current_time()
+        check_complete(await relay(harness))
+        assert trio.current_time() - began < 3.0
+        assert harness.servers["a0"].abandoned == ["r1"]
+
+
+@pytest.mark.parametrize(
+    "retry_policy", [fleet.RetryPolicy.STREAM, fleet.RetryPolicy.STREAM_ONCE]
+)
+@cases.run_on_virtual_clock
+async def test_slow_stream_that_cannot_continue_elsewhere_is_not_cut(
+    retry_policy,
+):
+    """Guards against a cut of a slow but sound stream.
+
+    A stream that may be resumed has no other servers here, the other one must
+    not run twice.
+    """
+    layer_ranges = LAYER_RANGES[:2]
+    async with gateways.open_harness(
+        gateways.make_servers(layer_ranges)
+    ) as harness:
+        harness.servers["a0"].faults = [servers_module.Fault("pause", 3)]
+        check_complete(await relay(harness, retry_policy=retry_policy))
+        assert harness.servers["a0"].runs == ["r1"]
+
+
+@cases.run_on_virtual_clock
+async def test_non_idempotent_stream_outlasts_a_silence_of_its_first_server():
+    """Guards against running work that is given up.
+
+    The machine is only silent for a time, and its work cannot be run again.
+    """
+    async with gateways.open_harness(
+        gateways.make_servers(LAYER_RANGES)
+    ) as harness:
+        harness.servers["a0"].faults = [servers_module.Fault("pause", 3)]
+        harness.servers["b0"].faults = [servers_module.Fault("pause", 3)]
+        recorder = None
+
+        async def run():
+            nonlocal recorder
+            recorder = await relay(
+                harness, retry_policy=fleet.RetryPolicy.STREAM_ONCE
+            )
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(run)
+            await trio.sleep(0.3)
+            (used,) = [n for n in ("a0", "b0") if harness.servers[n].runs]
+            harness.context.view.suspect(
+                harness.context.view.servers[used], "test"
+            )
+        check_complete(recorder)
+
+
+@cases.run_on_virtual_clock
+async def test_bytes_that_are_no_event_are_not_forwarded():
+    """Guards against garbage between two events that reaches the caller."""
+    async with gateways.open_harness(
+        gateways.make_servers(LAYER_RANGES)
+    ) as harness:
+        harness.servers["a0"].faults = [servers_module.Fault("garbage", 3)]
+        recorder = await relay(harness)
+        check_complete(recorder)
+        assert b"\xa7" not in recorder.body
