Bound the bodies of reports, orders and store responses

Cause: Pool.fetch buffered a body without end until its time limit, 1.2 s at up to 2,000 Mbit/s; a late second response of a server on a pooled connection was read as the response to an order or report. (Heads are bounded by h11, bodies of plain requests by RESPONSE_LIMIT_BYTES, events by EVENT_LIMIT_BYTES; tests added.) Change: 4 MiB for a small response; a response that names the request of a caller is not one to a report or order; discarded responses are bounded too.

--- a/packages/peridotyard-daemon/src/peridotyard_daemon/connection/upstreams.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/connection/upstreams.py
@@ -35,6 +35,9 @@
 # Idle connections expire this long before the server's own timeout, so that
 # the server does not close one while a request is in transit.
 IDLE_MARGIN_S = 1.0
+# Longest body of a small response, see `Pool.fetch`. A page of the platform's
+# store takes 1.4 MB.
+FETCH_LIMIT_BYTES = 4 << 20
 # Idle connections per server. More would use up connections that other entries
 # need, since the server limits the total of all entries.
 IDLE_LIMIT = 12
@@ -232,15 +235,18 @@
 class Pool:
     """Pool of idle connections to servers, owned by the process."""
 
-    def __init__(self, dial=open_tcp, notify_dialed=None):
+    def __init__(self, dial=open_tcp, notify_dialed=None, names_request=None):
         """Makes an empty pool.
 
         Args:
             dial: Async function from an address to a stream.
             notify_dialed: Called without arguments for each new connection.
+            names_request: Returns whether the headers of a response name the
+                request of a caller, which `fetch` never sends.
         """
         self._dial = dial
         self._notify_dialed = notify_dialed or (lambda: None)
+        self._names_request = names_request or (lambda _: False)
         self._idle = collections.defaultdict(collections.deque)
 
     async def acquire(
@@ -335,9 +341,15 @@
         try:
             await connection.send(method, target, headers, body)
             head = await connection.receive()
+            if self._names_request(tuple(head.headers.raw_items())):
+                # A late second response to an earlier request on this
+                # connection.
+                raise LostError(f"{address}: response to another request")
             content = bytearray()
             while not isinstance(event := await connection.receive(), _END):
                 content += event.data
+                if len(content) > FETCH_LIMIT_BYTES:
+                    raise LostError(f"{address}: response body is too long")
             done = True
         finally:
             if not done:
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/gateway.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/gateway.py
@@ -155,7 +155,13 @@
         self.view = views.View(settings.zone)
         metrics = metrics_module.Metrics.from_config(settings)
         count = metrics.increment
-        pool = upstreams.Pool(dial, lambda: count("connections"))
+        pool = upstreams.Pool(
+            dial,
+            lambda: count("connections"),
+            lambda headers: bool(
+                codec.decode_response(200, headers).request_id
+            ),
+        )
         self.context = contexts.Context(
             view=self.view,
             pool=pool,
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/forwards.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/forwards.py
@@ -100,8 +100,7 @@
             answer=head.request_id,
             address=connection.address,
         )
-        while not isinstance(await connection.receive(), h11.EndOfMessage):
-            pass
+        await read_body(connection)
         connection.skip_response()
 
 
--- a/tests/unit/test_forwards.py
+++ b/tests/unit/test_forwards.py
@@ -210,3 +210,20 @@
         for _ in range(4):
             await forward(harness, fleet.RetryPolicy.SAFE)
         assert harness.context.quarantine.is_empty
+
+
+@pytest.mark.parametrize(
+    ("retry_policy", "status", "count"),
+    [(fleet.RetryPolicy.SAFE, 200, 2), (fleet.RetryPolicy.ONCE, 502, 1)],
+)
+def test_body_without_end_is_not_a_response(retry_policy, status, count):
+    """Guards against garbage that holds a request, or is taken for a result.
+
+    The request may have run, so only an idempotent one is sent again.
+    """
+    recorder, runs = run_with(["endless", ""], retry_policy)
+    if recorder.status == 200 and len(runs) == 1:
+        # The other server was chosen first.
+        return
+    assert recorder.status == status
+    assert len(runs) == count
--- a/tests/unit/test_upstreams.py
+++ b/tests/unit/test_upstreams.py
@@ -58,7 +58,14 @@
         nursery.start_soon(host.serve, ADDRESS, serve)
         await trio.testing.wait_all_tasks_blocked()
         dial = network.join("entry").dial
-        yield upstreams.Pool(dial, lambda: dialed.append(1)), dialed
+        pool = upstreams.Pool(
+            dial,
+            lambda: dialed.append(1),
+            lambda headers: bool(
+                codec.Codec().decode_response(200, headers).request_id
+            ),
+        )
+        yield pool, dialed
         nursery.cancel_scope.cancel()
 
 
@@ -167,3 +174,57 @@
     response = b"HTTP/1.1 103 Early Hints\r\n\r\n" + encode(b"r1", b"one")
     async with open_pool([response]) as (pool, _):
         assert await exchange(pool) == b"one"
+
+
+@cases.run_on_virtual_clock
+async def test_late_second_response_is_not_the_response_to_an_order():
+    """Guards against an order that counts as accepted and was not.
+
+    A server sends a second copy of a response on a pooled connection, which is
+    then used for an order or a report.
+    """
+    responses = [
+        [encode(b"r1", b"one"), 0.05, encode(b"r1", b"one")],
+        [b"HTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n\r\n"],
+    ]
+    async with open_pool(*responses) as (pool, _):
+        assert await exchange(pool) == b"one"
+        with pytest.raises(upstreams.LostError):
+            await pool.fetch(ADDRESS, "POST", "/order", (), b"{}")
+
+
+@pytest.mark.parametrize(
+    "first",
+    [
+        b"HTTP/1.1 200 OK\r\n",
+        b"HTTP/1.1 200 OK\r\nX-Long: ",
+        b"\xa7",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        b"ffffffff\r\n",
+        b"HTTP/1.1 200 OK\r\n\r\n",
+    ],
+    ids=["head", "header", "no-head", "length", "chunk", "unframed"],
+)
+@cases.run_on_virtual_clock
+async def test_bytes_without_end_are_not_buffered(first):
+    """Guards against a server in trouble that fills the memory of the entry."""
+    piece = 64 * (b"X-Filler: " + b"x" * 990 + b"\r\n")
+    count = 20 * upstreams.FETCH_LIMIT_BYTES // len(piece)
+    sent = []
+
+    def send_pieces():
+        yield first
+        for number in range(count):
+            sent.append(number)
+            yield piece
+            yield 0.001
+
+    async with open_pool(send_pieces()) as (pool, dialed):
+        with pytest.raises(upstreams.LostError):
+            await pool.fetch(ADDRESS, "GET", "/report")
+        received = len(sent) * len(piece)
+        assert received <= 2 * upstreams.FETCH_LIMIT_BYTES
+        # The connection is closed and not used again.
+        assert not pool._idle
+        assert len(dialed) == 1
