Keep the retry budget while entries are partitioned from the store

Change: an entry uses its share of the reserve only while its row is live, on a clock that counts pauses; the others count it for a window of 10 s longer.

--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/gateway.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/gateway.py
@@ -199,6 +199,7 @@
         )
         self._synchronizer.notify_routing = self._mesh.announce_routing
         self._synchronizer.publish = self._mesh.announce_rows
+        self.context.is_listed = self._presence.is_listed
         self.context.notify_crash = self._mesh.announce_crash
         self.view.notify_suspect = self._mesh.announce_suspect
         self.view.notify_cleared = self._mesh.announce_cleared
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/presence.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/presence.py
@@ -24,10 +24,12 @@
 # Time between two heartbeats of an entry in the store. Two of them fit into
 # `ENTRY_TTL_S`, so that one lost write does not expire the entry.
 HEARTBEAT_INTERVAL_S = 5.0
-# Time after its heartbeat at which an entry expires. It is longer than the
-# window of the retry budget (10 s), since the retries of a lost entry count
-# until the end of that window.
+# Time after its heartbeat at which an entry expires. It then stops using its
+# share of the retry budget, also if it is only partitioned from the store.
 ENTRY_TTL_S = 12.0
+# Time after its heartbeat for which an entry counts among those that share the
+# retry budget: what it spent until it expired counts for a window of 10 s more.
+ENTRY_COUNT_S = ENTRY_TTL_S + 10.0
 # Time after the first read of the rows at which they are read again. Entries
 # that start together see only some of the others at first.
 FIRST_READ_PAUSE_S = 1.2
@@ -124,6 +126,8 @@
         self._holder_lost_event = trio.Event()
         # Time until which a hub writes the row of this entry.
         self._represented_until = float("-inf")
+        # Time at which the row of this entry expires.
+        self._listed_until = float("-inf")
 
     async def run(self) -> None:
         """Renews row and lease until cancelled."""
@@ -152,7 +156,13 @@
         The hub has written the row of this entry as well.
         """
         self._update_entries(listing)
-        self._represented_until = self._clock() + REPRESENTED_S
+        now = self._clock()
+        self._represented_until = now + REPRESENTED_S
+        self._listed_until = now + REPRESENTED_S
+
+    def is_listed(self) -> bool:
+        """Returns whether the other entries count this one as live."""
+        return self._clock() < self._listed_until
 
     def record_hub_lost(self) -> None:
         """Records that this entry has lost its connection to a hub."""
@@ -311,8 +321,10 @@
                     error=str(error),
                 )
                 continue
-            if listing.clock_s - at < ENTRY_TTL_S:
+            age_s = listing.clock_s - at
+            if age_s < ENTRY_COUNT_S:
                 live.add(row.key.removeprefix(ENTRY_PREFIX))
+            if age_s < ENTRY_TTL_S:
                 others[entry.address] = entry
         others.pop(self._own.address, None)
         self.entries = frozenset(others.values())
@@ -356,6 +368,7 @@
         outcome = await self._store.commit(conditions, writes, stale)
         if isinstance(outcome, result.Success):
             self._written_at = sent_at
+            self._listed_until = sent_at + ENTRY_TTL_S
             if represented:
                 self.publish(listing)
         self._record_write(claim, outcome, sent_at)
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/views.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/views.py
@@ -105,7 +105,8 @@
         notify_cleared: Called with each server whose suspicion was cleared.
         notify_leaving: Called with the instance of each server that takes no
             new work or releases layers, so that streams can move away.
-        entry_count: Number of live entries including this one; 0 until known.
+        entry_count: Number of entries that share the retry budgets, this one
+            included; 0 until known.
     """
 
     def __init__(self, zone: str):
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/contexts.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/contexts.py
@@ -114,6 +114,8 @@
         make_budget: Returns a new retry budget for a service.
         quarantine: Requests that crash servers.
         streams: Streams in progress, each a `relays.Stream`.
+        is_listed: Returns whether the other entries count this one as live, so
+            that it may use its share of the retry budgets.
         notify_crash: Called with the request's fingerprint and the random id
             of each crash.
     """
@@ -128,6 +130,7 @@
         default_factory=quarantines.Quarantine
     )
     streams: set = dataclasses.field(default_factory=set)
+    is_listed: collections.abc.Callable[[], bool] = lambda: True
     notify_crash: collections.abc.Callable[[int, int], None] = lambda *_: None
     _budgets: dict[str, budgets.WindowBudget] = dataclasses.field(
         default_factory=dict
@@ -158,7 +161,8 @@
             Whether the request may be retried.
         """
         budget = self.find_budget(request.service.name)
-        granted = budget.try_spend(trio.current_time(), self.view.entry_count)
+        entries = self.view.entry_count if self.is_listed() else 0
+        granted = budget.try_spend(trio.current_time(), entries)
         self.metrics.increment("retries" if granted else "retries_denied")
         if not granted:
             request.log(
--- a/tests/unit/test_gateway.py
+++ b/tests/unit/test_gateway.py
@@ -355,3 +355,55 @@
         assert (
             b" 200 " in (await deployment.call(number=3, target="/chat/y"))[:15]
         )
+
+
+def spend_all(deployment, entries) -> int:
+    """Returns the number of retries that entries spend within a second."""
+    now = trio.current_time()
+    return sum(
+        entry.context.find_budget("model").try_spend(
+            now, entry.view.entry_count if entry.context.is_listed() else 0
+        )
+        for entry in entries
+        for _ in range(300)
+    )
+
+
+@cases.run_on_virtual_clock
+async def test_partitioned_entries_do_not_exceed_the_retry_budget():
+    """Guards against shares of the retry budget that add up to more than it.
+
+    Load pattern: a third of the entries is partitioned from the others and the
+    store for longer than their rows live, while servers crash. The others
+    divided the budget among themselves, and the partitioned ones went on.
+    """
+    async with deployments.open_deployment(entries=6) as deployment:
+        await trio.sleep(12)
+        partitioned, others = deployment.entries[:2], deployment.entries[2:]
+        for number in (1, 2):
+            deployment.isolate(number)
+            deployment.cut_from_store(number)
+        reserve = 200
+        spent = []
+        for _ in range(30):
+            await trio.sleep(1)
+            spent.append(
+                spend_all(deployment, partitioned)
+                + spend_all(deployment, others)
+            )
+            assert sum(spent[-10:]) <= reserve
+        # All of it is used by the others in the end.
+        await trio.sleep(11)
+        assert spend_all(deployment, others) > 0.9 * reserve
+
+
+@cases.run_on_virtual_clock
+async def test_paused_entry_does_not_use_a_share_that_has_expired():
+    """Guards against a permission that has run out during a pause."""
+    async with deployments.open_deployment(entries=2) as deployment:
+        await trio.sleep(8)
+        entry = deployment.entries[0]
+        assert entry.context.is_listed()
+        clock = entry._presence._clock
+        entry._presence._clock = lambda: clock() + 13.0
+        assert not entry.context.is_listed()
