--- a/tests/unit/test_gateway.py
+++ b/tests/unit/test_gateway.py
@@ -3,6 +3,7 @@
 import json
 
 from peridotyard_daemon.process import gateway
+import pytest
 import trio
 
 from tests.support import cases
@@ -369,8 +370,12 @@
     )
 
 
+@pytest.mark.parametrize("start_s", [12, 13, 14, 15, 16])
+@pytest.mark.parametrize("calm_s", [4])
 @cases.run_on_virtual_clock
-async def test_partitioned_entries_do_not_exceed_the_retry_budget():
+async def test_partitioned_entries_do_not_exceed_the_retry_budget(
+    start_s, calm_s
+):
     """Guards against shares of the retry budget that add up to more than it.
 
     Load pattern: a third of the entries is partitioned from the others and the
@@ -378,11 +383,12 @@
     divided the budget among themselves, and the partitioned ones went on.
     """
     async with deployments.open_deployment(entries=6) as deployment:
-        await trio.sleep(12)
+        await trio.sleep(start_s)
         partitioned, others = deployment.entries[:2], deployment.entries[2:]
         for number in (1, 2):
             deployment.isolate(number)
             deployment.cut_from_store(number)
+        await trio.sleep(calm_s)
         reserve = 200
         spent = []
         for _ in range(30):
