--- a/tests/unit/test_gateway.py
+++ b/tests/unit/test_gateway.py
@@ -1,6 +1,8 @@
 """Tests of peridotyard_daemon.process.gateway and its mesh."""
 
+import itertools
 import json
+import time
 
 from peridotyard_daemon.process import gateway
 import pytest
@@ -413,3 +415,32 @@
         clock = entry._presence._clock
         entry._presence._clock = lambda: clock() + 13.0
         assert not entry.context.is_listed()
+
+
+def test_jump_of_the_time_of_day_changes_nothing(monkeypatch):
+    """Guards against a lease, timeout or age that follows the time of day.
+
+    It jumps by seconds in both directions here, and back again.
+    """
+    offsets = itertools.cycle((0.0, 2.4, -2.4, 3600.0, -3600.0))
+    read = []
+
+    def read_time():
+        read.append(next(offsets))
+        return 1.8e9 + read[-1]
+
+    monkeypatch.setattr(time, "time", read_time)
+
+    @cases.run_on_virtual_clock
+    async def check():
+        async with deployments.open_deployment(entries=3) as deployment:
+            await trio.sleep(10)
+            holder = deployment.find_holder()
+            data = await deployment.call()
+            assert gateways.read_event_ids(data) == list(range(1, 11))
+            await trio.sleep(10)
+            assert deployment.find_holder() == holder
+            assert {e.view.entry_count for e in deployment.entries} == {3}
+
+    check()
+    assert not read
