Keep streams that have begun while lost layers are loaded again

Cause: a stream over the only copy of lost layers was cut at once: no path, or 'no replacement'; the layers are back one or two seconds later. Change: a path is abandoned only for another one, or when its first server has terminated; a stream that has begun waits 2 s after its last event for a path. Retry-After is spread by up to 0.3 of its value. Beside these: the sum of loads from a hub is dropped when the hub is, members that join receive it at once, and the topology is computed only when the entries change.

--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/mesh.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/mesh.py
@@ -120,6 +120,8 @@
         self._dialed: set[addresses.Address] = set()
         self._topology = topologies.Topology()
         self._hub_keys: frozenset[str] = frozenset()
+        # The other entries of the topology; None before the first.
+        self._known_entries: frozenset[topologies.Entry] | None = None
         # Hubs without a connection: since when, and until when this entry does
         # without them.
         self._missing_since: dict[addresses.Address, float] = {}
@@ -130,7 +132,8 @@
         # Keys of the entries that report their requests in flight.
         self._reporting: set[str] = set()
         self._sent_loads: dict[str, int] = {}
-        self._sent_totals: dict[str, int] = {}
+        # Requests in flight of all entries, and the members they were sent to.
+        self._sent_totals: tuple[dict[str, int], set[str]] = {}, set()
         self._forwarded_at: dict[str, float] = {}
         self._store_seen_at: dict[str, float] = {}
         self._was_acting_holder = False
@@ -637,11 +640,14 @@
             for hub, until in self._avoided_until.items()
             if now < until
         }
-        others = [
+        others = frozenset(
             entry
             for entry in self._list_entries()
             if entry.address not in self._avoided_until
-        ]
+        )
+        if others == self._known_entries:
+            return
+        self._known_entries = others
         self._topology = topologies.Topology.from_entries(self._own, others)
         self._hub_keys = frozenset(str(hub) for hub in self._topology.hubs)
 
@@ -667,12 +673,15 @@
         if self.is_member:
             self._report_to_primary()
         else:
+            # The last sum of a former hub would otherwise stay in effect.
+            self._view.apply_peer_load(FLEET_KEY, None)
             self._post_changed_loads(
                 members, [c for c in connections if self._is_hub(c)]
             )
         totals = self._view.sum_in_flight(self._reporting | {FLEET_KEY})
-        if members and totals != self._sent_totals:
-            self._sent_totals = totals
+        keys = {member.key for member in members}
+        if members and (totals, keys) != self._sent_totals:
+            self._sent_totals = totals, keys
             message = ttypes.InFlight(requests=totals, total=True)
             self._peers.post_all(ttypes.Frame(in_flight=message), members)
 
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/contexts.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/contexts.py
@@ -29,6 +29,9 @@
 # Upper limit of that value. Callers wait for at most a third of their time
 # limit (6.6 of 20 s).
 RETRY_AFTER_MAX_S = 5.0
+# Callers that are refused at the same moment return over a time of this share
+# of the value, so that they do not fill the servers at once again.
+RETRY_AFTER_SPREAD = 0.3
 
 _log = logs.Logger("request")
 
@@ -212,6 +215,7 @@
             # none for as long again.
             lasted_s = self.view.get_no_path_duration_s(request.service.name)
             wait_s = max(RETRY_AFTER_LAYERS_S, lasted_s)
+        wait_s *= 1 + RETRY_AFTER_SPREAD * self.random.random()
         wait_s = round(min(wait_s, RETRY_AFTER_MAX_S), 3)
         return verdicts.make_not_run_failure(
             "backend-unavailable",
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/relays.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/relays.py
@@ -46,6 +46,12 @@
 # Silence after which a stream is moved to another path although all its servers
 # respond. Callers give up on a stream without events for two seconds.
 STREAM_SILENCE_LIMIT_S = 1.5
+# Time after the last event for which a stream that has begun waits for a path
+# if there is none. Lost layers are loaded again in one or two seconds, and
+# callers wait for two seconds at least.
+PATH_WAIT_S = 2.0
+# Time between two searches for a path meanwhile.
+PATH_SEARCH_INTERVAL_S = 0.25
 # Slowness (1 is normal) from which a server of a stream without events is
 # replaced. Rerunning the prefix on another server costs about three slow steps.
 SLOWNESS_LIMIT = 3.0
@@ -129,6 +135,7 @@
         self._last_activity_at = trio.current_time()
         self._check_at = self._last_activity_at
         self._check_interval_s = 0.0
+        self._last_event_at = self._last_activity_at
         # Number of paths that may still run a part of the request.
         self._possible_runs = 0
         self._mean_gap_s: float | None = None
@@ -185,6 +192,8 @@
         outcome: Outcome | None = None
         for sends in range(SEND_LIMIT):
             path = self._choose_path(outcome)
+            if path is None and self._responder.started:
+                path = await self._wait_for_path(outcome)
             if path is None:
                 outcome = outcome or Refused("no path", frozenset())
                 break
@@ -220,6 +229,20 @@
             path = view.choose_path(service, last.avoid)
         return path
 
+    async def _wait_for_path(self, last: Outcome) -> paths.Path | None:
+        """Waits for a path of a stream that has begun; None if there is none.
+
+        Args:
+            last: Outcome of the previous path.
+        """
+        with trio.move_on_at(self._last_event_at + PATH_WAIT_S):
+            while True:
+                await trio.sleep(PATH_SEARCH_INTERVAL_S)
+                path = self._choose_path(last)
+                if path is not None:
+                    return path
+        return None
+
     def _may_resume(self, possible_runs: int) -> bool:
         route = self._request.route
         if not route.retry_policy.is_idempotent:
@@ -373,6 +396,7 @@
                 self._mean_gap_s = gap_s
             self._mean_gap_s += GAP_SMOOTHING * (gap_s - self._mean_gap_s)
         self._record_activity()
+        self._last_event_at = self._last_activity_at
         if self._responder.started:
             await self._responder.send(data)
             return
@@ -445,7 +469,7 @@
             if (
                 await self._replace_slow_servers(silent_s)
                 or silent_s < STREAM_SILENCE_LIMIT_S
-                or not self._has_other_path()
+                or not self._has_other_path(paths.list_instances(self._path))
             ):
                 return None
         return Broken(
@@ -454,14 +478,17 @@
             False,
         )
 
-    def _has_other_path(self) -> bool:
+    def _has_other_path(self, failed: frozenset[str]) -> bool:
         """Returns whether the stream can continue on another path.
 
         The current one counts as a path that still runs the request.
+
+        Args:
+            failed: Instances that the other path must not use.
         """
         if not self._may_resume(self._possible_runs + 1):
             return False
-        avoid = self._avoid | paths.list_instances(self._path)
+        avoid = self._avoid | failed
         view, service = self._context.view, self._request.service
         return view.choose_path(service, avoid) is not None
 
@@ -494,16 +521,16 @@
     ) -> Broken | None:
         """Returns the outcome of a path with failed servers.
 
-        It is None if the stream can only continue on this path: a server that
-        is silent for a time may respond again, and work that cannot be run
-        again must not be given up for it.
+        It is None while the stream can only continue on this path: a server
+        that is silent for a time may respond again, lost layers may be loaded
+        elsewhere, and work that cannot be run again must not be given up.
 
         Args:
             reason: Why the path failed.
             failed: Instances that failed.
             ended: Whether the process of the first server has terminated.
         """
-        if not ended and not self._may_resume(self._possible_runs + 1):
+        if not ended and not self._has_other_path(failed):
             return None
         return Broken(reason, failed, ended)
 
--- a/tests/unit/test_mesh.py
+++ b/tests/unit/test_mesh.py
@@ -138,6 +138,31 @@
         )
 
 
+@cases.run_on_virtual_clock
+async def test_loads_from_a_lost_hub_do_not_stay_in_effect():
+    """Guards against a load that no entry has, which keeps servers unused.
+
+    A member has received the sum of all entries from its hub, and has no hub
+    any more.
+    """
+    async with open_large_deployment() as deployment:
+        deployment.servers["x"].events = 60
+        busy = list_hubs(deployment)[0]
+        deployment.nursery.start_soon(
+            deployment.call, deployment.entries.index(busy) + 1
+        )
+        await trio.sleep(2)
+        member = list_members(deployment)[0]
+        server = member.view.servers["x"]
+        assert member.view.get_load(server) == 1
+        number = deployment.entries.index(member) + 1
+        deployment.isolate(number)
+        deployment.network.reset(f"10.1.0.{number}")
+        deployment.network.reset(f"10.1.0.{number}:82")
+        await trio.sleep(3)
+        assert member.view.get_load(server) == 0
+
+
 @cases.run_on_virtual_clock
 async def test_members_find_other_hubs_when_both_are_lost():
     """Guards against a group without a connection to the others."""
--- a/tests/unit/test_relays.py
+++ b/tests/unit/test_relays.py
@@ -575,3 +575,47 @@
         recorder = await relay(harness)
         check_complete(recorder)
         assert b"\xa7" not in recorder.body
+
+
+@pytest.mark.parametrize("kind", ["crash", "stall"])
+@cases.run_on_virtual_clock
+async def test_stream_waits_for_lost_layers_to_be_loaded_again(kind):
+    """Guards against streams that are cut while a repair is on its way.
+
+    Load pattern: the only copy of some layers is lost under load. All streams
+    over them were cut at once, and the layers were back a second later.
+    """
+    async with gateways.open_harness(
+        gateways.make_servers(LAYER_RANGES)
+    ) as harness:
+        view = harness.context.view
+        for name in ("b0", "b1", "spare"):
+            view.apply_report(name, None)
+        harness.servers["a0"].faults = [servers_module.Fault(kind, 3)]
+        if kind == "crash":
+            lost = "a0"
+        else:
+            lost = "a1"
+            harness.kill("a1")
+
+        async def repair():
+            await trio.sleep(0.2)
+            view.suspect(view.servers[lost], "test")
+            await trio.sleep(1.2)
+            view.apply_report("b0", fleet.LayerRange(0, 8))
+            view.apply_report("b1", fleet.LayerRange(8, 20))
+
+        check_complete(await relay_while(harness, repair))
+
+
+@cases.run_on_virtual_clock
+async def test_refused_callers_return_at_different_times():
+    """Guards against callers that fill the servers at once again."""
+    async with gateways.open_harness([]) as harness:
+        values = set()
+        for number in range(10):
+            recorder = await relay(harness, request_id=f"r{number}")
+            headers = {name.lower(): value for name, value in recorder.headers}
+            values.add(float(headers[b"retry-after"]))
+        assert len(values) == 10
+        assert 1.5 <= min(values) < max(values) <= 1.5 * 1.3
