Read bounded bodies in one place

Cause: Pool.fetch and forwards.read_body had the same loop with a limit each. Change: Connection.receive_body takes the limit and serves both; the limits are unchanged, and the error of a plain response names the address now as well.

--- a/packages/peridotyard-daemon/src/peridotyard_daemon/connection/upstreams.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/connection/upstreams.py
@@ -176,6 +176,22 @@
                 raise LostError(f"{self.address}: the response ended early")
             return event
 
+    async def receive_body(self, limit_bytes: int) -> bytes:
+        """Returns the body of the response, after its head.
+
+        Args:
+            limit_bytes: Length from which the body is not buffered any further.
+
+        Raises:
+            LostError: It ended early or is longer than the limit.
+        """
+        body = bytearray()
+        while not isinstance(event := await self.receive(), h11.EndOfMessage):
+            body += event.data
+            if len(body) > limit_bytes:
+                raise LostError(f"{self.address}: response body is too long")
+        return bytes(body)
+
     def skip_response(self) -> None:
         """Prepares to read another response to the request that was sent.
 
@@ -345,17 +361,13 @@
                 # A late second response to an earlier request on this
                 # connection.
                 raise LostError(f"{address}: response to another request")
-            content = bytearray()
-            while not isinstance(event := await connection.receive(), _END):
-                content += event.data
-                if len(content) > FETCH_LIMIT_BYTES:
-                    raise LostError(f"{address}: response body is too long")
+            content = await connection.receive_body(FETCH_LIMIT_BYTES)
             done = True
         finally:
             if not done:
                 connection.abort()
         self.release(connection)
-        return head.status_code, bytes(content)
+        return head.status_code, content
 
     async def try_fetch(
         self,
@@ -385,6 +397,3 @@
             f"{address}: no response within {timeout_s} s"
         )
         return result.Failure(timeout)
-
-
-_END = h11.EndOfMessage
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/forwards.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/forwards.py
@@ -110,12 +110,7 @@
     Raises:
         LostError: It ended early or is longer than `RESPONSE_LIMIT_BYTES`.
     """
-    body = bytearray()
-    while not isinstance(event := await connection.receive(), h11.EndOfMessage):
-        body += event.data
-        if len(body) > RESPONSE_LIMIT_BYTES:
-            raise upstreams.LostError("response body is too long")
-    return bytes(body)
+    return await connection.receive_body(RESPONSE_LIMIT_BYTES)
 
 
 class Forwarder:
