--- a/packages/peridotyard-daemon/src/peridotyard_daemon/connection/peers.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/connection/peers.py
@@ -109,13 +109,11 @@
         peer: The hello of the peer.
         dialed: Address that this side connected to; None if the peer opened
             the connection.
-        is_open: Whether frames can be posted.
     """
 
     def __init__(self, stream, handler: Handler, timing: Timing, dialed):
         self.peer: ttypes.Hello = ttypes.Hello()
         self.dialed: addresses.Address | None = dialed
-        self.is_open = True
         self._stream = stream
         self._reader = frames.FrameReader(stream, self._record_data)
         self._handler = handler
@@ -133,6 +131,11 @@
         self._scope = trio.CancelScope()
         self._closed = trio.Event()
 
+    @property
+    def is_open(self) -> bool:
+        """Whether frames can be posted."""
+        return not self._closed.is_set()
+
     @property
     def key(self) -> str:
         """Address at which the peer listens, or its instance name."""
@@ -178,7 +181,6 @@
     def close(self, reason: str) -> None:
         """Closes the connection at once; queued frames are dropped."""
         if self.is_open:
-            self.is_open = False
             self._reason = reason
         self._closed.set()
         self._scope.cancel()
@@ -226,7 +228,6 @@
                     nursery.start_soon(self._read)
                     nursery.start_soon(self._write)
                     nursery.start_soon(self._run_heartbeats)
-        self.is_open = False
         self._closed.set()
         with trio.CancelScope(shield=True):
             await trio.aclose_forcefully(self._stream)
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/mesh.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/mesh.py
@@ -198,10 +198,7 @@
             table=table,
             after=after,
             revision=listing.revision,
-            rows=[
-                ttypes.TableRow(row.key, row.value, row.revision, row.removed)
-                for row in listing.rows
-            ],
+            rows=_encode_rows(listing.rows),
             clock_ms=round(1000 * listing.clock_s),
             return_ms=int(1000 * reregistration_s),
             origin=str(self._address),
@@ -522,11 +519,11 @@
         message = ttypes.TableRows(
             table=presence.TABLE,
             revision=listing.revision,
-            rows=[
-                ttypes.TableRow(row.key, row.value, row.revision, row.removed)
+            rows=_encode_rows(
+                row
                 for row in listing.rows
                 if row.key.startswith(presence.ENTRY_PREFIX)
-            ],
+            ),
             clock_ms=round(1000 * listing.clock_s),
         )
         members = self._list_reporting_members()[:MAX_REPRESENTED]
@@ -701,3 +698,12 @@
         self._reported_to = primary
         self._sent_loads = loads
         primary.post(ttypes.Frame(in_flight=ttypes.InFlight(requests=loads)))
+
+
+def _encode_rows(
+    rows: collections.abc.Iterable[stores.Row],
+) -> list[ttypes.TableRow]:
+    return [
+        ttypes.TableRow(row.key, row.value, row.revision, row.removed)
+        for row in rows
+    ]
--- a/tests/unit/test_mesh.py
+++ b/tests/unit/test_mesh.py
@@ -28,6 +28,15 @@
     return [entry for entry in deployment.entries if entry._mesh.is_member]
 
 
+def list_suspecting(deployment) -> list:
+    """Returns the entries that suspect the server y."""
+    return [
+        entry
+        for entry in deployment.entries
+        if entry.view.is_suspected(entry.view.servers["y"])
+    ]
+
+
 def count_connections(entry) -> int:
     return len(entry._mesh._peers.connections)
 
@@ -199,16 +208,9 @@
         entry = list_members(deployment)[0]
         entry.view.suspect(entry.view.servers["y"], "test")
         await trio.sleep(0.2)
-        suspecting = [
-            e
-            for e in deployment.entries
-            if e.view.is_suspected(e.view.servers["y"])
-        ]
-        assert len(suspecting) == ENTRIES
+        assert list_suspecting(deployment) == deployment.entries
         await trio.sleep(7.8)
-        assert all(
-            e.view.is_suspected(e.view.servers["y"]) for e in deployment.entries
-        )
+        assert list_suspecting(deployment) == deployment.entries
         probes = (
             sum(e.context.metrics._totals["probes"] for e in deployment.entries)
             - before
@@ -227,15 +229,11 @@
         entry = list_members(deployment)[0]
         entry.view.suspect(entry.view.servers["y"], "test")
         await trio.sleep(1)
-        assert all(
-            e.view.is_suspected(e.view.servers["y"]) for e in deployment.entries
-        )
+        assert list_suspecting(deployment) == deployment.entries
         for number in range(1, ENTRIES + 1):
             deployment.network.heal(f"10.1.0.{number}", address)
         await trio.sleep(0.8)
-        assert not any(
-            e.view.is_suspected(e.view.servers["y"]) for e in deployment.entries
-        )
+        assert list_suspecting(deployment) == []
 
 
 @cases.run_on_virtual_clock
@@ -245,12 +243,7 @@
         entry = list_members(deployment)[0]
         entry.view.suspect(entry.view.servers["y"], "test")
         await trio.sleep(0.3)
-        suspecting = [
-            e
-            for e in deployment.entries
-            if e.view.is_suspected(e.view.servers["y"])
-        ]
-        assert suspecting in ([], [entry])
+        assert list_suspecting(deployment) in ([], [entry])
 
 
 @cases.run_on_virtual_clock
