Log delays of the event loop and the end of cancelled runs

Change: a line and a histogram for a late loop, "path ended" and "attempt cancelled" also for cancelled runs. No change of behaviour. Conclusion: needed to tell a late reading from an unnoticed close.

--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/gateway.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/gateway.py
@@ -23,6 +23,7 @@
 from peridotyard_daemon.connection import callers
 from peridotyard_daemon.connection import http
 from peridotyard_daemon.connection import upstreams
+from peridotyard_daemon.process import delays
 from peridotyard_daemon.process import lifecycle
 from peridotyard_daemon.process import logs
 from peridotyard_daemon.process import mesh
@@ -264,6 +265,7 @@
             nursery.start_soon(self._placement.run)
             nursery.start_soon(self._prober.run)
             nursery.start_soon(self.context.metrics.run)
+            nursery.start_soon(delays.watch_delays, self.context.metrics)
             _log.info(
                 "entry started",
                 instance=self._settings.instance,
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/forwards.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/forwards.py
@@ -196,6 +196,14 @@
         started = trio.current_time()
         try:
             outcome = await self._exchange(request, server, limit_s)
+        except trio.Cancelled:
+            request.log(
+                _log,
+                "attempt cancelled",
+                instance=server.instance,
+                ms=round(1000 * (trio.current_time() - started)),
+            )
+            raise
         finally:
             health.in_flight -= 1
         duration_s = trio.current_time() - started
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/relays.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/relays.py
@@ -316,14 +316,15 @@
                     context.pool.release(connection)
                 else:
                     connection.abort()
-        request.log(
-            _log,
-            "path ended",
-            outcome=type(outcome).__name__.lower(),
-            reason=getattr(outcome, "reason", ""),
-            last_event=self._sequence.last,
-            longest_gap_ms=round(1000 * self._longest_gap_s),
-        )
+            # Also if the caller left: the server is told to stop only here.
+            request.log(
+                _log,
+                "path ended",
+                outcome=type(outcome).__name__.lower(),
+                reason=getattr(outcome, "reason", ""),
+                last_event=self._sequence.last,
+                longest_gap_ms=round(1000 * self._longest_gap_s),
+            )
         return outcome
 
     async def _classify_loss(self, server: fleet.Server, reason: str) -> Broken:
