Do not send requests of callers that have disconnected

Callers saw: servers began to work for them although they had given up. Cause: the end of a caller's connection was read by a task beside the handler, so a request that a busy entry read together with that end was admitted and sent to a server (over a pooled connection without a pause in which the end would be noticed), and so was a second attempt after a failure. How late that is depends only on how late the entry runs. Change: before a request is handled, and before each further attempt, the entry asks the socket whether the peer has closed it. Conclusion: fixed where the kernel knows of the close; a close that has not arrived cannot be known.

--- a/packages/peridotyard-daemon/src/peridotyard_daemon/connection/callers.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/connection/callers.py
@@ -54,6 +54,15 @@
         self.started = False
         self.finished = False
 
+    def check_connected(self) -> None:
+        """Checks that somebody waits for the response.
+
+        Raises:
+            trio.BrokenResourceError: The caller has disconnected.
+        """
+        if self._connection.is_disconnected:
+            raise trio.BrokenResourceError("caller has disconnected")
+
     async def send_complete(self, status: int, headers, body: bytes) -> None:
         """Sends a complete response, with its length."""
         self.started = True
@@ -140,6 +149,11 @@
         self._closing = False
         self._idle_scope = trio.CancelScope()
 
+    @property
+    def is_disconnected(self) -> bool:
+        """Whether the caller has closed the connection, or half of it."""
+        return self._at_end or upstreams.is_closed_by_peer(self._stream)
+
     def make_closing_headers(self) -> list[tuple[bytes, bytes]]:
         """Returns a "Connection: close" header if the connection will close."""
         closing = self._closing or self._is_draining()
@@ -185,7 +199,7 @@
         except RejectedError as error:
             await self._reject(error)
             return False
-        if request is None:
+        if request is None or self.is_disconnected:
             return False
         responder = Responder(self)
         async with trio.open_nursery() as nursery:
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/connection/upstreams.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/connection/upstreams.py
@@ -82,6 +82,20 @@
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
 
 
+def is_closed_by_peer(stream: trio.abc.Stream) -> bool:
+    """Returns whether the peer has closed or reset a connection.
+
+    It does not read, so it also sees an end behind unread bytes. For in-memory
+    connections, which have no socket, it is False.
+    """
+    sock = getattr(stream, "socket", None)
+    if sock is None or sock.fileno() < 0:
+        return False
+    poll = select.poll()
+    poll.register(sock.fileno(), select.POLLRDHUP)
+    return bool(poll.poll(0))
+
+
 def _set_socket_options(sock: trio.socket.SocketType) -> None:
     tcp = socket.IPPROTO_TCP
     sock.setsockopt(tcp, socket.TCP_NODELAY, 1)
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/gateway.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/gateway.py
@@ -411,7 +411,7 @@
         budget.record_request(trio.current_time())
         try:
             await self._serve(admitted, responder)
-        except trio.Cancelled:
+        except (trio.Cancelled, trio.BrokenResourceError):
             # The caller closed its connection, or the process is stopping.
             self.context.record_end(admitted, "abandoned")
             raise
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/forwards.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/forwards.py
@@ -131,10 +131,12 @@
             server = self._choose_server(request.service.name, tried)
             if server is None:
                 break
-            if sends and self._context.is_quarantined(request):
-                break
-            if sends and not self._context.spend_retry(request):
-                break
+            if sends:
+                responder.check_connected()
+                if self._context.is_quarantined(request):
+                    break
+                if not self._context.spend_retry(request):
+                    break
             last = await self._attempt(request, server, tried)
             tried.add(server.instance)
             if not isinstance(last, Refused) or last.sent:
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/relays.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/relays.py
@@ -197,10 +197,12 @@
             if path is None:
                 outcome = outcome or Refused("no path", frozenset())
                 break
-            if sends and context.is_quarantined(request):
-                break
-            if sends and not context.spend_retry(request):
-                break
+            if sends:
+                self._responder.check_connected()
+                if context.is_quarantined(request):
+                    break
+                if not context.spend_retry(request):
+                    break
             outcome = await self._try_path(path)
             match outcome:
                 case Completed() | Passed():
--- a/tests/support/gateways.py
+++ b/tests/support/gateways.py
@@ -49,6 +49,7 @@
         body: Sent part of the body.
         started: Whether the response has started.
         finished: Whether the response is complete.
+        disconnected: Whether the caller has left.
     """
 
     def __init__(self):
@@ -57,6 +58,11 @@
         self.body = b""
         self.started = False
         self.finished = False
+        self.disconnected = False
+
+    def check_connected(self):
+        if self.disconnected:
+            raise trio.BrokenResourceError
 
     async def send_complete(self, status, headers, body):
         await self.start(status, headers, body)
--- a/tests/unit/test_callers.py
+++ b/tests/unit/test_callers.py
@@ -1,6 +1,7 @@
 """Tests of peridotyard_daemon.connection.callers."""
 
 import contextlib
+import socket
 
 from peridotyard_core import addresses
 from peridotyard_core import fleet
@@ -158,6 +159,41 @@
         assert entry.cancelled == 1
 
 
+def serve_left_caller(sent):
+    """Returns the requests that are handled for a caller that has left.
+
+    It runs on loopback, since only a socket shows that the peer has closed it.
+
+    Args:
+        sent: Bytes that the caller sends before it leaves.
+    """
+    entry = Entry()
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        with socket.create_connection(listener.getsockname()) as caller:
+            accepted, _ = listener.accept()
+            caller.sendall(sent)
+
+        async def serve():
+            stream = trio.SocketStream(trio.socket.from_stdlib_socket(accepted))
+            connection = callers.CallerConnection(
+                stream, entry.handle, lambda: LIMITS, lambda: False
+            )
+            with trio.fail_after(5):
+                await connection.run()
+
+        trio.run(serve)
+    return entry.requests
+
+
+@pytest.mark.parametrize("sent", [GET, GET * 2, GET + b"x" * 100_000])
+def test_request_whose_caller_has_left_is_not_run(sent):
+    """Guards against work that begins after its caller has given up.
+
+    A busy entry may read a request and the end of its connection together.
+    """
+    assert serve_left_caller(sent) == []
+
+
 @cases.run_on_virtual_clock
 async def test_truncated_response_does_not_look_complete():
     """Guards against a final chunk after a response that was not finished."""
--- a/tests/unit/test_forwards.py
+++ b/tests/unit/test_forwards.py
@@ -100,6 +100,28 @@
     assert virtual_clock.run(run) == (500, 200)
 
 
+@pytest.mark.parametrize("kind", ["crash", "refuse"])
+def test_call_whose_caller_has_left_is_not_resent(kind):
+    """Guards against work at a second server after the caller has left."""
+
+    async def run():
+        servers = gateways.make_plain_servers(2)
+        async with gateways.open_harness(servers) as harness:
+            for item in harness.servers.values():
+                item.faults = [servers_module.Fault(kind)]
+            recorder = gateways.ResponseRecorder()
+            recorder.disconnected = True
+            request = harness.make_request(fleet.RetryPolicy.SAFE)
+            with pytest.raises(trio.BrokenResourceError):
+                await forwards.Forwarder(harness.context).handle(
+                    request, recorder
+                )
+            sent = [len(item.requests) for item in harness.servers.values()]
+            assert sum(sent) == 1
+
+    virtual_clock.run(run)
+
+
 def test_hanging_server_leaves_time_for_another():
     async def run():
         async with gateways.open_harness(
--- a/tests/unit/test_relays.py
+++ b/tests/unit/test_relays.py
@@ -192,6 +192,31 @@
     virtual_clock.run(run)
 
 
+@pytest.mark.parametrize("kind", ["crash", "refuse"])
+def test_stream_whose_caller_has_left_is_not_resent(kind):
+    """Guards against work on a second path after the caller has left."""
+
+    async def run():
+        async with gateways.open_harness(
+            gateways.make_servers(LAYER_RANGES)
+        ) as harness:
+            harness.servers["a0"].faults = [servers_module.Fault(kind)]
+            recorder = gateways.ResponseRecorder()
+            recorder.disconnected = True
+            stream = relays.Stream(
+                harness.context,
+                harness.prober,
+                harness.make_request(),
+                recorder,
+            )
+            with pytest.raises(trio.BrokenResourceError):
+                await stream.run()
+            assert len(harness.servers["a0"].requests) == 1
+            assert harness.servers["b0"].requests == []
+
+    virtual_clock.run(run)
+
+
 @cases.run_on_virtual_clock
 async def test_refusal_is_followed_by_another_path():
     async with gateways.open_harness(
