Notice a disconnect also while the buffer of pipelined bytes is full

Callers saw: a request goes on after its caller has left, if the caller had sent more than 64 KiB behind it. Cause: the task that watches for a disconnect ended when that buffer was full. Change: it then asks the socket every 0.2 s whether the peer has closed. Result: test_caller_that_leaves_behind_unread_bytes_is_noticed failed before and passes. Where the kernel's buffer is full too, the close cannot arrive.

--- a/packages/peridotyard-daemon/src/peridotyard_daemon/connection/callers.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/connection/callers.py
@@ -21,6 +21,8 @@
 # Pipelined requests are buffered up to this size while another request runs;
 # the rest stays in the socket's receive buffer.
 PIPELINE_BYTES = 1 << 16
+# Time between two checks for a disconnect while that buffer is full.
+DISCONNECT_POLL_S = 0.2
 # Time limit of one write; the connection of a caller that does not read its
 # response is closed after it.
 SEND_TIMEOUT_S = 20.0
@@ -316,7 +318,8 @@
                 if not await self._receive_pending():
                     break
             else:
-                return
+                while not self.is_disconnected:
+                    await trio.sleep(DISCONNECT_POLL_S)
         except (OSError, trio.BrokenResourceError):
             # Same effect as an orderly close: nobody reads the response.
             self._at_end = True
--- a/tests/unit/test_callers.py
+++ b/tests/unit/test_callers.py
@@ -194,6 +194,37 @@
     assert serve_left_caller(sent) == []
 
 
+def test_caller_that_leaves_behind_unread_bytes_is_noticed():
+    """Guards against work that goes on where the read buffer is full."""
+
+    async def wait(_responder):
+        await trio.sleep_forever()
+
+    entry = Entry(wait)
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        caller = socket.create_connection(listener.getsockname())
+        accepted, _ = listener.accept()
+
+        async def serve():
+            stream = trio.SocketStream(trio.socket.from_stdlib_socket(accepted))
+            connection = callers.CallerConnection(
+                stream, entry.handle, lambda: LIMITS, lambda: False
+            )
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(connection.run)
+                caller.sendall(GET + b"x" * (5 * callers.PIPELINE_BYTES // 2))
+                await trio.sleep(0.1)
+                assert len(entry.requests) == 1
+                caller.close()
+                with trio.move_on_after(2):
+                    while not entry.cancelled:
+                        await trio.sleep(0.05)
+                assert entry.cancelled == 1
+                nursery.cancel_scope.cancel()
+
+        trio.run(serve)
+
+
 @cases.run_on_virtual_clock
 async def test_truncated_response_does_not_look_complete():
     """Guards against a final chunk after a response that was not finished."""
