Log the parts of a prompt, and whether the first server has ended

Cause: the logs do not show which parts the requests have in common under which servers end, nor whether a lost server was found to have ended, so the hypotheses of docs/incidents/prompt-parts-that-crash-servers.md look the same. Change: "request sent on a path" has the parts of the prompt, "path ended" whether the first server had ended. No change of behaviour. Result: test_parts_of_a_prompt_are_decoded. Conclusion: needed to tell a crash that is not noticed from one that is not recognised.

--- a/packages/peridotyard-core/src/peridotyard_core/exchanges.py
+++ b/packages/peridotyard-core/src/peridotyard_core/exchanges.py
@@ -31,6 +31,8 @@
             to start with the first event.
         prompt_tokens: Length of the prompt, 0 if unknown.
         response_tokens: Largest length of the response, 0 if unknown.
+        prompt_parts: Identifiers of the parts of the prompt, in order; empty if
+            unknown. Requests may share all but the last part.
         headers: Headers to forward to the server.
     """
 
@@ -43,6 +45,7 @@
     last_event_id: int | None
     prompt_tokens: int
     response_tokens: int
+    prompt_parts: tuple[str, ...]
     headers: Headers
 
     @property
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/relays.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/relays.py
@@ -287,6 +287,7 @@
             "request sent on a path",
             path=describe_path(path),
             after=self._sequence.last,
+            prompt=",".join(request.head.prompt_parts),
             routing=request.version,
             fleet_age_ms=context.get_fleet_age_ms(),
         )
@@ -324,6 +325,7 @@
                 "path ended",
                 outcome=type(outcome).__name__.lower(),
                 reason=getattr(outcome, "reason", ""),
+                ended=getattr(outcome, "ended", False),
                 last_event=self._sequence.last,
                 longest_gap_ms=round(1000 * self._longest_gap_s),
             )
--- a/tests/unit/test_codec.py
+++ b/tests/unit/test_codec.py
@@ -40,6 +40,21 @@
     assert (b"X-Model", b"m") in head.headers
 
 
+@pytest.mark.parametrize(
+    ("value", "parts"),
+    [
+        (b"5c1e07a2:800,91bd3f06:410", ("5c1e07a2", "91bd3f06")),
+        (b" a:1 , b:2 ", ("a", "b")),
+        (b"", ()),
+        (b",:5,a", ("a",)),
+        (b"a:1," * 1000, ("a",) * codec.PROMPT_PARTS_LIMIT),
+    ],
+)
+def test_parts_of_a_prompt_are_decoded(value, parts):
+    """Guards against a malformed list of parts that fails a request."""
+    assert decode((b"X-Prompt-Prefix", value)).prompt_parts == parts
+
+
 def test_headers_of_the_entry_cannot_be_forged():
     """Guards against callers that gain access by forged headers.
 
