Notice that a server has ended although it responded a moment before

Callers saw: nothing by itself; requests that crash servers were sent on without a trace. Cause: a stream that lost its first server asked the prober, which takes a response of the last 0.15 s as proof of life, or joins a probe whose result is applied later. A connection error before the probe also revoked an earlier finding that the server refuses connections. Change: a lost request opens a connection to the server, once for all streams that wait; plain requests did that already and use the same function. A refused connection stays in force until the server responds.

--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/views.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/views.py
@@ -343,13 +343,16 @@
         Args:
             server: The server.
             reason: Why it is suspected, for log and status.
-            ended: Whether it refused a connection.
+            ended: Whether it refused a connection, so that its process has
+                ended.
         """
         health = self._health[server.instance]
         is_new = not self.is_suspected(server)
         health.suspected_until = trio.current_time() + SUSPICION_TIMEOUT_S
         health.reason = reason
-        health.ended = ended
+        # A process that has ended does not run again, so a later silence does
+        # not revoke a refused connection.
+        health.ended = ended or (health.ended and not is_new)
         health.checked_by_others = False
         if is_new:
             self._log_suspicion(server, reason)
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/contexts.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/contexts.py
@@ -33,6 +33,11 @@
 # of the value, so that they do not fill the servers at once again.
 RETRY_AFTER_SPREAD = 0.3
 
+# Time limit of the connection attempt that distinguishes a terminated server
+# from one that lost a response. A terminated server refuses the connection
+# within a round trip, 2 ms within a region.
+CRASH_CHECK_S = 0.05
+
 _log = logs.Logger("request")
 
 
@@ -138,6 +143,10 @@
     _budgets: dict[str, budgets.WindowBudget] = dataclasses.field(
         default_factory=dict
     )
+    # Checks in progress, by instance.
+    _ended_checks: dict[str, trio.Event] = dataclasses.field(
+        default_factory=dict
+    )
 
     def get_fleet_age_ms(self) -> int:
         """Returns the age of the list of servers, ms; -1 before the first."""
@@ -179,6 +188,34 @@
             request.fingerprint, trio.current_time()
         )
 
+    async def check_ended(self, server: fleet.Server) -> bool:
+        """Returns whether a server that lost a request has terminated.
+
+        Opens a connection instead of requesting the server's report, since that
+        request would wait behind others if the server is full. Concurrent
+        checks of a server share one connection. Earlier responses of the server
+        show nothing, since it may have terminated just now.
+        """
+        if self.view.has_ended(server):
+            return True
+        running = self._ended_checks.get(server.instance)
+        if running is not None:
+            await running.wait()
+            return self.view.has_ended(server)
+        self._ended_checks[server.instance] = trio.Event()
+        try:
+            with trio.move_on_after(CRASH_CHECK_S):
+                (
+                    await self.pool.acquire(server.address, force_new=True)
+                ).abort()
+        except upstreams.RefusedError as error:
+            self.view.suspect(server, str(error), ended=True)
+        except upstreams.UnsentError as error:
+            self.view.suspect(server, str(error))
+        finally:
+            self._ended_checks.pop(server.instance).set()
+        return self.view.has_ended(server)
+
     def record_crash(self, request: Request, server: fleet.Server) -> None:
         """Records that a server terminated as it began to run a request."""
         crash_id = self.random.getrandbits(63)
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/forwards.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/forwards.py
@@ -22,10 +22,6 @@
 # Fraction of the remaining time that an idempotent request waits for one server
 # while another one could still respond.
 ATTEMPT_TIME_FRACTION = 0.5
-# Time limit of the connection attempt that distinguishes a terminated server
-# from one that lost a response. A terminated server refuses the connection
-# within a round trip, 2 ms within a region.
-CRASH_CHECK_S = 0.02
 
 _log = logs.Logger("forward")
 
@@ -210,7 +206,7 @@
             health.in_flight -= 1
         duration_s = trio.current_time() - started
         self._update_health(server, outcome, duration_s)
-        if isinstance(outcome, Lost) and await self._has_crashed(server):
+        if isinstance(outcome, Lost) and await context.check_ended(server):
             context.record_crash(request, server)
         request.log(
             _log,
@@ -226,23 +222,6 @@
         )
         return outcome
 
-    async def _has_crashed(self, server: fleet.Server) -> bool:
-        """Returns whether a server that lost a request refuses connections.
-
-        Opens a connection instead of requesting the server's report, since that
-        request would wait behind others if the server is full.
-        """
-        pool = self._context.pool
-        with trio.move_on_after(CRASH_CHECK_S):
-            try:
-                (await pool.acquire(server.address, force_new=True)).abort()
-            except upstreams.RefusedError as error:
-                self._context.view.suspect(server, str(error), ended=True)
-                return True
-            except upstreams.UnsentError as error:
-                self._context.view.suspect(server, str(error))
-        return False
-
     def _update_health(
         self, server, outcome: Outcome, duration_s: float
     ) -> None:
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/relays.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/relays.py
@@ -308,7 +308,8 @@
             outcome = await self._relay(connection)
             reusable = not isinstance(outcome, Broken)
         except upstreams.UnsentError as error:
-            context.view.suspect(first_server, str(error))
+            refused = isinstance(error, upstreams.RefusedError)
+            context.view.suspect(first_server, str(error), ended=refused)
             outcome = Refused(str(error), frozenset([first_server.instance]))
         except (upstreams.LostError, events.SequenceError) as error:
             outcome = await self._classify_loss(first_server, str(error))
@@ -336,9 +337,11 @@
 
         Records a crash if the server terminated before it sent an event.
         """
-        await self._prober.find_unresponsive([server])
+        ended = await self._context.check_ended(server)
+        if not ended:
+            await self._prober.find_unresponsive([server])
+            ended = self._context.view.has_ended(server)
         avoid = frozenset([server.instance])
-        ended = self._context.view.has_ended(server)
         if ended and self._sequence.last == self._path_start_event:
             self._context.record_crash(self._request, server)
         return Broken(reason, avoid, ended)
--- a/tests/unit/test_relays.py
+++ b/tests/unit/test_relays.py
@@ -1,6 +1,7 @@
 """Tests of peridotyard_daemon.request.relays."""
 
 import dataclasses
+import functools
 
 import hypothesis
 from hypothesis import strategies
@@ -401,6 +402,42 @@
         assert not harness.context.is_quarantined(other)
 
 
+@cases.run_on_virtual_clock
+async def test_crash_just_after_a_successful_probe_is_noticed():
+    """Guards against a crash that a probe of a moment before conceals.
+
+    Streams probe the servers of silent paths all the time.
+    """
+    async with gateways.open_harness(
+        gateways.make_servers(LAYER_RANGES)
+    ) as harness:
+        server = harness.servers["a0"]
+        server.faults = [servers_module.Fault("end", 0)]
+        assert not await harness.prober.find_unresponsive([server.server])
+        await relay(harness)
+        assert harness.context.metrics.get_count("crashes") == 1
+        assert harness.context.view.has_ended(server.server)
+
+
+@cases.run_on_virtual_clock
+async def test_crash_is_noticed_for_each_request_that_the_server_ran():
+    """Guards against a crash that only the first of its streams notices."""
+    async with gateways.open_harness(
+        gateways.make_servers(LAYER_RANGES)
+    ) as harness:
+        server = harness.servers["a0"]
+        server.faults = [servers_module.Fault("stall", 0)] * 3
+        async with trio.open_nursery() as nursery:
+            for number in range(3):
+                nursery.start_soon(
+                    functools.partial(relay, harness, request_id=f"r{number}")
+                )
+            await trio.sleep(0.05)
+            assert len(server.requests) == 3
+            harness.kill("a0")
+        assert harness.context.metrics.get_count("crashes") == 3
+
+
 @cases.run_on_virtual_clock
 async def test_crash_in_mid_stream_is_not_attributed_to_the_request():
     # Guards against the quarantine of streams that were in progress when their
