Quarantine parts of prompts that crash the servers that answer them

Cause: a request was recognised only by path, workspace and body together. No two requests with the part are alike, so each had one crash of three. Change: parts of a prompt are suspect under crashes and cleared by answers; entries exchange both.

--- /dev/null
+++ b/packages/peridotyard-core/src/peridotyard_core/prompts.py
@@ -0,0 +1,399 @@
+"""Quarantine of parts of prompts that crash the backend servers.
+
+Requests share parts of their prompts, such as instructions or documents. A part
+may crash each server that begins to answer a request with it. These requests
+differ otherwise, so that `quarantines`, which recognises copies of a request,
+does not stop them.
+
+Each crash makes the parts of all requests suspect that the server was about to
+answer; each answer that begins clears the parts of its request. A part is
+quarantined once crashes have followed each other without an answer in between.
+"""
+
+import collections
+import dataclasses
+import hashlib
+import math
+
+# Number of successive crashes after which a part is quarantined. Servers that
+# are lost together, as in a power failure, count as one.
+SUCCESSION_LIMIT = 3
+# Number of crashes after which two in succession are enough.
+CRASHES_LIMIT = 5
+# Largest probability that a sound part is involved in that many successive
+# crashes by coincidence. Where servers crash for other reasons all the time,
+# it takes more crashes to identify a part.
+COINCIDENCE_LIMIT = 0.02
+# Assumed rate of losses of other requests, which weighs as much as one request.
+LOSS_RATE_PRIOR = 0.1
+# Time after which past answers and losses count 1/e, seconds. It is long
+# against the second or two in which a part is identified.
+LOSS_RATE_WINDOW_S = 10.0
+# Duration of a quarantine after the last crash, seconds. It doubles with each
+# further successive crash, up to the maximum. Afterwards, requests with the
+# part are sent again, since a sound part that was quarantined by coincidence
+# cannot be cleared otherwise.
+QUARANTINE_MIN_S = 120.0
+QUARANTINE_MAX_S = 600.0
+# Time after the last crash for which a part stays suspect, seconds. It exceeds
+# the longest quarantine, so that the next crash starts another one at once.
+RETENTION_S = 2 * QUARANTINE_MAX_S
+# Largest number of suspect parts; the one with the oldest last crash is
+# discarded for a new one. With `RECORDED_CRASHES` they take about 2 MB.
+PARTS_LIMIT = 1024
+# Largest number of crashes that are recorded for one part.
+RECORDED_CRASHES = 16
+
+
+def compute_part_fingerprint(service: str, part: str) -> int:
+    """Returns the hash that identifies a part of a prompt.
+
+    Args:
+        service: Service that answers the request.
+        part: The caller's identifier of the part.
+
+    Returns:
+        A signed 64-bit integer.
+    """
+    return _compute_hash(service, part)
+
+
+def compute_crash_id(instance: str, started_at_ms: int) -> int:
+    """Returns the identity of the crash of a server process.
+
+    It is the same for all entries and requests that are affected by the crash.
+
+    Args:
+        instance: The server's instance.
+        started_at_ms: Start of the process, Unix time in milliseconds.
+
+    Returns:
+        A signed 64-bit integer.
+    """
+    return _compute_hash(instance, str(started_at_ms))
+
+
+def format_fingerprint(fingerprint: int) -> str:
+    """Returns the hexadecimal text of a fingerprint for the log."""
+    return f"{fingerprint & (1 << 64) - 1:016x}"
+
+
+def _compute_hash(*texts: str) -> int:
+    digest = hashlib.blake2b("\0".join(texts).encode(), digest_size=8)
+    return int.from_bytes(digest.digest(), "big", signed=True)
+
+
+@dataclasses.dataclass(frozen=True)
+class Suspicion:
+    """One part of the prompt of a request whose server crashed.
+
+    Attributes:
+        part: Fingerprint of the part.
+        crash: Identity of the crash, see `compute_crash_id`.
+        succession: Number of crashes that followed each other, this one
+            included: one more than was known for the part when the request was
+            sent. It is an order without clocks, as in Lamport timestamps.
+        depth: Position of the part in the prompt, from 0.
+    """
+
+    part: int
+    crash: int
+    succession: int
+    depth: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Evidence:
+    """What entries report to each other.
+
+    Attributes:
+        suspicions: Parts of requests whose servers crashed.
+        cleared: Parts with which a server has begun an answer.
+        confirmed: Suspect parts whose crashes are no coincidence, as an entry
+            has found from the other requests that it has seen.
+    """
+
+    suspicions: tuple[Suspicion, ...] = ()
+    cleared: tuple[int, ...] = ()
+    confirmed: tuple[int, ...] = ()
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether it says nothing."""
+        return not (self.suspicions or self.cleared or self.confirmed)
+
+
+@dataclasses.dataclass
+class _Record:
+    """Crashes under requests with one part, since its last answer.
+
+    Attributes:
+        crashes: Succession by identity of the crash.
+        depth: Position of the part in the prompt, from 0.
+        crashed_at: Time of the last crash, seconds.
+        answers_before: Number of answers of this entry before the first crash.
+        losses: Number of requests of this entry with the part that were lost.
+        is_confirmed: Whether this or another entry has found that the crashes
+            are no coincidence.
+    """
+
+    crashes: dict[int, int]
+    depth: int
+    crashed_at: float
+    answers_before: int
+    losses: int = 0
+    is_confirmed: bool = False
+
+    @property
+    def succession(self) -> int:
+        """Number of crashes that followed each other."""
+        return max(self.crashes.values())
+
+
+class PartQuarantine:
+    """Suspect parts of prompts and those in quarantine, owned by the process.
+
+    Entries report suspicions and cleared parts to each other. Reports may
+    arrive several times and in any order: a crash counts once, and a report of
+    a cleared part that overtakes one of an earlier crash is repeated with the
+    next answer.
+    """
+
+    def __init__(self):
+        self._records: collections.OrderedDict[int, _Record] = (
+            collections.OrderedDict()
+        )
+        # Time until which each quarantined part is not sent to servers.
+        self._quarantined_until: dict[int, float] = {}
+        # Requests of this entry whose answer began, or whose server crashed
+        # before, weighted by their age.
+        self._answers = 0.0
+        self._losses = 0.0
+        self._counted_at = 0.0
+        self._answer_count = 0
+        # Whether successive crashes are recorded for a part that is not
+        # quarantined for lack of other evidence.
+        self._is_undecided = False
+
+    def get_succession(self, part: int) -> int:
+        """Returns the number of successive crashes known for a part."""
+        record = self._records.get(part)
+        return record.succession if record is not None else 0
+
+    def count_crashes(self, part: int) -> int:
+        """Returns the number of crashes that are recorded for a part."""
+        record = self._records.get(part)
+        return len(record.crashes) if record is not None else 0
+
+    def count_answer(self, now: float) -> None:
+        """Counts a request of this entry whose answer began.
+
+        Args:
+            now: Current time, seconds.
+        """
+        self._age_counts(now)
+        self._answers += 1
+        self._answer_count += 1
+        if self._is_undecided:
+            self._update_quarantined()
+
+    def count_loss(self, parts: tuple[int, ...], now: float) -> None:
+        """Counts a request of this entry whose server crashed before.
+
+        Args:
+            parts: Fingerprints of the parts of its prompt, after
+                `record_crash`.
+            now: Current time, seconds.
+        """
+        self._age_counts(now)
+        self._losses += 1
+        for part in parts:
+            if part in self._records:
+                self._records[part].losses += 1
+        self._update_quarantined()
+
+    def _age_counts(self, now: float) -> None:
+        weight = math.exp((self._counted_at - now) / LOSS_RATE_WINDOW_S)
+        self._counted_at = now
+        self._answers *= weight
+        self._losses *= weight
+
+    def record_crash(self, suspicion: Suspicion, now: float) -> bool:
+        """Records that a part was involved in a crash.
+
+        Args:
+            suspicion: The part and the crash.
+            now: Current time, seconds.
+
+        Returns:
+            Whether it was not known yet.
+        """
+        self._discard_expired(now)
+        record = self._records.setdefault(
+            suspicion.part,
+            _Record({}, suspicion.depth, now, self._answer_count),
+        )
+        if suspicion.crash in record.crashes:
+            return False
+        if len(record.crashes) >= RECORDED_CRASHES:
+            del record.crashes[next(iter(record.crashes))]
+        record.crashes[suspicion.crash] = suspicion.succession
+        record.crashed_at = now
+        self._records.move_to_end(suspicion.part)
+        if len(self._records) > PARTS_LIMIT:
+            self._records.popitem(last=False)
+        self._update_quarantined()
+        return True
+
+    def clear(self, part: int) -> bool:
+        """Clears a part with which a server has begun an answer.
+
+        Returns:
+            Whether the part was suspect.
+        """
+        if self._records.pop(part, None) is None:
+            return False
+        self._update_quarantined()
+        return True
+
+    def find_remaining_s(self, parts: tuple[int, ...], now: float) -> float:
+        """Returns the time for which a request must not be sent.
+
+        Args:
+            parts: Fingerprints of the parts of its prompt.
+            now: Current time, seconds.
+
+        Returns:
+            Seconds until the quarantine of the last of its parts ends; 0 if
+            none is in quarantine.
+        """
+        if not self._quarantined_until:
+            return 0.0
+        untils = (self._quarantined_until.get(part, now) for part in parts)
+        return max(0.0, max(untils, default=now) - now)
+
+    def list_quarantined(self, now: float) -> list[int]:
+        """Returns the fingerprints of the parts in quarantine."""
+        return sorted(
+            part
+            for part, until in self._quarantined_until.items()
+            if now < until
+        )
+
+    def confirm(self, part: int) -> bool:
+        """Records that another entry has confirmed the suspicion of a part.
+
+        Returns:
+            Whether this was not known.
+        """
+        record = self._records.get(part)
+        if record is None or record.is_confirmed:
+            return False
+        record.is_confirmed = True
+        self._update_quarantined()
+        return True
+
+    def list_confirmed(self) -> frozenset[int]:
+        """Returns the parts whose suspicion is confirmed."""
+        return frozenset(
+            part
+            for part, record in self._records.items()
+            if record.is_confirmed
+        )
+
+    def apply(self, evidence: Evidence, now: float) -> Evidence:
+        """Applies evidence of this or another entry.
+
+        Args:
+            evidence: The evidence.
+            now: Current time, seconds.
+
+        Returns:
+            The part of it that was not known.
+        """
+        return Evidence(
+            tuple(s for s in evidence.suspicions if self.record_crash(s, now)),
+            tuple(part for part in evidence.cleared if self.clear(part)),
+            tuple(part for part in evidence.confirmed if self.confirm(part)),
+        )
+
+    def make_evidence(self) -> Evidence:
+        """Returns all that is recorded, for another entry."""
+        suspicions = tuple(
+            Suspicion(part, crash, succession, record.depth)
+            for part, record in self._records.items()
+            for crash, succession in record.crashes.items()
+        )
+        return Evidence(suspicions, confirmed=tuple(self.list_confirmed()))
+
+    def _is_coincidence(self, record: _Record, successive: int) -> bool:
+        """Returns whether a part may be involved in crashes by coincidence.
+
+        Args:
+            record: Record of the part.
+            successive: Number of successive crashes.
+        """
+        if self._answer_count == record.answers_before:
+            # Nothing was answered since the first crash, so that the cause may
+            # as well be one that affects all requests.
+            return True
+        losses = max(0.0, self._losses - record.losses)
+        loss_rate = (losses + LOSS_RATE_PRIOR) / (self._answers + losses + 1)
+        return loss_rate**successive > COINCIDENCE_LIMIT
+
+    def _discard_expired(self, now: float) -> None:
+        while self._records:
+            part, record = next(iter(self._records.items()))
+            if now - record.crashed_at < RETENTION_S:
+                return
+            del self._records[part]
+
+    def _update_quarantined(self) -> None:
+        """Computes the parts that explain the crashes.
+
+        A crash that one part explains is no evidence against others: the
+        requests with a part that crashes servers have other parts too, and so
+        do the sound requests that were on the same servers. The part with the
+        most crashes comes first, and of equal ones the deepest, since requests
+        share the first parts of their prompts more than the later ones.
+        """
+        self._quarantined_until = {}
+        self._is_undecided = False
+        explained: set[int] = set()
+        for part, record in sorted(
+            self._records.items(),
+            key=lambda item: (len(item[1].crashes), item[1].depth, item[0]),
+            reverse=True,
+        ):
+            unexplained = [
+                succession
+                for crash, succession in record.crashes.items()
+                if crash not in explained
+            ]
+            # Crashes of the same succession may have one other cause.
+            successive = len(set(unexplained))
+            is_evident = successive >= SUCCESSION_LIMIT or (
+                successive > 1 and len(unexplained) >= CRASHES_LIMIT
+            )
+            if not is_evident:
+                continue
+            if not record.is_confirmed and self._is_coincidence(
+                record, successive
+            ):
+                self._is_undecided = True
+            else:
+                record.is_confirmed = True
+                explained |= record.crashes.keys()
+                self._quarantined_until[part] = (
+                    record.crashed_at + _compute_duration(successive)
+                )
+
+
+def _compute_duration(successive: int) -> float:
+    """Returns the duration of a quarantine after the last crash, seconds.
+
+    Args:
+        successive: Number of crashes that followed each other.
+    """
+    doublings = max(0, successive - SUCCESSION_LIMIT)
+    return min(QUARANTINE_MIN_S * 2**doublings, QUARANTINE_MAX_S)
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/gateway.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/gateway.py
@@ -185,6 +185,7 @@
             self._prober,
             self._presence,
             self.context.quarantine,
+            self.context.parts,
             self._network,
             name,
             own,
@@ -202,6 +203,7 @@
         self._synchronizer.publish = self._mesh.announce_rows
         self.context.is_listed = self._presence.is_listed
         self.context.notify_crash = self._mesh.announce_crash
+        self.context.parts.notify = self._mesh.announce_evidence
         self.view.notify_suspect = self._mesh.announce_suspect
         self.view.notify_cleared = self._mesh.announce_cleared
         self.view.notify_leaving = self._move_streams
@@ -376,6 +378,7 @@
                 "zone": self._settings.zone,
                 "ready": self.is_ready,
                 "holds_duty": self._may_place(),
+                "quarantined_parts": self.context.parts.list_quarantined(),
             }
             headers = [(b"content-type", http.JSON_TYPE)]
             await responder.send_complete(
@@ -403,7 +406,7 @@
             await contexts.send_failure(responder, admitted, head.request_id)
             return
         if self.context.is_quarantined(admitted):
-            failure = self.context.refuse_quarantined()
+            failure = self.context.refuse_quarantined(admitted)
             await self.context.fail(admitted, responder, failure)
             return
         self.context.metrics.increment("requests")
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/mesh.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/mesh.py
@@ -15,6 +15,7 @@
 from peridotyard_core import addresses
 from peridotyard_core import fleet
 from peridotyard_core import layouts
+from peridotyard_core import prompts
 from peridotyard_core import quarantines
 from peridotyard_core import topologies
 import trio
@@ -24,6 +25,7 @@
 from peridotyard_daemon.process import network as network_module
 from peridotyard_daemon.process import presence
 from peridotyard_daemon.process import probes
+from peridotyard_daemon.process import prompts as prompts_module
 from peridotyard_daemon.process import stores
 from peridotyard_daemon.process import synchronization
 from peridotyard_daemon.process import views
@@ -86,6 +88,7 @@
         prober: probes.Prober,
         own_presence: presence.Presence,
         quarantine: quarantines.Quarantine,
+        parts: prompts_module.PartMonitor,
         network: network_module.Network,
         name: str,
         own: topologies.Entry,
@@ -102,6 +105,7 @@
             own_presence: State of the placement lease; updated from the
                 heartbeats of other entries.
             quarantine: Receives the crashes that other entries have seen.
+            parts: Receives the evidence of other entries on parts of prompts.
             network: Opens and accepts connections.
             name: Name of this entry, unique for each process start.
             own: This entry as the others know it.
@@ -112,6 +116,7 @@
         self._prober = prober
         self._presence = own_presence
         self._quarantine = quarantine
+        self._parts = parts
         self._name = name
         self._own = own
         self._address = own.address
@@ -152,6 +157,7 @@
             "table_rows": self._handle_rows,
             "offer": self._handle_layers,
             "quarantine": self._handle_crashes,
+            "prompt_parts": self._handle_prompt_parts,
             "suspects": self._handle_suspects,
             "in_flight": self._handle_loads,
         }
@@ -238,6 +244,10 @@
         crashes = ttypes.Quarantine(crashes={fingerprint: [crash]})
         self._forward(ttypes.Frame(quarantine=crashes))
 
+    def announce_evidence(self, evidence: prompts.Evidence) -> None:
+        """Announces evidence on parts of prompts, see `process.prompts`."""
+        self._forward(_make_prompt_parts(evidence))
+
     def announce_layers(self, layer_ranges: layouts.LayerRanges) -> None:
         """Announces the layers that servers have reported."""
         for instance, layer_range in layer_ranges.items():
@@ -323,6 +333,9 @@
         if not self._quarantine.is_empty:
             crashes = ttypes.Quarantine(self._quarantine.list_crashes())
             connection.post(ttypes.Frame(quarantine=crashes))
+        evidence = self._parts.make_evidence()
+        if not evidence.is_empty:
+            connection.post(_make_prompt_parts(evidence))
 
     def handle_frame(
         self, connection: peers_module.Connection, frame: ttypes.Frame
@@ -458,6 +471,22 @@
                 crashes=known,
             )
 
+    def _handle_prompt_parts(
+        self, connection, message: ttypes.PromptParts
+    ) -> None:
+        news = self._parts.apply(
+            prompts.Evidence(
+                tuple(
+                    prompts.Suspicion(s.part, s.crash, s.succession, s.depth)
+                    for s in message.suspicions
+                ),
+                tuple(message.cleared),
+                tuple(message.confirmed),
+            )
+        )
+        if not news.is_empty:
+            self._forward(_make_prompt_parts(news), connection)
+
     def _handle_rows(self, connection, message: ttypes.TableRows) -> None:
         rows = tuple(
             stores.Row(row.key, row.value or b"", row.revision, row.removed)
@@ -700,6 +729,18 @@
         primary.post(ttypes.Frame(in_flight=ttypes.InFlight(requests=loads)))
 
 
+def _make_prompt_parts(evidence: prompts.Evidence) -> ttypes.Frame:
+    message = ttypes.PromptParts(
+        [
+            ttypes.PromptSuspicion(s.part, s.crash, s.succession, s.depth)
+            for s in evidence.suspicions
+        ],
+        list(evidence.cleared),
+        list(evidence.confirmed),
+    )
+    return ttypes.Frame(prompt_parts=message)
+
+
 def _encode_rows(
     rows: collections.abc.Iterable[stores.Row],
 ) -> list[ttypes.TableRow]:
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/contexts.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/contexts.py
@@ -9,6 +9,7 @@
 from peridotyard_core import exchanges
 from peridotyard_core import fleet
 from peridotyard_core import paths
+from peridotyard_core import prompts
 from peridotyard_core import quarantines
 from peridotyard_core import verdicts
 import trio
@@ -18,6 +19,7 @@
 from peridotyard_daemon.connection import upstreams
 from peridotyard_daemon.process import logs
 from peridotyard_daemon.process import metrics as metrics_module
+from peridotyard_daemon.process import prompts as prompts_module
 from peridotyard_daemon.process import views
 
 # Values of the header Retry-After for a refused caller. A full server of a
@@ -81,6 +83,18 @@
             self.head.target, self.workspace_name, self.body
         )
 
+    @functools.cached_property
+    def shared_parts(self) -> tuple[int, ...]:
+        """Fingerprints of the parts of its prompt that others may have too.
+
+        The last part belongs to this request alone.
+        """
+        parts = dict.fromkeys(self.head.prompt_parts[:-1])
+        service = self.service.name
+        return tuple(
+            prompts.compute_part_fingerprint(service, part) for part in parts
+        )
+
     def make_dispatch(
         self,
         server: fleet.Server,
@@ -121,6 +135,7 @@
         random: Source of random choices.
         make_budget: Returns a new retry budget for a service.
         quarantine: Requests that crash servers.
+        parts: Parts of prompts that crash servers.
         streams: Streams in progress, each a `relays.Stream`.
         is_listed: Returns whether the other entries count this one as live, so
             that it may use its share of the retry budgets.
@@ -137,6 +152,9 @@
     quarantine: quarantines.Quarantine = dataclasses.field(
         default_factory=quarantines.Quarantine
     )
+    parts: prompts_module.PartMonitor = dataclasses.field(
+        default_factory=prompts_module.PartMonitor
+    )
     streams: set = dataclasses.field(default_factory=set)
     is_listed: collections.abc.Callable[[], bool] = lambda: True
     notify_crash: collections.abc.Callable[[int, int], None] = lambda *_: None
@@ -183,7 +201,12 @@
         return granted
 
     def is_quarantined(self, request: Request) -> bool:
-        """Returns whether copies of a request crashed too many servers."""
+        """Returns whether a request must not be sent to a server.
+
+        Its copies, or requests with a part of its prompt, crashed servers.
+        """
+        if self.parts.find_remaining_s(request.shared_parts):
+            return True
         return not self.quarantine.is_empty and self.quarantine.is_quarantined(
             request.fingerprint, trio.current_time()
         )
@@ -233,8 +256,15 @@
         )
         self.notify_crash(request.fingerprint, crash_id)
 
-    def refuse_quarantined(self) -> verdicts.Failure:
+    def refuse_quarantined(self, request: Request) -> verdicts.Failure:
         """Returns the failure of a request that is in quarantine."""
+        remaining_s = self.parts.find_remaining_s(request.shared_parts)
+        if remaining_s:
+            return verdicts.make_not_run_failure(
+                "quarantined",
+                "Requests with a part of this prompt crashed backend servers.",
+                round(remaining_s, 3),
+            )
         return verdicts.make_not_run_failure(
             "quarantined",
             "Copies of this request crashed backend servers.",
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/forwards.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/forwards.py
@@ -191,6 +191,7 @@
             limit_s *= ATTEMPT_TIME_FRACTION
         health = context.view.get_health(server)
         health.in_flight += 1
+        successions = context.parts.get_successions(request.shared_parts)
         started = trio.current_time()
         try:
             outcome = await self._exchange(request, server, limit_s)
@@ -208,6 +209,11 @@
         self._update_health(server, outcome, duration_s)
         if isinstance(outcome, Lost) and await context.check_ended(server):
             context.record_crash(request, server)
+            context.parts.record_crash(
+                request.shared_parts, server, successions
+            )
+        if isinstance(outcome, Responded):
+            context.parts.record_answer(request.shared_parts)
         request.log(
             _log,
             "server responded"
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/relays.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/relays.py
@@ -293,12 +293,14 @@
         )
         connection = None
         reusable = False
+        successions: tuple[int, ...] = ()
         outcome: Outcome = Broken("cancelled", frozenset(), False)
         try:
             connection = await context.pool.acquire(first_server.address)
             dispatch = request.make_dispatch(
                 first_server, path, self._sequence.last
             )
+            successions = context.parts.get_successions(request.shared_parts)
             await connection.send(
                 request.head.method,
                 request.head.target,
@@ -312,7 +314,9 @@
             context.view.suspect(first_server, str(error), ended=refused)
             outcome = Refused(str(error), frozenset([first_server.instance]))
         except (upstreams.LostError, events.SequenceError) as error:
-            outcome = await self._classify_loss(first_server, str(error))
+            outcome = await self._classify_loss(
+                first_server, str(error), successions
+            )
         finally:
             self._set_path(())
             if connection is not None:
@@ -332,10 +336,18 @@
             )
         return outcome
 
-    async def _classify_loss(self, server: fleet.Server, reason: str) -> Broken:
+    async def _classify_loss(
+        self, server: fleet.Server, reason: str, successions: tuple[int, ...]
+    ) -> Broken:
         """Returns the outcome of a lost connection to the first server.
 
         Records a crash if the server terminated before it sent an event.
+
+        Args:
+            server: The server.
+            reason: Why the connection was lost.
+            successions: Known crashes for the parts of the prompt when the
+                request was sent.
         """
         ended = await self._context.check_ended(server)
         if not ended:
@@ -344,6 +356,12 @@
         avoid = frozenset([server.instance])
         if ended and self._sequence.last == self._path_start_event:
             self._context.record_crash(self._request, server)
+            if self._sequence.last is None:
+                # A request with an answer, even from another server, has no
+                # part that crashes servers.
+                self._context.parts.record_crash(
+                    self._request.shared_parts, server, successions
+                )
         return Broken(reason, avoid, ended)
 
     def _set_path(self, path: paths.Path) -> None:
@@ -389,6 +407,7 @@
     async def _forward_events(self, head, arrived: list[events.Event]) -> None:
         if not arrived:
             return
+        begins = self._sequence.last == self._path_start_event
         for event in arrived:
             self._sequence.accept_event(event)
         data = b"".join(event.data for event in arrived)
@@ -405,6 +424,8 @@
             self._mean_gap_s += GAP_SMOOTHING * (gap_s - self._mean_gap_s)
         self._record_activity()
         self._last_event_at = self._last_activity_at
+        if begins:
+            self._context.parts.record_answer(self._request.shared_parts)
         if self._responder.started:
             await self._responder.send(data)
             return
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/wire/peridotyard.thrift
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/wire/peridotyard.thrift
@@ -251,6 +251,27 @@
   2: map<i64, list<i64>> crashes = {},
 }
 
+/** A server crashed while it was about to answer a request. */
+struct PromptSuspicion {
+  /** Fingerprint of a part of the prompt of that request. */
+  1: i64 part = 0,
+  /** Identity of the crash, the same for all entries. */
+  2: i64 crash = 0,
+  /** Number of crashes that followed each other, this one included. */
+  3: i32 succession = 0,
+  /** Position of the part in the prompt. */
+  4: i32 depth = 0,
+}
+
+/** Parts of prompts that may crash backend servers. */
+struct PromptParts {
+  1: list<PromptSuspicion> suspicions = [],
+  /** Parts with which a server has begun an answer. */
+  2: list<i64> cleared = [],
+  /** Suspect parts whose crashes are no coincidence. */
+  3: list<i64> confirmed = [],
+}
+
 /** What a peer knows of the state of every process it has seen. */
 struct ProcessRevision {
   1: string instance = "",
@@ -433,6 +454,7 @@
   21: optional InFlight in_flight,
   22: optional Suspects suspects,
   23: optional TableRows table_rows,
+  24: optional PromptParts prompt_parts,
   40: optional EngineHello engine_hello,
   41: optional EngineOpen engine_open,
   42: optional EngineRun engine_run,
--- a/tests/support/deployments.py
+++ b/tests/support/deployments.py
@@ -76,13 +76,24 @@
     entries: list
     nursery: trio.Nursery
 
-    async def call(self, number=1, target="/chat/x", key="key-1", port=80):
-        """Returns the response to one request on a new connection."""
+    async def call(
+        self, number=1, target="/chat/x", key="key-1", port=80, prompt=""
+    ):
+        """Returns the response to one request on a new connection.
+
+        Args:
+            number: Number of the entry.
+            target: Path of the request.
+            key: API key.
+            port: Port of the entry.
+            prompt: Parts of the prompt.
+        """
         address = addresses.Address(f"10.1.0.{number}", port)
         stream = await self.network.join("caller").dial(address)
         await stream.send_all(
             f"POST {target} HTTP/1.1\r\nHost: api.example\r\n"
             f"X-Attempt-Id: r1\r\nApi-Key: {key}\r\n"
+            f"X-Prompt-Prefix: {prompt}\r\n"
             "X-Deadline-Ms: 20000\r\nContent-Length: 0\r\n"
             "Connection: close\r\n\r\n".encode()
         )
@@ -91,6 +102,22 @@
             data += chunk
         return data
 
+    def start_entry(self, number: int) -> None:
+        """Starts the entry with a number, which must be the next one."""
+        host = _OneHost(self.network, f"10.1.0.{number}")
+        entry = gateway.Gateway(
+            make_settings(number),
+            store.PlatformStore(platform_store.ADDRESS, host.dial),
+            schema.Schema(2.5),
+            codec.Codec(),
+            random.Random(number),
+            host.dial,
+            host,
+            clock=trio.current_time,
+        )
+        self.entries.append(entry)
+        self.nursery.start_soon(entry.run)
+
     def find_holder(self) -> int:
         """Returns the number of the entry that holds the lease."""
         return next(
@@ -149,22 +176,9 @@
             )
             stand_ins[server.instance] = servers_module.StandIn(server)
             stand_ins[server.instance].join(network, nursery)
-        started = []
+        deployment = Deployment(network, rows, stand_ins, [], nursery)
         for number in range(1, entries + 1):
-            host = _OneHost(network, f"10.1.0.{number}")
-            started.append(
-                gateway.Gateway(
-                    make_settings(number),
-                    store.PlatformStore(platform_store.ADDRESS, host.dial),
-                    schema.Schema(2.5),
-                    codec.Codec(),
-                    random.Random(number),
-                    host.dial,
-                    host,
-                    clock=trio.current_time,
-                )
-            )
-            nursery.start_soon(started[-1].run)
+            deployment.start_entry(number)
         await trio.sleep(1)
-        yield Deployment(network, rows, stand_ins, started, nursery)
+        yield deployment
         nursery.cancel_scope.cancel()
--- a/tests/support/gateways.py
+++ b/tests/support/gateways.py
@@ -110,8 +110,8 @@
         Args:
             retry_policy: Retry policy of the route; SAFE and ONCE also select
                 the plain service instead of the model.
-            **changes: `request_id`, `time_limit_ms` or `last_event_id` of the
-                request.
+            **changes: `request_id`, `time_limit_ms`, `last_event_id`, `body`
+                or `prompt` (parts of the prompt) of the request.
         """
         plain = retry_policy in (fleet.RetryPolicy.SAFE, fleet.RetryPolicy.ONCE)
         route = dataclasses.replace(
@@ -132,11 +132,13 @@
         after = changes.get("last_event_id")
         if after is not None:
             headers += ((b"Last-Event-Id", str(after).encode()),)
+        if "prompt" in changes:
+            headers += ((b"X-Prompt-Prefix", changes["prompt"].encode()),)
         head = self.context.codec.decode_request("POST", "/chat/x", headers)
         now = trio.current_time()
         return contexts.Request(
             head=head,
-            body=b"{}",
+            body=changes.get("body", b"{}"),
             route=route,
             service=service,
             workspace=fleet.Workspace("north"),
--- a/tests/support/servers.py
+++ b/tests/support/servers.py
@@ -59,6 +59,8 @@
             refused requests, if any.
         lag_s: Age in seconds of the state that a report shows.
         accepts_orders: Whether orders are accepted.
+        fatal_part: Part of a prompt that ends the server before it has sent an
+            event of the answer; empty for none.
     """
 
     def __init__(self, server: fleet.Server, events: int = 10):
@@ -75,6 +77,7 @@
         # Time, layer range and number of orders at each change.
         self._states = [(float("-inf"), server.layer_range, 0)]
         self.accepts_orders = True
+        self.fatal_part = ""
 
     def join(self, network, nursery) -> None:
         """Starts to serve on an in-memory network."""
@@ -101,6 +104,11 @@
             return
         self.requests.append(request_headers)
         fault = self.faults.pop(0) if self.faults else Fault()
+        parts = request_headers.get("x-prompt-prefix", "").split(",")
+        if self.fatal_part and self.fatal_part in [
+            part.partition(":")[0] for part in parts
+        ]:
+            fault = Fault("end")
         request_id = request_headers["x-attempt-id"]
         try:
             if self.server.accelerator_type:
--- a/tests/unit/test_gateway.py
+++ b/tests/unit/test_gateway.py
@@ -360,6 +360,50 @@
         )
 
 
+@cases.run_on_virtual_clock
+async def test_part_of_prompts_that_crashes_servers_is_refused_by_all_entries():
+    """Guards against requests, no two alike, that crash servers at any entry.
+
+    An entry that starts later learns of it from the others.
+    """
+    server_layers = [(f"s{n}", "a", (0, 20)) for n in range(8)]
+    async with deployments.open_deployment(
+        entries=3, server_layers=server_layers
+    ) as deployment:
+        await trio.sleep(6)
+        for server in deployment.servers.values():
+            server.fatal_part = "bad"
+        for number in range(9):
+            entry = 1 + number % 3
+            bad = f"a:40,bad:20,f{number}:9"
+            sound = f"a:40,g:20,s{number}:9"
+            data = await deployment.call(
+                entry, target=f"/chat/{number}", prompt=bad
+            )
+            assert b" 200 " not in data[:15]
+            data = await deployment.call(entry, prompt=sound)
+            assert b" 200 " in data[:15]
+        ended = [
+            name
+            for name, server in deployment.servers.items()
+            if f"{server.server.address}" not in deployment.network._handlers
+        ]
+        assert len(ended) <= 5
+        assert data.startswith(b"HTTP/1.1 200")
+        data = await deployment.call(2, target="/chat/z", prompt=bad)
+        assert data.startswith(b"HTTP/1.1 429")
+        assert b"quarantined" in data
+        assert b"not-run" in data
+        assert b"retry-after" in data.lower()
+        deployment.start_entry(4)
+        await trio.sleep(3)
+        data = await deployment.call(4, target="/chat/y", prompt=bad)
+        assert data.startswith(b"HTTP/1.1 429")
+        data = await deployment.call(1, port=83, target=gateway.FLEET_TARGET)
+        fleet_state = json.loads(data.partition(b"\r\n\r\n")[2])
+        assert len(fleet_state["quarantined_parts"]) == 1
+
+
 def spend_all(deployment, entries) -> int:
     """Returns the number of retries that entries spend within a second."""
     now = trio.current_time()
--- a/tests/unit/test_mesh.py
+++ b/tests/unit/test_mesh.py
@@ -1,6 +1,7 @@
 """Tests of peridotyard_daemon.process.mesh with many entries."""
 
 import contextlib
+import dataclasses
 
 from peridotyard_daemon.process import views
 import pytest
@@ -258,6 +259,26 @@
         assert sum(known) == ENTRIES - 1
 
 
+@cases.run_on_virtual_clock
+async def test_evidence_on_parts_of_prompts_is_known_to_all_entries():
+    """Guards against a part that only the entries of one group refuse."""
+    async with open_large_deployment() as deployment:
+        first, *_, last = list_members(deployment)
+        server = first.view.servers["x"]
+        for number in range(3):
+            crashed = dataclasses.replace(server, instance=f"x{number}")
+            successions = first.context.parts.get_successions((7,))
+            first.context.parts.record_crash((7,), crashed, successions)
+            await trio.sleep(0.2)
+        parts = [entry.context.parts for entry in deployment.entries]
+        assert [len(p.make_evidence().suspicions) for p in parts] == [
+            3
+        ] * ENTRIES
+        last.context.parts.record_answer((7,))
+        await trio.sleep(0.2)
+        assert all(p.make_evidence().is_empty for p in parts)
+
+
 @pytest.mark.parametrize("confirmed", [True, False])
 def test_confirmed_suspicion_needs_no_own_check(confirmed):
     @cases.run_on_virtual_clock
--- a/tests/unit/test_relays.py
+++ b/tests/unit/test_relays.py
@@ -6,6 +6,7 @@
 import hypothesis
 from hypothesis import strategies
 from peridotyard_core import fleet
+from peridotyard_core import verdicts
 from peridotyard_daemon.request import relays
 import pytest
 import trio
@@ -438,6 +439,61 @@
         assert harness.context.metrics.get_count("crashes") == 3
 
 
+@cases.run_on_virtual_clock
+async def test_part_of_prompts_that_crashes_servers_is_quarantined():
+    """Guards against requests, no two alike, that crash server after server.
+
+    The sound ones share their other parts and are served all the time.
+    """
+    layer_ranges = [(f"s{n}", "a", (0, 20)) for n in range(8)]
+    async with gateways.open_harness(
+        gateways.make_servers(layer_ranges)
+    ) as harness:
+        for server in harness.servers.values():
+            server.fatal_part = "bad"
+        for number in range(12):
+            fatal = {
+                "request_id": f"f{number}",
+                "prompt": f"a:40,bad:20,f{number}:9",
+                "body": b"fatal %d" % number,
+            }
+            if not harness.context.is_quarantined(
+                harness.make_request(**fatal)
+            ):
+                await relay(harness, **fatal)
+            check_complete(
+                await relay(harness, prompt=f"a:40,g:20,s{number}:9")
+            )
+        reached = [name for s in harness.servers.values() for name in s.runs]
+        assert len([name for name in reached if name != "r1"]) <= 5
+        quarantined = harness.make_request(prompt="a:40,bad:20,x:9")
+        assert harness.context.is_quarantined(quarantined)
+        failure = harness.context.refuse_quarantined(quarantined)
+        assert failure.code == "quarantined"
+        assert failure.verdict is verdicts.Verdict.NOT_RUN
+        # The last part belongs to one request, and others may be named alike.
+        for prompt in ("a:40,bad:20", "bad:20", "a:40,g:20,x:9"):
+            sound = harness.make_request(prompt=prompt)
+            assert not harness.context.is_quarantined(sound)
+
+
+@cases.run_on_virtual_clock
+async def test_stream_that_has_begun_blames_no_part_of_its_prompt():
+    """Guards against a quarantine of parts that have been answered."""
+    layer_ranges = [(f"s{n}", "a", (0, 20)) for n in range(6)]
+    async with gateways.open_harness(
+        gateways.make_servers(layer_ranges)
+    ) as harness:
+        first, *others = harness.servers.values()
+        for server in harness.servers.values():
+            server.faults = [servers_module.Fault("end", 2)]
+        await relay(harness, prompt="a:40,b:20,c:9")
+        for server in harness.servers.values():
+            server.faults = [servers_module.Fault("end", 0)]
+        await relay(harness, prompt="a:40,b:20,c:9", last_event_id=3)
+        assert harness.context.parts.make_evidence().is_empty
+
+
 @cases.run_on_virtual_clock
 async def test_crash_in_mid_stream_is_not_attributed_to_the_request():
     # Guards against the quarantine of streams that were in progress when their
