End runs without an answer when a part of their prompt is quarantined

Callers saw: one more server lost, with the sound streams on it. Cause: a request that was sent before the quarantine still crashes its server. Change: the entry resets the connections of such requests that have no answer; the server drops them. They end with 502, may have run. Conclusion: saves the crashes whose answer has not begun.

--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/gateway.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/gateway.py
@@ -204,6 +204,7 @@
         self.context.is_listed = self._presence.is_listed
         self.context.notify_crash = self._mesh.announce_crash
         self.context.parts.notify = self._mesh.announce_evidence
+        self.context.parts.notify_quarantined = self._stop_quarantined
         self.view.notify_suspect = self._mesh.announce_suspect
         self.view.notify_cleared = self._mesh.announce_cleared
         self.view.notify_leaving = self._move_streams
@@ -229,6 +230,11 @@
             if stream.has_later_stage(instance):
                 self._nursery.start_soon(stream.replace_server, instance)
 
+    def _stop_quarantined(self) -> None:
+        """Ends streams without an answer whose prompt is quarantined now."""
+        for stream in self.context.streams:
+            stream.stop_if_quarantined()
+
     def _make_budget(self) -> budgets.WindowBudget:
         settings = self._settings
         return budgets.WindowBudget(
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/prompts.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/prompts.py
@@ -23,6 +23,7 @@
 
     Attributes:
         notify: Called with new evidence, which the other entries have to know.
+        notify_quarantined: Called when another part is quarantined.
     """
 
     def __init__(self):
@@ -30,6 +31,9 @@
         self.notify: collections.abc.Callable[[prompts.Evidence], None] = (
             lambda _: None
         )
+        self.notify_quarantined: collections.abc.Callable[[], None] = (
+            lambda: None
+        )
 
     def get_successions(self, parts: Parts) -> tuple[int, ...]:
         """Returns the known number of successive crashes for each part."""
@@ -108,15 +112,17 @@
         yield
         found = quarantine.list_confirmed() - confirmed - known
         self._publish(prompts.Evidence(confirmed=tuple(sorted(found))))
-        for part in quarantine.list_quarantined(now):
-            if part not in quarantined:
-                _log.warning(
-                    "part of prompts quarantined",
-                    fingerprint=prompts.format_fingerprint(part),
-                    crashes=quarantine.count_crashes(part),
-                    succession=quarantine.get_succession(part),
-                    duration_s=round(self.find_remaining_s((part,))),
-                )
+        added = set(quarantine.list_quarantined(now)) - quarantined
+        if added:
+            self.notify_quarantined()
+        for part in added:
+            _log.warning(
+                "part of prompts quarantined",
+                fingerprint=prompts.format_fingerprint(part),
+                crashes=quarantine.count_crashes(part),
+                succession=quarantine.get_succession(part),
+                duration_s=round(self.find_remaining_s((part,))),
+            )
         for part in quarantined.difference(quarantine.list_quarantined(now)):
             _log.info(
                 "part of prompts released",
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/relays.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/relays.py
@@ -123,6 +123,8 @@
         self._responder = responder
         self._sequence = events.Sequence(request.head.last_event_id)
         self._path: paths.Path = ()
+        # Ends the run on the current path.
+        self._run_scope = trio.CancelScope()
         # Serializes changes of the path, since each order has a complete path.
         self._path_lock = trio.Lock()
         # Instances that refused the request or failed on an earlier path.
@@ -187,6 +189,16 @@
                     path=describe_path(path),
                 )
 
+    def stop_if_quarantined(self) -> None:
+        """Ends a run without an answer if its request is quarantined now.
+
+        The server has not crashed yet.
+        """
+        if not self._responder.started and self._context.is_quarantined(
+            self._request
+        ):
+            self._run_scope.cancel()
+
     async def _run_paths(self) -> None:
         request, context = self._request, self._context
         outcome: Outcome | None = None
@@ -307,7 +319,10 @@
                 context.codec.encode_request(request.head, dispatch),
                 request.body,
             )
-            outcome = await self._relay(connection)
+            with trio.CancelScope() as self._run_scope:
+                outcome = await self._relay(connection)
+            if self._run_scope.cancelled_caught:
+                outcome = Broken("quarantined", frozenset(), False)
             reusable = not isinstance(outcome, Broken)
         except upstreams.UnsentError as error:
             refused = isinstance(error, upstreams.RefusedError)
--- a/tests/unit/test_gateway.py
+++ b/tests/unit/test_gateway.py
@@ -1,9 +1,11 @@
 """Tests of peridotyard_daemon.process.gateway and its mesh."""
 
+import dataclasses
 import itertools
 import json
 import time
 
+from peridotyard_core import prompts
 from peridotyard_daemon.process import gateway
 import pytest
 import trio
@@ -404,6 +406,46 @@
         assert len(fleet_state["quarantined_parts"]) == 1
 
 
+@cases.run_on_virtual_clock
+async def test_waiting_request_is_ended_when_a_part_of_it_is_quarantined():
+    """Guards against one more crash by a request that was sent before."""
+    async with deployments.open_deployment(
+        server_layers=[("x", "a", (0, 20)), ("y", "a", (0, 20))]
+    ) as deployment:
+        for server in deployment.servers.values():
+            server.faults = [servers_module.Fault("stall", 0)] * 2
+        (entry,) = deployment.entries
+        received = {}
+
+        async def call(prompt):
+            target = f"/chat/{prompt}"
+            received[prompt] = await deployment.call(
+                target=target, prompt=prompt
+            )
+
+        deployment.nursery.start_soon(call, "a:40,bad:20,c:9")
+        deployment.nursery.start_soon(call, "a:40,good:20,d:9")
+        await trio.sleep(0.02)
+        parts = tuple(
+            prompts.compute_part_fingerprint("model", part)
+            for part in ("a", "bad")
+        )
+        server = entry.view.servers["x"]
+        for number in range(3):
+            entry.context.parts.record_crash(
+                parts,
+                dataclasses.replace(server, instance=f"z{number}"),
+                entry.context.parts.get_successions(parts),
+            )
+            entry.context.parts.record_answer(())
+        await trio.sleep(0.05)
+        assert list(received) == ["a:40,bad:20,c:9"]
+        assert b" 502 " in received["a:40,bad:20,c:9"][:15]
+        assert b"may-have-run" in received["a:40,bad:20,c:9"]
+        abandoned = [s.abandoned for s in deployment.servers.values()]
+        assert sum(len(names) for names in abandoned) == 1
+
+
 def spend_all(deployment, entries) -> int:
     """Returns the number of retries that entries spend within a second."""
     now = trio.current_time()
