Do not complete a stream whose connection ended before any event

Callers saw: a complete stream without a single event, and a crash under it left no evidence. Cause: a response without length and chunks ends with its connection. If its server crashes before the first event, that end looked like the end of the stream. Change: such an end counts as a loss, so the stream goes on elsewhere. An end within an event did so before. An end between two events cannot be told from a complete stream.

--- a/packages/peridotyard-daemon/src/peridotyard_daemon/connection/upstreams.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/connection/upstreams.py
@@ -38,6 +38,8 @@
 # Longest body of a small response, see `Pool.fetch`. A page of the platform's
 # store takes 1.4 MB.
 FETCH_LIMIT_BYTES = 4 << 20
+# Headers that state where a body ends.
+FRAMING_HEADERS = frozenset((b"content-length", b"transfer-encoding"))
 # Idle connections per server. More would use up connections that other entries
 # need, since the server limits the total of all entries.
 IDLE_LIMIT = 12
@@ -132,10 +134,13 @@
 
     Attributes:
         address: The server's address.
+        is_framed: Whether the response has a length or chunks; otherwise, it
+            ends with the connection.
     """
 
     def __init__(self, address: addresses.Address, stream: trio.abc.Stream):
         self.address = address
+        self.is_framed = True
         self._stream = stream
         self._http = h11.Connection(h11.CLIENT)
         self._request = None
@@ -186,6 +191,9 @@
                 raise LostError(f"{self.address}: {error!r}") from error
             if isinstance(event, h11.InformationalResponse):
                 continue
+            if isinstance(event, h11.Response):
+                names = {name for name, _ in event.headers}
+                self.is_framed = not names.isdisjoint(FRAMING_HEADERS)
             if event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
                 raise LostError(f"{self.address}: the response ended early")
             return event
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/relays.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/relays.py
@@ -189,6 +189,11 @@
                     path=describe_path(path),
                 )
 
+    @property
+    def _is_unanswered(self) -> bool:
+        """Whether no event has come on the current path."""
+        return self._sequence.last == self._path_start_event
+
     def stop_if_quarantined(self) -> None:
         """Ends a run without an answer if its request is quarantined now.
 
@@ -369,7 +374,7 @@
             await self._prober.find_unresponsive([server])
             ended = self._context.view.has_ended(server)
         avoid = frozenset([server.instance])
-        if ended and self._sequence.last == self._path_start_event:
+        if ended and self._is_unanswered:
             self._context.record_crash(self._request, server)
             if self._sequence.last is None:
                 # A request with an answer, even from another server, has no
@@ -414,6 +419,10 @@
             await self._forward_events(head, splitter.feed(bytes(event.data)))
         if not splitter.is_empty:
             raise upstreams.LostError("stream ended within an event")
+        if not connection.is_framed and self._is_unanswered:
+            # Without length and chunks, only the events show that the stream
+            # was not broken off.
+            raise upstreams.LostError("connection ended before an event")
         if not self._responder.started:
             await self._responder.start(head.status, head.headers, b"")
         await self._responder.finish()
@@ -422,7 +431,7 @@
     async def _forward_events(self, head, arrived: list[events.Event]) -> None:
         if not arrived:
             return
-        begins = self._sequence.last == self._path_start_event
+        begins = self._is_unanswered
         for event in arrived:
             self._sequence.accept_event(event)
         data = b"".join(event.data for event in arrived)
--- a/tests/support/servers.py
+++ b/tests/support/servers.py
@@ -35,7 +35,9 @@
             `PAUSE_S`), "drip" (a stream sends single bytes of an event without
             end), "comments" (a stream sends comments without end), "endless"
             (a body of bytes without end), "garbage" (some bytes between two
-            events) or "" for none.
+            events), "unframed" (a stream has neither length nor chunks and ends
+            with its connection), "unframed-end" and "unframed-partial" (such
+            a stream ends before or within an event) or "" for none.
         after: Number of events before the fault.
     """
 
@@ -219,6 +221,8 @@
         begin = int(request_headers.get("last-event-id", "0")) + 1
         headers = self._make_headers(request_id, fault)
         headers.append((b"Content-Type", b"text/event-stream"))
+        if fault.kind.startswith("unframed"):
+            responder = _UnframedResponder(responder)
         await responder.start(200, headers, b"")
         for sent, number in enumerate(range(begin, self.events + 1)):
             await trio.sleep(EVENT_GAP_S)
@@ -236,12 +240,12 @@
     async def _inject_fault(self, request_id, fault, number, responder) -> int:
         """Injects a fault into a stream; returns the next event's number."""
         match fault.kind:
-            case "crash":
+            case "crash" | "unframed-end":
                 raise trio.BrokenResourceError
             case "end":
                 self._stop_serving()
                 raise trio.BrokenResourceError
-            case "partial-event":
+            case "partial-event" | "unframed-partial":
                 await responder.send(encode_event(number)[:7])
                 raise trio.BrokenResourceError
             case "stall":
@@ -264,6 +268,24 @@
         return number
 
 
+class _UnframedResponder:
+    """Sends a response that ends with its connection."""
+
+    def __init__(self, responder):
+        self._write = responder._connection.write
+
+    async def start(self, status, headers, data) -> None:
+        lines = [b"HTTP/1.1 %d \r\n" % status]
+        lines += [b"%s: %s\r\n" % header for header in headers]
+        await self._write(b"".join(lines) + b"\r\n" + data)
+
+    async def send(self, data) -> None:
+        await self._write(data)
+
+    async def finish(self) -> None:
+        raise trio.BrokenResourceError
+
+
 async def _send_without_end(responder, data: bytes) -> None:
     while True:
         await responder.send(data)
--- a/tests/unit/test_relays.py
+++ b/tests/unit/test_relays.py
@@ -219,6 +219,33 @@
     virtual_clock.run(run)
 
 
+@pytest.mark.parametrize(
+    ("kind", "after", "resumed"),
+    [
+        ("unframed", 0, False),
+        ("unframed-partial", 0, True),
+        ("unframed-partial", 4, True),
+        ("unframed-end", 0, True),
+    ],
+)
+def test_stream_that_ends_with_its_connection_is_whole(kind, after, resumed):
+    """Guards against a lost stream that looks complete to its caller.
+
+    A stream without length and chunks ends with its connection. It was broken
+    off if that happens within an event, or before the first one.
+    """
+
+    async def run():
+        async with gateways.open_harness(
+            gateways.make_servers(LAYER_RANGES)
+        ) as harness:
+            harness.servers["a0"].faults = [servers_module.Fault(kind, after)]
+            check_complete(await relay(harness))
+            assert bool(harness.servers["b0"].requests) == resumed
+
+    virtual_clock.run(run)
+
+
 @cases.run_on_virtual_clock
 async def test_refusal_is_followed_by_another_path():
     async with gateways.open_harness(
