Count the time limit of a request from its arrival

Cause: the deadline was computed after the wait for the configuration. Change: the time of arrival is taken before the wait. Conclusion: fixed.

--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/gateway.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/gateway.py
@@ -396,9 +396,10 @@
         await responder.send_complete(200, headers, text.encode())
 
     async def _handle(self, method, target, headers, body, responder) -> None:
+        arrived_at = trio.current_time()
         head = self.context.codec.decode_request(method, target, headers)
         await self._wait_initialized()
-        admitted = self._admit(head, body)
+        admitted = self._admit(head, body, arrived_at)
         if isinstance(admitted, verdicts.Failure):
             self.context.metrics.increment(f"outcome.{admitted.code}")
             _log.info(
@@ -442,7 +443,7 @@
         await stream.run()
 
     def _admit(
-        self, head: exchanges.RequestHead, body: bytes
+        self, head: exchanges.RequestHead, body: bytes, arrived_at: float
     ) -> contexts.Request | verdicts.Failure:
         """Returns a request that may run, or the reason of its refusal."""
         if self._is_refusing:
@@ -478,7 +479,6 @@
             return verdicts.make_not_run_failure(
                 "no-capacity", "The route's service is not configured.", 1.0
             )
-        now = trio.current_time()
         limit_s = route.timeout_s
         if head.time_limit_s is not None:
             limit_s = min(limit_s, head.time_limit_s)
@@ -489,6 +489,6 @@
             service=service,
             workspace=workspace,
             version=routing.version,
-            arrived_at=now,
-            deadline=now + limit_s,
+            arrived_at=arrived_at,
+            deadline=arrived_at + limit_s,
         )
--- a/tests/unit/test_gateway.py
+++ b/tests/unit/test_gateway.py
@@ -93,6 +93,26 @@
         assert b'peridotyard_outcome_total{kind="abandoned"} 1' in data
 
 
+@cases.run_on_virtual_clock
+async def test_time_limit_counts_from_the_arrival_of_a_request():
+    """Guards against work for a caller whose time limit has passed.
+
+    A request may wait for the first configuration after a start.
+    """
+    async with deployments.open_deployment(
+        server_layers=[("x", "a", (0, 20))]
+    ) as deployment:
+        (entry,) = deployment.entries
+        routing, entry.view.routing = entry.view.routing, None
+        entry._started_at = trio.current_time()
+        deployment.nursery.start_soon(deployment.call)
+        await trio.sleep(0.4)
+        entry.view.apply_routing(routing, "test")
+        await trio.sleep(0.1)
+        (request,) = deployment.servers["x"].requests
+        assert int(request["x-deadline-ms"]) <= 19_650
+
+
 @cases.run_on_virtual_clock
 async def test_stopping_entry_ends_its_streams_and_refuses_new_ones():
     async with deployments.open_deployment(
