Bound what evidence on parts of prompts costs and how long it lives

Cause, found by reading the change before: each suspicion sorted all suspect parts (up to 1,024), so that a power failure with hundreds of lost requests would stop the loop; many parts that are suspect once pushed out one in quarantine; and entries that start learn of crashes from others as if these had just happened, so that with enough restarts a suspicion never expires. Change: only parts with successive crashes are compared, once for each message; unconfirmed parts are discarded first; suspicions carry the age of the last crash.

--- a/packages/peridotyard-core/src/peridotyard_core/prompts.py
+++ b/packages/peridotyard-core/src/peridotyard_core/prompts.py
@@ -94,12 +94,15 @@
             included: one more than was known for the part when the request was
             sent. It is an order without clocks, as in Lamport timestamps.
         depth: Position of the part in the prompt, from 0.
+        age_s: Time since the last crash of the part when this was reported,
+            seconds. Otherwise, entries that start would keep it alive for good.
     """
 
     part: int
     crash: int
     succession: int
     depth: int
+    age_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -133,8 +136,6 @@
         crashed_at: Time of the last crash, seconds.
         answers_before: Number of answers of this entry before the first crash.
         losses: Number of requests of this entry with the part that were lost.
-        is_confirmed: Whether this or another entry has found that the crashes
-            are no coincidence.
     """
 
     crashes: dict[int, int]
@@ -142,13 +143,17 @@
     crashed_at: float
     answers_before: int
     losses: int = 0
-    is_confirmed: bool = False
 
     @property
     def succession(self) -> int:
         """Number of crashes that followed each other."""
         return max(self.crashes.values())
 
+    @property
+    def is_repeated(self) -> bool:
+        """Whether a crash followed another one."""
+        return len(set(self.crashes.values())) > 1
+
 
 class PartQuarantine:
     """Suspect parts of prompts and those in quarantine, owned by the process.
@@ -163,6 +168,11 @@
         self._records: collections.OrderedDict[int, _Record] = (
             collections.OrderedDict()
         )
+        # Parts with a crash that followed another one; only these can be
+        # quarantined. Most suspect parts have had one crash.
+        self._repeated: set[int] = set()
+        # Parts whose crashes are no coincidence.
+        self._confirmed: set[int] = set()
         # Time until which each quarantined part is not sent to servers.
         self._quarantined_until: dict[int, float] = {}
         # Requests of this entry whose answer began, or whose server crashed
@@ -201,8 +211,7 @@
         """Counts a request of this entry whose server crashed before.
 
         Args:
-            parts: Fingerprints of the parts of its prompt, after
-                `record_crash`.
+            parts: Fingerprints of the parts of its prompt, after `apply`.
             now: Current time, seconds.
         """
         self._age_counts(now)
@@ -218,44 +227,6 @@
         self._answers *= weight
         self._losses *= weight
 
-    def record_crash(self, suspicion: Suspicion, now: float) -> bool:
-        """Records that a part was involved in a crash.
-
-        Args:
-            suspicion: The part and the crash.
-            now: Current time, seconds.
-
-        Returns:
-            Whether it was not known yet.
-        """
-        self._discard_expired(now)
-        record = self._records.setdefault(
-            suspicion.part,
-            _Record({}, suspicion.depth, now, self._answer_count),
-        )
-        if suspicion.crash in record.crashes:
-            return False
-        if len(record.crashes) >= RECORDED_CRASHES:
-            del record.crashes[next(iter(record.crashes))]
-        record.crashes[suspicion.crash] = suspicion.succession
-        record.crashed_at = now
-        self._records.move_to_end(suspicion.part)
-        if len(self._records) > PARTS_LIMIT:
-            self._records.popitem(last=False)
-        self._update_quarantined()
-        return True
-
-    def clear(self, part: int) -> bool:
-        """Clears a part with which a server has begun an answer.
-
-        Returns:
-            Whether the part was suspect.
-        """
-        if self._records.pop(part, None) is None:
-            return False
-        self._update_quarantined()
-        return True
-
     def find_remaining_s(self, parts: tuple[int, ...], now: float) -> float:
         """Returns the time for which a request must not be sent.
 
@@ -280,26 +251,9 @@
             if now < until
         )
 
-    def confirm(self, part: int) -> bool:
-        """Records that another entry has confirmed the suspicion of a part.
-
-        Returns:
-            Whether this was not known.
-        """
-        record = self._records.get(part)
-        if record is None or record.is_confirmed:
-            return False
-        record.is_confirmed = True
-        self._update_quarantined()
-        return True
-
     def list_confirmed(self) -> frozenset[int]:
         """Returns the parts whose suspicion is confirmed."""
-        return frozenset(
-            part
-            for part, record in self._records.items()
-            if record.is_confirmed
-        )
+        return frozenset(self._confirmed)
 
     def apply(self, evidence: Evidence, now: float) -> Evidence:
         """Applies evidence of this or another entry.
@@ -311,20 +265,66 @@
         Returns:
             The part of it that was not known.
         """
-        return Evidence(
-            tuple(s for s in evidence.suspicions if self.record_crash(s, now)),
-            tuple(part for part in evidence.cleared if self.clear(part)),
-            tuple(part for part in evidence.confirmed if self.confirm(part)),
+        self._discard_expired(now)
+        news = Evidence(
+            tuple(s for s in evidence.suspicions if self._suspect(s, now)),
+            tuple(part for part in evidence.cleared if self._remove(part)),
+            tuple(
+                part
+                for part in evidence.confirmed
+                if part in self._records and part not in self._confirmed
+            ),
         )
+        self._confirmed.update(news.confirmed)
+        if not news.is_empty:
+            self._update_quarantined()
+        return news
 
-    def make_evidence(self) -> Evidence:
-        """Returns all that is recorded, for another entry."""
+    def make_evidence(self, now: float) -> Evidence:
+        """Returns all that is recorded, for another entry.
+
+        Args:
+            now: Current time, seconds.
+        """
+        self._discard_expired(now)
         suspicions = tuple(
-            Suspicion(part, crash, succession, record.depth)
+            Suspicion(
+                part, crash, succession, record.depth, now - record.crashed_at
+            )
             for part, record in self._records.items()
             for crash, succession in record.crashes.items()
         )
-        return Evidence(suspicions, confirmed=tuple(self.list_confirmed()))
+        return Evidence(suspicions, confirmed=tuple(self._confirmed))
+
+    def _suspect(self, suspicion: Suspicion, now: float) -> bool:
+        """Records a suspicion; returns whether it was not known."""
+        if suspicion.age_s >= RETENTION_S:
+            return False
+        crashed_at = now - suspicion.age_s
+        record = self._records.setdefault(
+            suspicion.part,
+            _Record({}, suspicion.depth, crashed_at, self._answer_count),
+        )
+        if suspicion.crash in record.crashes:
+            return False
+        if len(record.crashes) >= RECORDED_CRASHES:
+            del record.crashes[next(iter(record.crashes))]
+        record.crashes[suspicion.crash] = suspicion.succession
+        record.crashed_at = max(record.crashed_at, crashed_at)
+        if record.is_repeated:
+            self._repeated.add(suspicion.part)
+        self._records.move_to_end(suspicion.part)
+        if len(self._records) > PARTS_LIMIT:
+            oldest = next(iter(self._records))
+            unconfirmed = (p for p in self._records if p not in self._confirmed)
+            self._remove(next(unconfirmed, oldest))
+        return True
+
+    def _remove(self, part: int) -> bool:
+        """Discards what is known of a part; returns whether it was suspect."""
+        self._repeated.discard(part)
+        self._confirmed.discard(part)
+        return self._records.pop(part, None) is not None
 
     def _is_coincidence(self, record: _Record, successive: int) -> bool:
         """Returns whether a part may be involved in crashes by coincidence.
@@ -346,7 +346,12 @@
             part, record = next(iter(self._records.items()))
             if now - record.crashed_at < RETENTION_S:
                 return
-            del self._records[part]
+            self._remove(part)
+
+    def _get_weight(self, part: int) -> tuple[int, int, int]:
+        """Returns the sort key of a part in `_update_quarantined`."""
+        record = self._records[part]
+        return len(record.crashes), record.depth, part
 
     def _update_quarantined(self) -> None:
         """Computes the parts that explain the crashes.
@@ -360,11 +365,8 @@
         self._quarantined_until = {}
         self._is_undecided = False
         explained: set[int] = set()
-        for part, record in sorted(
-            self._records.items(),
-            key=lambda item: (len(item[1].crashes), item[1].depth, item[0]),
-            reverse=True,
-        ):
+        for part in sorted(self._repeated, key=self._get_weight, reverse=True):
+            record = self._records[part]
             unexplained = [
                 succession
                 for crash, succession in record.crashes.items()
@@ -377,12 +379,12 @@
             )
             if not is_evident:
                 continue
-            if not record.is_confirmed and self._is_coincidence(
+            if part not in self._confirmed and self._is_coincidence(
                 record, successive
             ):
                 self._is_undecided = True
             else:
-                record.is_confirmed = True
+                self._confirmed.add(part)
                 explained |= record.crashes.keys()
                 self._quarantined_until[part] = (
                     record.crashed_at + _compute_duration(successive)
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/mesh.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/mesh.py
@@ -477,7 +477,13 @@
         news = self._parts.apply(
             prompts.Evidence(
                 tuple(
-                    prompts.Suspicion(s.part, s.crash, s.succession, s.depth)
+                    prompts.Suspicion(
+                        s.part,
+                        s.crash,
+                        s.succession,
+                        s.depth,
+                        s.age_ms / 1000,
+                    )
                     for s in message.suspicions
                 ),
                 tuple(message.cleared),
@@ -732,7 +738,9 @@
 def _make_prompt_parts(evidence: prompts.Evidence) -> ttypes.Frame:
     message = ttypes.PromptParts(
         [
-            ttypes.PromptSuspicion(s.part, s.crash, s.succession, s.depth)
+            ttypes.PromptSuspicion(
+                s.part, s.crash, s.succession, s.depth, round(1000 * s.age_s)
+            )
             for s in evidence.suspicions
         ],
         list(evidence.cleared),
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/prompts.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/prompts.py
@@ -50,7 +50,7 @@
 
     def make_evidence(self) -> prompts.Evidence:
         """Returns all evidence, for an entry that may have none."""
-        return self._quarantine.make_evidence()
+        return self._quarantine.make_evidence(trio.current_time())
 
     def record_crash(
         self,
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/wire/peridotyard.thrift
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/wire/peridotyard.thrift
@@ -261,6 +261,8 @@
   3: i32 succession = 0,
   /** Position of the part in the prompt. */
   4: i32 depth = 0,
+  /** Time since the last crash of the part. */
+  5: i32 age_ms = 0,
 }
 
 /** Parts of prompts that may crash backend servers. */
