--- a/tests/unit/test_relays.py
+++ b/tests/unit/test_relays.py
@@ -753,6 +753,24 @@
         check_complete(await relay_while(harness, repair))
 
 
+@cases.run_on_virtual_clock
+async def test_stream_that_has_begun_waits_for_the_retry_budget():
+    """Guards against a stream that is cut although it could go on soon.
+
+    The share of an entry grows after its start, and callers wait for two
+    seconds after the last event.
+    """
+    async with gateways.open_harness(
+        gateways.make_servers(LAYER_RANGES)
+    ) as harness:
+        harness.servers["a0"].faults = [servers_module.Fault("crash", 4)]
+        available_at = trio.current_time() + 0.8
+        harness.context.spend_retry = lambda _request: (
+            trio.current_time() >= available_at
+        )
+        check_complete(await relay(harness))
+
+
 @cases.run_on_virtual_clock
 async def test_refused_callers_return_at_different_times():
     """Guards against callers that fill the servers at once again."""
