--- a/packages/peridotyard-core/src/peridotyard_core/prompts.py
+++ b/packages/peridotyard-core/src/peridotyard_core/prompts.py
@@ -73,11 +73,6 @@
     return _compute_hash(instance, str(started_at_ms))
 
 
-def format_fingerprint(fingerprint: int) -> str:
-    """Returns the hexadecimal text of a fingerprint for the log."""
-    return f"{fingerprint & (1 << 64) - 1:016x}"
-
-
 def _compute_hash(*texts: str) -> int:
     digest = hashlib.blake2b("\0".join(texts).encode(), digest_size=8)
     return int.from_bytes(digest.digest(), "big", signed=True)
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/connection/upstreams.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/connection/upstreams.py
@@ -93,8 +93,13 @@
     sock = getattr(stream, "socket", None)
     if sock is None or sock.fileno() < 0:
         return False
+    return _is_signalled(sock, select.POLLRDHUP)
+
+
+def _is_signalled(sock: trio.socket.SocketType, events: int) -> bool:
+    """Returns whether a poll of a socket reports events, an end or an error."""
     poll = select.poll()
-    poll.register(sock.fileno(), select.POLLRDHUP)
+    poll.register(sock.fileno(), events)
     return bool(poll.poll(0))
 
 
@@ -260,9 +265,7 @@
         sock = getattr(self._stream, "socket", None)
         if sock is None:
             return True
-        poll = select.poll()
-        poll.register(sock.fileno(), select.POLLIN)
-        return not poll.poll(0)
+        return not _is_signalled(sock, select.POLLIN)
 
     def abort(self) -> None:
         """Resets the connection, so that the server stops the request."""
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/prompts.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/prompts.py
@@ -9,6 +9,7 @@
 
 from peridotyard_core import fleet
 from peridotyard_core import prompts
+from peridotyard_core import quarantines
 import trio
 
 from peridotyard_daemon.process import logs
@@ -46,7 +47,7 @@
     def list_quarantined(self) -> list[str]:
         """Returns the fingerprints of the parts in quarantine, as text."""
         quarantined = self._quarantine.list_quarantined(trio.current_time())
-        return [prompts.format_fingerprint(part) for part in quarantined]
+        return [quarantines.format_fingerprint(part) for part in quarantined]
 
     def make_evidence(self) -> prompts.Evidence:
         """Returns all evidence, for an entry that may have none."""
@@ -112,21 +113,22 @@
         yield
         found = quarantine.list_confirmed() - confirmed - known
         self._publish(prompts.Evidence(confirmed=tuple(sorted(found))))
-        added = set(quarantine.list_quarantined(now)) - quarantined
+        remaining = set(quarantine.list_quarantined(now))
+        added = remaining - quarantined
         if added:
             self.notify_quarantined()
         for part in added:
             _log.warning(
                 "part of prompts quarantined",
-                fingerprint=prompts.format_fingerprint(part),
+                fingerprint=quarantines.format_fingerprint(part),
                 crashes=quarantine.count_crashes(part),
                 succession=quarantine.get_succession(part),
                 duration_s=round(self.find_remaining_s((part,))),
             )
-        for part in quarantined.difference(quarantine.list_quarantined(now)):
+        for part in quarantined - remaining:
             _log.info(
                 "part of prompts released",
-                fingerprint=prompts.format_fingerprint(part),
+                fingerprint=quarantines.format_fingerprint(part),
             )
 
     def _publish(self, evidence: prompts.Evidence) -> None:
--- a/tests/unit/test_callers.py
+++ b/tests/unit/test_callers.py
@@ -159,6 +159,14 @@
         assert entry.cancelled == 1
 
 
+def make_socket_connection(entry, accepted):
+    """Returns the connection of a caller on a socket; run it within trio."""
+    stream = trio.SocketStream(trio.socket.from_stdlib_socket(accepted))
+    return callers.CallerConnection(
+        stream, entry.handle, lambda: LIMITS, lambda: False
+    )
+
+
 def serve_left_caller(sent):
     """Returns the requests that are handled for a caller that has left.
 
@@ -174,10 +182,7 @@
             caller.sendall(sent)
 
         async def serve():
-            stream = trio.SocketStream(trio.socket.from_stdlib_socket(accepted))
-            connection = callers.CallerConnection(
-                stream, entry.handle, lambda: LIMITS, lambda: False
-            )
+            connection = make_socket_connection(entry, accepted)
             with trio.fail_after(5):
                 await connection.run()
 
@@ -206,10 +211,7 @@
         accepted, _ = listener.accept()
 
         async def serve():
-            stream = trio.SocketStream(trio.socket.from_stdlib_socket(accepted))
-            connection = callers.CallerConnection(
-                stream, entry.handle, lambda: LIMITS, lambda: False
-            )
+            connection = make_socket_connection(entry, accepted)
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(connection.run)
                 caller.sendall(GET + b"x" * (5 * callers.PIPELINE_BYTES // 2))
