Decode and show the request limits that servers state

This is the missing observability; routing does not use the limits yet.

Change: the codec decodes the statement of a response into a frozen data class; a malformed value is ignored and logged once for each server. Changes are logged and counted, and 'peridotyard fleet' shows them with their age and source.

--- a/packages/peridotyard-core/src/peridotyard_core/exchanges.py
+++ b/packages/peridotyard-core/src/peridotyard_core/exchanges.py
@@ -77,6 +77,21 @@
     priority: int | None = None
 
 
+@dataclasses.dataclass(frozen=True)
+class ServerStatement:
+    """What a server states about itself in a response.
+
+    Attributes:
+        limit_per_s: Requests per second that it accepts from all entries
+            together; None if it states no limit.
+        malformed: Descriptions of the values that were ignored, for the log.
+            Such a value neither sets nor ends what the server stated before.
+    """
+
+    limit_per_s: float | None = None
+    malformed: tuple[str, ...] = ()
+
+
 @dataclasses.dataclass(frozen=True)
 class ResponseHead:
     """A server's response without its body.
@@ -91,6 +106,7 @@
         keep_alive_s: Time for which the server keeps an idle connection open,
             seconds; None if the response does not state it.
         headers: Headers to forward to the caller.
+        statement: What the server states about itself.
     """
 
     status: int
@@ -100,6 +116,7 @@
     failed_address: addresses.Address | None
     keep_alive_s: float | None
     headers: Headers
+    statement: ServerStatement = ServerStatement()
 
 
 @dataclasses.dataclass(frozen=True)
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/gateway.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/gateway.py
@@ -32,6 +32,7 @@
 from peridotyard_daemon.process import placement
 from peridotyard_daemon.process import presence
 from peridotyard_daemon.process import probes
+from peridotyard_daemon.process import statements as statements_module
 from peridotyard_daemon.process import stores
 from peridotyard_daemon.process import synchronization
 from peridotyard_daemon.process import views
@@ -170,6 +171,7 @@
             metrics=metrics,
             random=random,
             make_budget=self._make_budget,
+            statements=statements_module.Statements(count),
         )
         self._prober = probes.Prober(self.view, pool, codec, count)
         self._forwarder = forwards.Forwarder(self.context)
@@ -379,7 +381,7 @@
 
     async def _send_metrics(self, _method, target, _headers, _body, responder):
         if target == FLEET_TARGET:
-            fleet_state = self.view.describe() | {
+            fleet_state = self._describe_fleet() | {
                 "instance": self._settings.instance,
                 "zone": self._settings.zone,
                 "ready": self.is_ready,
@@ -395,6 +397,14 @@
         headers = [(b"content-type", b"text/plain; charset=utf-8")]
         await responder.send_complete(200, headers, text.encode())
 
+    def _describe_fleet(self) -> dict:
+        """Returns the known fleet with the servers' statements, as JSON."""
+        described = self.view.describe()
+        for item in described["servers"]:
+            server = self.view.servers[item["instance"]]
+            item["states"] = self.context.statements.describe(server)
+        return described
+
     async def _handle(self, method, target, headers, body, responder) -> None:
         arrived_at = trio.current_time()
         head = self.context.codec.decode_request(method, target, headers)
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/contexts.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/contexts.py
@@ -20,6 +20,7 @@
 from peridotyard_daemon.process import logs
 from peridotyard_daemon.process import metrics as metrics_module
 from peridotyard_daemon.process import prompts as prompts_module
+from peridotyard_daemon.process import statements as statements_module
 from peridotyard_daemon.process import views
 
 # Values of the header Retry-After for a refused caller. A full server of a
@@ -134,6 +135,7 @@
         metrics: Counters and histograms.
         random: Source of random choices.
         make_budget: Returns a new retry budget for a service.
+        statements: What the servers state about themselves.
         quarantine: Requests that crash servers.
         parts: Parts of prompts that crash servers.
         streams: Streams in progress, each a `relays.Stream`.
@@ -149,6 +151,7 @@
     metrics: metrics_module.Metrics
     random: random_module.Random
     make_budget: collections.abc.Callable[[], budgets.WindowBudget]
+    statements: statements_module.Statements
     quarantine: quarantines.Quarantine = dataclasses.field(
         default_factory=quarantines.Quarantine
     )
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/forwards.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/forwards.py
@@ -266,6 +266,7 @@
                 head = await receive_head(
                     connection, context.codec, request.head.request_id
                 )
+                context.statements.record(server, head)
                 body = await read_body(connection)
                 keep_alive_s = head.keep_alive_s
                 outcome = _classify_response(
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/relays.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/relays.py
@@ -402,6 +402,7 @@
         )
         if isinstance(head, Broken):
             return head
+        self._record_statement(head)
         if head.not_run:
             await forwards.read_body(connection)
             return await self._classify_refusal(head)
@@ -428,6 +429,17 @@
         await self._responder.finish()
         return Completed()
 
+    def _record_statement(self, head: exchanges.ResponseHead) -> None:
+        """Records what a server of the path states about itself.
+
+        A refusal may be one of a later server, which it then names.
+        """
+        speaker = self._path[0].server
+        for stage in self._path:
+            if head.not_run and stage.server.address == head.failed_address:
+                speaker = stage.server
+        self._context.statements.record(speaker, head)
+
     async def _forward_events(self, head, arrived: list[events.Event]) -> None:
         if not arrived:
             return
--- a/tests/support/gateways.py
+++ b/tests/support/gateways.py
@@ -13,6 +13,7 @@
 from peridotyard_daemon.connection import upstreams
 from peridotyard_daemon.process import metrics
 from peridotyard_daemon.process import probes
+from peridotyard_daemon.process import statements
 from peridotyard_daemon.process import views
 from peridotyard_daemon.request import contexts
 from peridotyard_platform import codec
@@ -223,6 +224,7 @@
             metrics=registry,
             random=random.Random(0),
             make_budget=lambda: budgets.WindowBudget(0.2, 100, 10.0),
+            statements=statements.Statements(registry.increment),
         )
         prober = probes.Prober(view, pool, context.codec, registry.increment)
         await trio.sleep(0)
--- a/tests/support/servers.py
+++ b/tests/support/servers.py
@@ -61,6 +61,8 @@
             refused requests, if any.
         lag_s: Age in seconds of the state that a report shows.
         accepts_orders: Whether orders are accepted.
+        stated: Headers about the server itself in its responses.
+        arrived_at: Times at which the requests arrived.
         fatal_part: Part of a prompt that ends the server before it has sent an
             event of the answer; empty for none.
     """
@@ -79,6 +81,8 @@
         # Time, layer range and number of orders at each change.
         self._states = [(float("-inf"), server.layer_range, 0)]
         self.accepts_orders = True
+        self.stated: tuple[tuple[bytes, bytes], ...] = ()
+        self.arrived_at: list[float] = []
         self.fatal_part = ""
 
     def join(self, network, nursery) -> None:
@@ -105,6 +109,7 @@
             await self._handle_order(json.loads(body), responder)
             return
         self.requests.append(request_headers)
+        self.arrived_at.append(trio.current_time())
         fault = self.faults.pop(0) if self.faults else Fault()
         parts = request_headers.get("x-prompt-prefix", "").split(",")
         if self.fatal_part and self.fatal_part in [
@@ -169,13 +174,13 @@
         await responder.send_complete(202, [], b"")
 
     def _make_headers(self, request_id: str, fault: Fault) -> list:
-        headers = [(b"X-Attempt-Id", request_id.encode())]
+        headers = [(b"X-Attempt-Id", request_id.encode()), *self.stated]
         if fault.kind != "unsigned":
             headers.append((b"X-Server-Signature", b"signature"))
         return headers
 
     async def _refuse(self, responder) -> None:
-        headers = [(b"X-Not-Executed", b"1")]
+        headers = [(b"X-Not-Executed", b"1"), *self.stated]
         if self.failed_server:
             headers.append((b"At-Server", self.failed_server.encode()))
         await responder.send_complete(503, headers, b"")
--- a/tests/unit/test_codec.py
+++ b/tests/unit/test_codec.py
@@ -108,6 +108,45 @@
     assert not WIRE.decode_response(503, ()).not_run
 
 
+def read_statement(*values: bytes) -> exchanges.ServerStatement:
+    headers = tuple((b"Server-Limit", value) for value in values)
+    return WIRE.decode_response(200, headers).statement
+
+
+def test_limit_of_a_server_is_decoded():
+    assert read_statement(b" 2.5 ").limit_per_s == 2.5
+    assert read_statement(b"0").limit_per_s == 0.0
+    assert read_statement(b"2", b"2") == read_statement(b"2")
+    assert read_statement() == exchanges.ServerStatement()
+
+
+@pytest.mark.parametrize(
+    "values",
+    [
+        (b"",),
+        (b"-1",),
+        (b"nan",),
+        (b"inf",),
+        (b"1e999",),
+        (b"1,2",),
+        (b"1_0",),
+        (b"\xb2",),
+        (b"9" * 10240,),
+        (b"1", b"2"),
+    ],
+)
+def test_malformed_limit_is_reported_and_ignored(values):
+    statement = read_statement(*values)
+    assert statement.limit_per_s is None
+    (description,) = statement.malformed
+    assert len(description) < 80
+
+
+def test_limit_of_another_server_than_the_expected_one_is_ignored():
+    head = WIRE.decode_response(421, ((b"Server-Limit", b"2"),))
+    assert head.statement == exchanges.ServerStatement()
+
+
 def test_hop_by_hop_headers_of_a_response_are_dropped():
     """Guards against forwarded hop-by-hop headers."""
     head = WIRE.decode_response(
