Grant requests to limited servers through one entry for each

Cause: limits were not used. Class: a bound on the sum of all entries that no entry can keep alone.

Change: all entries learn a limit with the first response that states it. One entry, drawn by rendezvous hashing from the connected ones, grants the requests to a server from a token bucket; members of a large fleet ask through their primary hub. A request that is not granted goes to another server or begins a path elsewhere; if there is none, it waits for a quarter of its latency objective and is refused with the time until the next one.

Ruled out: a fixed share for each entry (1/s over forty entries is unused by most of them) and counting what the others announce (all see the same free request at once).

--- a/packages/peridotyard-core/src/peridotyard_core/paths.py
+++ b/packages/peridotyard-core/src/peridotyard_core/paths.py
@@ -72,7 +72,12 @@
         default_factory=dict
     )
 
-    def choose_path(self, servers: Servers, load: LoadFunction) -> Path | None:
+    def choose_path(
+        self,
+        servers: Servers,
+        load: LoadFunction,
+        not_first: frozenset[str] = frozenset(),
+    ) -> Path | None:
         """Returns the cheapest path over all layers, None if there is none.
 
         The path stays within one zone if any zone holds all layers, since the
@@ -81,6 +86,7 @@
         Args:
             servers: Servers that accept new work.
             load: Function that returns the number of streams of a server.
+            not_first: Instances with which the path must not begin.
         """
         all_layers = fleet.LayerRange(0, self.engine.layers)
         by_zone: dict[str, list[fleet.Server]] = {}
@@ -88,7 +94,9 @@
             by_zone.setdefault(server.zone, []).append(server)
         best = None
         for zone, members in by_zone.items():
-            found = self._search_path(members, all_layers, load)
+            found = self._search_path(
+                members, all_layers, load, not_first=not_first
+            )
             if found is None:
                 continue
             cost, path = found
@@ -97,7 +105,9 @@
             if best is None or cost < best[0]:
                 best = (cost, path)
         if best is None:
-            best = self._search_path(servers, all_layers, load)
+            best = self._search_path(
+                servers, all_layers, load, not_first=not_first
+            )
         return None if best is None else best[1]
 
     def replace_failed_stages(
@@ -213,6 +223,7 @@
         layer_range: fleet.LayerRange,
         load: LoadFunction,
         zone: str = "",
+        not_first: frozenset[str] = frozenset(),
     ) -> tuple[float, Path] | None:
         """Returns the cheapest path over a range, with its cost.
 
@@ -225,6 +236,7 @@
             layer_range: Layers that the path computes.
             load: Function that returns the number of streams of a server.
             zone: Zone of the stage before the path, empty if there is none.
+            not_first: Instances with which the path must not begin.
 
         Returns:
             The cost in milliseconds and the path, or None if the servers do not
@@ -253,6 +265,8 @@
             for server, streams in zip(usable, loads, strict=True):
                 if not server.layer_range.contains(layer):
                     continue
+                if state == start and server.instance in not_first:
+                    continue
                 end = min(server.layer_range.end, layer_range.end)
                 total = cost + self.estimate_cost(server, end - layer, streams)
                 if previous_zone and server.zone != previous_zone:
--- a/packages/peridotyard-core/src/peridotyard_core/topologies.py
+++ b/packages/peridotyard-core/src/peridotyard_core/topologies.py
@@ -105,6 +105,19 @@
     return frozenset(ordered[:HUBS_PER_GROUP])
 
 
+def choose_coordinator(
+    instance: str, entries: collections.abc.Collection[str]
+) -> str:
+    """Returns the entry that coordinates the requests to a server.
+
+    Args:
+        instance: The server's instance.
+        entries: Addresses of the entries that can be reached, this one
+            included.
+    """
+    return min(entries, key=lambda entry: _hash(f"{instance} {entry}"))
+
+
 def _divide_into_groups(entries: tuple[Entry, ...]) -> list[_Group]:
     if len(entries) <= FULL_MESH_LIMIT:
         return [_Group(entries, ())]
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/connection/peers.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/connection/peers.py
@@ -31,6 +31,9 @@
 # yet, so a peer could otherwise open any number of them.
 HELLO_LIMIT = 1024
 
+# Reason of the end of a connection whose peer has stayed silent.
+TIMEOUT_REASON = "nothing received within the heartbeat timeout"
+
 _log = logs.Logger("peers")
 
 
@@ -305,7 +308,7 @@
                 self._received_at = max(self._received_at, now - interval_s)
             woken_at = now
             if self._has_timed_out(busy, now):
-                self.close("nothing received within the heartbeat timeout")
+                self.close(TIMEOUT_REASON)
                 return
             was_busy, busy = busy, now < self._busy_until
             if busy != was_busy:
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/gateway.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/gateway.py
@@ -32,6 +32,7 @@
 from peridotyard_daemon.process import placement
 from peridotyard_daemon.process import presence
 from peridotyard_daemon.process import probes
+from peridotyard_daemon.process import reservations as reservations_module
 from peridotyard_daemon.process import statements as statements_module
 from peridotyard_daemon.process import stores
 from peridotyard_daemon.process import synchronization
@@ -164,6 +165,7 @@
                 codec.decode_response(200, headers).request_id
             ),
         )
+        statements = statements_module.Statements(count)
         self.context = contexts.Context(
             view=self.view,
             pool=pool,
@@ -171,7 +173,8 @@
             metrics=metrics,
             random=random,
             make_budget=self._make_budget,
-            statements=statements_module.Statements(count),
+            statements=statements,
+            reservations=reservations_module.Reservations(statements, count),
         )
         self._prober = probes.Prober(self.view, pool, codec, count)
         self._forwarder = forwards.Forwarder(self.context)
@@ -188,6 +191,8 @@
             self._presence,
             self.context.quarantine,
             self.context.parts,
+            statements,
+            self.context.reservations,
             self._network,
             name,
             own,
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/mesh.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/mesh.py
@@ -21,11 +21,14 @@
 import trio
 
 from peridotyard_daemon.connection import peers as peers_module
+from peridotyard_daemon.process import announcements
 from peridotyard_daemon.process import logs
 from peridotyard_daemon.process import network as network_module
 from peridotyard_daemon.process import presence
 from peridotyard_daemon.process import probes
 from peridotyard_daemon.process import prompts as prompts_module
+from peridotyard_daemon.process import reservations as reservations_module
+from peridotyard_daemon.process import statements as statements_module
 from peridotyard_daemon.process import stores
 from peridotyard_daemon.process import synchronization
 from peridotyard_daemon.process import views
@@ -68,6 +71,9 @@
 # after which one of them acts for the holder of the placement lease. It is
 # longer than the lease (2.4 s), so that the last holder has stopped.
 STORE_LOST_TIMEOUT_S = presence.LEASE_DURATION_S + 0.2
+# Time after its start from which a hub of a large fleet coordinates requests to
+# servers. The other hubs read the list of entries every few seconds.
+HUB_KNOWN_S = 6.0
 TIMING = peers_module.Timing(
     heartbeat_s=0.5, misses=3, dial_s=1.0, idle_heartbeat_s=0.5
 )
@@ -89,6 +95,8 @@
         own_presence: presence.Presence,
         quarantine: quarantines.Quarantine,
         parts: prompts_module.PartMonitor,
+        statements: statements_module.Statements,
+        reservations: reservations_module.Reservations,
         network: network_module.Network,
         name: str,
         own: topologies.Entry,
@@ -106,6 +114,8 @@
                 heartbeats of other entries.
             quarantine: Receives the crashes that other entries have seen.
             parts: Receives the evidence of other entries on parts of prompts.
+            statements: Receives what other entries have heard of servers.
+            reservations: Reservations of requests to limited servers.
             network: Opens and accepts connections.
             name: Name of this entry, unique for each process start.
             own: This entry as the others know it.
@@ -142,6 +152,9 @@
         self._forwarded_at: dict[str, float] = {}
         self._store_seen_at: dict[str, float] = {}
         self._was_acting_holder = False
+        # Entries that stay silent, and may still send requests to servers.
+        self._silent: set[str] = set()
+        self._exchange = announcements.Exchange(self, statements, reservations)
         self._fetch_until = float("-inf")
         self._started_at = float("inf")
         # Handlers of messages, by the field of the frame that holds them.
@@ -160,6 +173,9 @@
             "prompt_parts": self._handle_prompt_parts,
             "suspects": self._handle_suspects,
             "in_flight": self._handle_loads,
+            "server_statements": self._exchange.handle_statements,
+            "reservation_request": self._exchange.handle_request,
+            "reservation_reply": self._exchange.handle_reply,
         }
         own_presence.may_claim = lambda: not self.is_member
         own_presence.list_represented = self._list_represented
@@ -209,7 +225,7 @@
             return_ms=int(1000 * reregistration_s),
             origin=str(self._address),
         )
-        self._forward(ttypes.Frame(table_rows=frame))
+        self.forward(ttypes.Frame(table_rows=frame))
 
     def announce_suspect(self, server: fleet.Server) -> None:
         """Announces that a server did not respond.
@@ -226,13 +242,13 @@
             suspects = ttypes.Suspects(confirmed=names)
         else:
             suspects = ttypes.Suspects(instances=names)
-        self._forward(ttypes.Frame(suspects=suspects))
+        self.forward(ttypes.Frame(suspects=suspects))
 
     def announce_cleared(self, server: fleet.Server) -> None:
         """Announces that a suspected server has responded to a checker."""
         if self._is_checker(server.instance):
             suspects = ttypes.Suspects(cleared=[server.instance])
-            self._forward(ttypes.Frame(suspects=suspects))
+            self.forward(ttypes.Frame(suspects=suspects))
 
     def announce_crash(self, fingerprint: int, crash: int) -> None:
         """Announces that a server crashed while it ran a request.
@@ -242,11 +258,11 @@
             crash: Identity of the crash.
         """
         crashes = ttypes.Quarantine(crashes={fingerprint: [crash]})
-        self._forward(ttypes.Frame(quarantine=crashes))
+        self.forward(ttypes.Frame(quarantine=crashes))
 
     def announce_evidence(self, evidence: prompts.Evidence) -> None:
         """Announces evidence on parts of prompts, see `process.prompts`."""
-        self._forward(_make_prompt_parts(evidence))
+        self.forward(_make_prompt_parts(evidence))
 
     def announce_layers(self, layer_ranges: layouts.LayerRanges) -> None:
         """Announces the layers that servers have reported."""
@@ -257,7 +273,7 @@
                     layer_range.first,
                     layer_range.end,
                 )
-            self._forward(ttypes.Frame(offer=offer))
+            self.forward(ttypes.Frame(offer=offer))
 
     def is_acting_holder(self) -> bool:
         """Returns whether this entry acts for the holder of the lease.
@@ -323,8 +339,10 @@
         )
 
     def handle_connected(self, connection: peers_module.Connection) -> None:
-        """Compares versions with a new peer; sends loads and crashes."""
+        """Compares versions with a new peer; sends the shared state."""
+        self._silent.discard(connection.key)
         self._fetch_if_newer(connection, connection.peer.revision)
+        self._exchange.send_statements(connection)
         if self.is_member:
             self._report_to_primary()
         else:
@@ -351,6 +369,10 @@
     ) -> None:
         """Discards the state of a peer that has no connection left."""
         if self._peers.find(connection.key) is None:
+            if reason == peers_module.TIMEOUT_REASON and self._is_hub(
+                connection
+            ):
+                self._silent.add(connection.key)
             self._view.apply_peer_load(connection.key, None)
             self._reporting.discard(connection.key)
             self._store_seen_at.pop(connection.key, None)
@@ -383,7 +405,7 @@
             message.instance, layer_range if layer_range.size > 0 else None
         )
         if is_new:
-            self._forward(ttypes.Frame(offer=message), connection)
+            self.forward(ttypes.Frame(offer=message), connection)
 
     def _handle_loads(self, connection, message: ttypes.InFlight) -> None:
         loads = dict(message.requests)
@@ -423,7 +445,7 @@
         ]
         if suspected or confirmed or cleared:
             news = ttypes.Suspects(suspected, confirmed, cleared)
-            self._forward(ttypes.Frame(suspects=news), connection)
+            self.forward(ttypes.Frame(suspects=news), connection)
 
     def _find_servers(self, instances) -> list[fleet.Server]:
         """Returns the listed servers among the instances."""
@@ -444,6 +466,38 @@
         self._forwarded_at[instance] = now
         return True
 
+    def find_coordinator(self, instance: str) -> peers_module.Connection | None:
+        """Returns the connection to the entry that coordinates for a server.
+
+        It is the primary hub for a member, and None if this entry itself is
+        the coordinator.
+
+        Args:
+            instance: The server's instance.
+        """
+        primary = self._find_primary()
+        if primary is not None:
+            return primary
+        own = str(self._address)
+        keys = {c.key for c in self._peers.connections if self._is_hub(c)}
+        age_s = trio.current_time() - self._started_at
+        if not self._topology.is_grouped or age_s > HUB_KNOWN_S or not keys:
+            keys.add(own)
+        chosen = topologies.choose_coordinator(instance, keys)
+        return None if chosen == own else self._peers.find(chosen)
+
+    def is_from_member(self, connection: peers_module.Connection) -> bool:
+        """Returns whether the peer of a connection is a member of this hub."""
+        return not self._is_hub(connection)
+
+    def compute_limit_share(self) -> float:
+        """Returns the share of a server's limit that this entry may grant.
+
+        The entries that do not respond may have a coordinator of their own.
+        """
+        connected = 1 + sum(map(self._is_hub, self._peers.connections))
+        return connected / (connected + len(self._silent))
+
     def _is_checker(self, instance: str) -> bool:
         """Returns whether this entry checks a server for all entries."""
         if not self._topology.is_grouped or self.is_member:
@@ -463,7 +517,7 @@
                 known = self._quarantine.record_crash(fingerprint, crash, now)
             if known > before:
                 news = ttypes.Quarantine(crashes={fingerprint: crashes})
-                self._forward(ttypes.Frame(quarantine=news), connection)
+                self.forward(ttypes.Frame(quarantine=news), connection)
             _log.info(
                 "crashes reported by another entry",
                 entry=connection.peer.instance,
@@ -491,7 +545,7 @@
             )
         )
         if not news.is_empty:
-            self._forward(_make_prompt_parts(news), connection)
+            self.forward(_make_prompt_parts(news), connection)
 
     def _handle_rows(self, connection, message: ttypes.TableRows) -> None:
         rows = tuple(
@@ -522,7 +576,7 @@
             may_skip_reads,
         )
         if is_newer:
-            self._forward(ttypes.Frame(table_rows=message), connection)
+            self.forward(ttypes.Frame(table_rows=message), connection)
 
     def _list_reporting_members(self) -> list[peers_module.Connection]:
         """Returns the connections to the members that report to this hub."""
@@ -586,7 +640,7 @@
             self._primary = next((c for c in found if c and c.is_open), None)
         return self._primary
 
-    def _forward(
+    def forward(
         self,
         frame: ttypes.Frame,
         source: peers_module.Connection | None = None,
@@ -680,6 +734,7 @@
         if others == self._known_entries:
             return
         self._known_entries = others
+        self._silent &= {str(entry.address) for entry in others}
         self._topology = topologies.Topology.from_entries(self._own, others)
         self._hub_keys = frozenset(str(hub) for hub in self._topology.hubs)
 
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/views.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/views.py
@@ -554,13 +554,17 @@
             health.mean_duration_s += DURATION_SMOOTHING * change
 
     def choose_path(
-        self, service: fleet.Service, avoid: frozenset[str] = frozenset()
+        self,
+        service: fleet.Service,
+        avoid: frozenset[str] = frozenset(),
+        not_first: frozenset[str] = frozenset(),
     ) -> paths.Path | None:
         """Chooses servers that together run all layers of a service's model.
 
         Args:
             service: The service.
             avoid: Instances that are not used.
+            not_first: Instances with which the path must not begin.
 
         Returns:
             The path; None if some layer is on no usable server.
@@ -570,10 +574,12 @@
             for server in self.list_usable(service.name)
             if server.instance not in avoid
         ]
-        path = self.make_planner(service).choose_path(servers, self.get_load)
+        path = self.make_planner(service).choose_path(
+            servers, self.get_load, not_first
+        )
         if path is not None:
             self._no_path_since.pop(service.name, None)
-        elif not avoid:
+        elif not avoid and not not_first:
             now = trio.current_time()
             if self._no_path_since.setdefault(service.name, now) == now:
                 _log.warning(
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/contexts.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/contexts.py
@@ -20,6 +20,7 @@
 from peridotyard_daemon.process import logs
 from peridotyard_daemon.process import metrics as metrics_module
 from peridotyard_daemon.process import prompts as prompts_module
+from peridotyard_daemon.process import reservations as reservations_module
 from peridotyard_daemon.process import statements as statements_module
 from peridotyard_daemon.process import views
 
@@ -36,6 +37,11 @@
 # of the value, so that they do not fill the servers at once again.
 RETRY_AFTER_SPREAD = 0.3
 
+# Share of the latency objective for which a request waits until the limits of
+# the servers allow it. Requests that wait longer would only be served later:
+# the limit determines how many are served.
+QUEUE_OBJECTIVE_SHARE = 0.25
+
 # Time limit of the connection attempt that distinguishes a terminated server
 # from one that lost a response. A terminated server refuses the connection
 # within a round trip, 2 ms within a region.
@@ -136,6 +142,7 @@
         random: Source of random choices.
         make_budget: Returns a new retry budget for a service.
         statements: What the servers state about themselves.
+        reservations: Reservations of requests to limited servers.
         quarantine: Requests that crash servers.
         parts: Parts of prompts that crash servers.
         streams: Streams in progress, each a `relays.Stream`.
@@ -152,6 +159,7 @@
     random: random_module.Random
     make_budget: collections.abc.Callable[[], budgets.WindowBudget]
     statements: statements_module.Statements
+    reservations: reservations_module.Reservations
     quarantine: quarantines.Quarantine = dataclasses.field(
         default_factory=quarantines.Quarantine
     )
@@ -203,6 +211,34 @@
             )
         return granted
 
+    def get_queue_limit_s(self, request: Request) -> float:
+        """Returns how long a request waits for a server's limit, seconds."""
+        limit_s = QUEUE_OBJECTIVE_SHARE * request.route.latency_objective_s
+        return max(0.0, min(limit_s, request.get_remaining_s()))
+
+    def list_exhausted(self, service: str) -> frozenset[str]:
+        """Returns the instances whose limits allow no request now."""
+        return frozenset(
+            server.instance
+            for server in self.view.list_usable(service)
+            if self.reservations.is_exhausted(server)
+        )
+
+    def _get_limit_wait_s(self, service: str) -> float:
+        """Returns the time until a server's limit allows a request, seconds.
+
+        It is 0 if some server that may receive a request is not limited, or if
+        there is none.
+        """
+        return min(
+            (
+                self.reservations.get_wait_s(server)
+                for server in self.view.list_usable(service)
+                if server.layer_range is None or not server.layer_range.first
+            ),
+            default=0.0,
+        )
+
     def is_quarantined(self, request: Request) -> bool:
         """Returns whether a request must not be sent to a server.
 
@@ -285,6 +321,9 @@
             # none for as long again.
             lasted_s = self.view.get_no_path_duration_s(request.service.name)
             wait_s = max(RETRY_AFTER_LAYERS_S, lasted_s)
+        limit_wait_s = self._get_limit_wait_s(request.service.name)
+        if limit_wait_s:
+            wait_s = max(RETRY_AFTER_BUSY_S, limit_wait_s)
         wait_s *= 1 + RETRY_AFTER_SPREAD * self.random.random()
         wait_s = round(min(wait_s, RETRY_AFTER_MAX_S), 3)
         return verdicts.make_not_run_failure(
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/forwards.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/forwards.py
@@ -1,5 +1,6 @@
 """Forwards plain requests: chooses servers, retries, reports the outcome."""
 
+import collections.abc
 import dataclasses
 
 import h11
@@ -124,7 +125,7 @@
         sends = 0
         last: Outcome = Refused("no server is known", sent=False)
         while sends < SEND_LIMIT and request.get_remaining_s() > 0:
-            server = self._choose_server(request.service.name, tried)
+            server = await self._reserve_server(request, tried)
             if server is None:
                 break
             if sends:
@@ -143,10 +144,47 @@
                 break
         await self._respond(request, responder, last, possible_runs)
 
+    async def _reserve_server(
+        self, request: contexts.Request, tried: set[str]
+    ) -> fleet.Server | None:
+        """Returns a server that accepts the request within its limit.
+
+        Args:
+            request: The request.
+            tried: Instances that are not used.
+        """
+        service = request.service.name
+        reservations = self._context.reservations
+        denied = self._context.list_exhausted(service)
+        while server := self._choose_server(service, tried | denied):
+            if await reservations.reserve(server):
+                return server
+            denied |= {server.instance}
+        if not denied:
+            return None
+        server = self._choose_server(service, tried, reservations.get_wait_s)
+        limit_s = self._context.get_queue_limit_s(request)
+        if server and await reservations.reserve(server, limit_s):
+            return server
+        return None
+
     def _choose_server(
-        self, service: str, tried: set[str]
+        self,
+        service: str,
+        tried: collections.abc.Set[str],
+        compute_cost: (
+            collections.abc.Callable[[fleet.Server], float] | None
+        ) = None,
     ) -> fleet.Server | None:
+        """Returns the server with the lowest cost, None if there is none.
+
+        Args:
+            service: Name of the service.
+            tried: Instances that are not used.
+            compute_cost: Cost of a server; `View.estimate_cost` by default.
+        """
         view = self._context.view
+        compute_cost = compute_cost or view.estimate_cost
         usable = view.list_usable(service) or [
             # A suspicion may be wrong. If all servers are suspected, an
             # attempt is cheaper for the caller than a refusal.
@@ -158,7 +196,7 @@
         random = self._context.random
         return min(
             untried,
-            key=lambda s: (view.estimate_cost(s), random.random()),
+            key=lambda s: (compute_cost(s), random.random()),
             default=None,
         )
 
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/relays.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/relays.py
@@ -208,7 +208,7 @@
         request, context = self._request, self._context
         outcome: Outcome | None = None
         for sends in range(SEND_LIMIT):
-            path = self._choose_path(outcome)
+            path = await self._reserve_path(outcome)
             if path is None and self._responder.started:
                 path = await self._wait_for_path(outcome)
             if path is None:
@@ -234,18 +234,44 @@
                         break
         await self._finish_response(outcome)
 
-    def _choose_path(self, last: Outcome | None) -> paths.Path | None:
-        """Returns the next path.
+    async def _reserve_path(self, last: Outcome | None) -> paths.Path | None:
+        """Returns the next path, within the limit of its first server.
+
+        Only the first server of a path receives a request.
+
+        Args:
+            last: Outcome of the previous path, None for the first path.
+        """
+        context, request = self._context, self._request
+        denied = context.list_exhausted(request.service.name)
+        while path := self._choose_path(last, denied):
+            first = path[0].server
+            if await context.reservations.reserve(first):
+                return path
+            denied |= {first.instance}
+        path = self._choose_path(last) if denied else None
+        if path is None:
+            return None
+        is_reserved = await context.reservations.reserve(
+            path[0].server, context.get_queue_limit_s(request)
+        )
+        return path if is_reserved else None
+
+    def _choose_path(
+        self, last: Outcome | None, not_first: frozenset[str] = frozenset()
+    ) -> paths.Path | None:
+        """Returns the cheapest path.
 
         Args:
             last: Outcome of the previous path, None for the first path.
+            not_first: Instances with which the path must not begin.
         """
         view, service = self._context.view, self._request.service
-        path = view.choose_path(service, self._avoid)
+        path = view.choose_path(service, self._avoid, not_first)
         if path is None and isinstance(last, Broken):
             # Without other servers, those that lost an earlier attempt may be
             # used again. Servers that refused would refuse again.
-            path = view.choose_path(service, last.avoid)
+            path = view.choose_path(service, last.avoid, not_first)
         return path
 
     async def _wait_for_path(self, last: Outcome) -> paths.Path | None:
@@ -257,7 +283,7 @@
         with trio.move_on_at(self._last_event_at + PATH_WAIT_S):
             while True:
                 await trio.sleep(PATH_SEARCH_INTERVAL_S)
-                path = self._choose_path(last)
+                path = await self._reserve_path(last)
                 if path is not None:
                     return path
         return None
@@ -555,7 +581,8 @@
             return False
         avoid = self._avoid | failed
         view, service = self._context.view, self._request.service
-        return view.choose_path(service, avoid) is not None
+        not_first = self._context.list_exhausted(service.name)
+        return view.choose_path(service, avoid, not_first) is not None
 
     async def _repair_path(
         self, failed: frozenset[str], silent_s: float
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/wire/peridotyard.thrift
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/wire/peridotyard.thrift
@@ -274,6 +274,38 @@
   3: list<i64> confirmed = [],
 }
 
+/** What a backend server states about itself in its responses. */
+struct ServerStatement {
+  1: string instance = "",
+  /** Start time of the server's process. */
+  2: i64 started_at_ms = 0,
+  /** Whether it limits the requests of all entries together. */
+  3: bool is_limited = false,
+  4: double limit_per_s = 0,
+  /** Time since the sender, or another entry, heard it. */
+  5: i64 age_ms = 0,
+}
+
+struct ServerStatements {
+  1: list<ServerStatement> statements = [],
+}
+
+/** Asks for one request to a backend server that limits its requests. */
+struct ReservationRequest {
+  /** Chosen by the sender. */
+  1: i64 id = 0,
+  2: optional ServerStatement statement,
+  /** Longest time that the request can wait. */
+  3: i32 max_wait_ms = 0,
+}
+
+struct ReservationReply {
+  1: i64 id = 0,
+  2: bool is_granted = false,
+  /** Time until the request, or the next one, may be sent. */
+  3: i64 wait_ms = 0,
+}
+
 /** What a peer knows of the state of every process it has seen. */
 struct ProcessRevision {
   1: string instance = "",
@@ -457,6 +489,9 @@
   22: optional Suspects suspects,
   23: optional TableRows table_rows,
   24: optional PromptParts prompt_parts,
+  25: optional ServerStatements server_statements,
+  26: optional ReservationRequest reservation_request,
+  27: optional ReservationReply reservation_reply,
   40: optional EngineHello engine_hello,
   41: optional EngineOpen engine_open,
   42: optional EngineRun engine_run,
--- a/tests/support/gateways.py
+++ b/tests/support/gateways.py
@@ -13,6 +13,7 @@
 from peridotyard_daemon.connection import upstreams
 from peridotyard_daemon.process import metrics
 from peridotyard_daemon.process import probes
+from peridotyard_daemon.process import reservations
 from peridotyard_daemon.process import statements
 from peridotyard_daemon.process import views
 from peridotyard_daemon.request import contexts
@@ -217,6 +218,7 @@
         view.servers_at = trio.current_time()
         pool = upstreams.Pool(host.dial)
         registry = metrics.Metrics(None, 1.0)
+        table = statements.Statements(registry.increment)
         context = contexts.Context(
             view=view,
             pool=pool,
@@ -224,7 +226,8 @@
             metrics=registry,
             random=random.Random(0),
             make_budget=lambda: budgets.WindowBudget(0.2, 100, 10.0),
-            statements=statements.Statements(registry.increment),
+            statements=table,
+            reservations=reservations.Reservations(table, registry.increment),
         )
         prober = probes.Prober(view, pool, context.codec, registry.increment)
         await trio.sleep(0)
--- a/tests/unit/test_forwards.py
+++ b/tests/unit/test_forwards.py
@@ -249,3 +249,61 @@
         return
     assert recorder.status == status
     assert len(runs) == count
+
+
+def count_in_windows(arrived_at, start):
+    """Returns the largest number of requests in four seconds after a time."""
+    times = [at for at in arrived_at if at >= start]
+    return max((sum(t <= at < t + 4 for at in times) for t in times), default=0)
+
+
+# Found on the day capped-any-service, cobfleet seed 13 (issue 23): LIMIT, a
+# server with a limit of 1 a second had 17 requests in four seconds.
+@cases.run_on_virtual_clock
+async def test_limited_server_gets_no_more_than_its_limit():
+    servers = gateways.make_plain_servers(3)
+    async with gateways.open_harness(servers) as harness:
+        limited = harness.servers["p1"]
+        limited.stated = ((b"Server-Limit", b"1"),)
+        recorders = []
+
+        async def send():
+            recorders.append(await forward(harness, fleet.RetryPolicy.ONCE))
+
+        start = trio.current_time()
+        async with trio.open_nursery() as nursery:
+            for _ in range(2000):
+                nursery.start_soon(send)
+                await trio.sleep(0.006)
+        assert {recorder.status for recorder in recorders} == {200}
+        assert count_in_windows(limited.arrived_at, start + 4) <= 1.5 * 4 + 5
+        assert sum(at >= start + 4 for at in limited.arrived_at) >= 0.8 * 8
+
+
+@cases.run_on_virtual_clock
+async def test_request_beyond_all_limits_is_refused_at_once_with_its_wait():
+    async with gateways.open_harness(gateways.make_plain_servers(1)) as harness:
+        harness.servers["p1"].stated = ((b"Server-Limit", b"0.25"),)
+        assert (await forward(harness, fleet.RetryPolicy.ONCE)).status == 200
+        await forward(harness, fleet.RetryPolicy.ONCE)
+        started = trio.current_time()
+        recorder = await forward(harness, fleet.RetryPolicy.ONCE)
+        assert trio.current_time() == started
+        assert recorder.status == 503
+        wait_s = float(dict(recorder.headers)[b"retry-after"])
+        assert 3.5 <= wait_s <= 5
+        assert len(harness.servers["p1"].runs) == 1
+
+
+@cases.run_on_virtual_clock
+async def test_server_without_a_limit_any_more_is_used_freely():
+    async with gateways.open_harness(gateways.make_plain_servers(1)) as harness:
+        server = harness.servers["p1"]
+        server.stated = ((b"Server-Limit", b"1"),)
+        assert (await forward(harness, fleet.RetryPolicy.ONCE)).status == 200
+        server.stated = ()
+        await forward(harness, fleet.RetryPolicy.ONCE)
+        await trio.sleep(1.1)
+        for _ in range(10):
+            recorder = await forward(harness, fleet.RetryPolicy.ONCE)
+            assert recorder.status == 200
--- a/tests/unit/test_mesh.py
+++ b/tests/unit/test_mesh.py
@@ -294,3 +294,45 @@
             assert view.list_suspects_to_check() == expected
 
     check()
+
+
+# Found on the day capped-any-service, cobfleet seed 13 (issue 23): LIMIT, each
+# of three entries sent eight requests in four seconds to a server with a limit
+# of 1 a second.
+@cases.run_on_virtual_clock
+async def test_limit_holds_for_the_requests_of_all_entries():
+    layers = [("x", "a", (0, 20)), ("y", "a", (0, 20))]
+    async with deployments.open_deployment(4, layers) as deployment:
+        await trio.sleep(8)
+        limited = deployment.servers["x"]
+        limited.stated = ((b"Server-Limit", b"1"),)
+        start = trio.current_time()
+        async with trio.open_nursery() as nursery:
+            for number in range(160):
+                nursery.start_soon(deployment.call, number % 4 + 1)
+                await trio.sleep(0.1)
+        times = [at for at in limited.arrived_at if at >= start + 4]
+        most = max(sum(t <= at < t + 4 for at in times) for t in times)
+        assert 3 <= most <= 1.5 * 4 + 5
+        assert len(times) >= 0.8 * 12
+        for entry in deployment.entries:
+            record = entry.context.statements.find_record(limited.server)
+            assert record.limit_per_s == 1.0
+
+
+@cases.run_on_virtual_clock
+async def test_limit_holds_in_a_large_fleet_and_for_an_entry_that_starts():
+    async with open_large_deployment() as deployment:
+        limited = deployment.servers["x"]
+        limited.stated = ((b"Server-Limit", b"1"),)
+        start = trio.current_time()
+        deployment.start_entry(ENTRIES + 1)
+        async with trio.open_nursery() as nursery:
+            for number in range(160):
+                count = len(deployment.entries)
+                nursery.start_soon(deployment.call, number % count + 1)
+                await trio.sleep(0.1)
+        times = [at for at in limited.arrived_at if at >= start + 4]
+        most = max(sum(t <= at < t + 4 for at in times) for t in times)
+        assert most <= 1.5 * 4 + 5
+        assert len(times) >= 0.8 * 12
--- a/tests/unit/test_relays.py
+++ b/tests/unit/test_relays.py
@@ -782,3 +782,46 @@
             values.add(float(headers[b"retry-after"]))
         assert len(values) == 10
         assert 1.5 <= min(values) < max(values) <= 1.5 * 1.3
+
+
+@cases.run_on_virtual_clock
+async def test_path_begins_with_a_server_whose_limit_allows_it():
+    layers = [("a0", "a", (0, 20)), ("spare", "a", (0, 20))]
+    async with gateways.open_harness(
+        gateways.make_servers(layers), EVENTS
+    ) as harness:
+        limited = harness.servers["a0"]
+        limited.stated = ((b"Server-Limit", b"0.5"),)
+        for _ in range(10):
+            check_complete(await relay(harness))
+            await trio.sleep(0.1)
+        assert len(limited.runs) <= 4
+        assert len(limited.runs) + len(harness.servers["spare"].runs) == 10
+
+
+@cases.run_on_virtual_clock
+async def test_limited_server_still_runs_later_stages():
+    layers = [("a0", "a", (0, 10)), ("a1", "a", (0, 20))]
+    async with gateways.open_harness(
+        gateways.make_servers(layers), EVENTS
+    ) as harness:
+        view = harness.context.view
+        path = view.choose_path(
+            harness.make_request().service, not_first=frozenset(["a1"])
+        )
+        assert [stage.server.instance for stage in path] == ["a0", "a1"]
+
+
+@cases.run_on_virtual_clock
+async def test_statement_of_a_later_server_is_recorded_for_it():
+    async with gateways.open_harness(
+        gateways.make_servers(LAYER_RANGES), EVENTS
+    ) as harness:
+        check_complete(await relay(harness))
+        first = harness.servers["a0"]
+        later = harness.servers[find_second(harness)].server
+        first.stated = ((b"Server-Limit", b"2"),)
+        first.faults = [servers_module.Fault("refuse")]
+        first.failed_server = str(later.address)
+        await relay(harness)
+        assert harness.context.statements.find_limit(later) == 2.0
--- /dev/null
+++ b/tests/unit/test_reservations.py
@@ -0,0 +1,236 @@
+"""Tests of the reservations between entries, without requests.
+
+They cover peridotyard_daemon.process.reservations and announcements.
+"""
+
+import dataclasses
+import random
+
+from peridotyard_core import limits
+from peridotyard_core import topologies
+from peridotyard_daemon.process import announcements
+from peridotyard_daemon.process import reservations
+from peridotyard_daemon.process import statements
+from peridotyard_daemon.wire.generated import ttypes
+import pytest
+import trio
+
+from tests.support import cases
+from tests.support import fleets
+
+SERVER = fleets.make_server("x")
+WINDOW_S = 4.0
+# Time after its statement from which a server's limit is in force.
+GRACE_S = 4.0
+
+
+def ignore(_name):
+    """Counter that counts nothing."""
+
+
+@dataclasses.dataclass
+class Link:
+    """One direction of a connection between two entries of a `Fleet`."""
+
+    fleet: "Fleet"
+    source: "Entry"
+    target: "Entry"
+
+    @property
+    def peer(self) -> ttypes.Hello:
+        """Hello of the entry at the other end."""
+        return ttypes.Hello(instance=self.target.name)
+
+    def post(self, frame: ttypes.Frame) -> None:
+        """Delivers a frame after a random delay, unless it is lost."""
+        self.fleet.deliver(self, frame)
+
+
+class Entry:
+    """The exchange of one entry, as part of a fully connected fleet."""
+
+    def __init__(self, fleet: "Fleet", name: str):
+        self.fleet = fleet
+        self.name = name
+        self.is_running = True
+        self.statements = statements.Statements(ignore)
+        self.reservations = reservations.Reservations(self.statements, ignore)
+        self.exchange = announcements.Exchange(
+            self, self.statements, self.reservations
+        )
+
+    def find_coordinator(self, instance: str) -> Link | None:
+        """See `announcements.Mesh`."""
+        names = [entry.name for entry in self.fleet.list_running()]
+        chosen = topologies.choose_coordinator(instance, names)
+        if chosen == self.name:
+            return None
+        return Link(self.fleet, self, self.fleet.entries[chosen])
+
+    def is_from_member(self, _connection) -> bool:
+        """See `announcements.Mesh`."""
+        return False
+
+    def compute_limit_share(self) -> float:
+        """See `announcements.Mesh`."""
+        return 1.0
+
+    def forward(self, frame: ttypes.Frame, source=None) -> None:
+        """Sends a message of this entry to all others."""
+        if source is None:
+            for other in self.fleet.list_running():
+                if other is not self:
+                    Link(self.fleet, self, other).post(frame)
+
+
+class Fleet:
+    """Entries whose messages are late, reordered and sometimes lost."""
+
+    def __init__(self, nursery, count: int, seed: int, loss: float):
+        self.entries = {f"e{n}": Entry(self, f"e{n}") for n in range(count)}
+        self._nursery = nursery
+        self._random = random.Random(seed)
+        self._loss = loss
+
+    def list_running(self) -> list[Entry]:
+        """Returns the entries that have not been stopped."""
+        return [e for e in self.entries.values() if e.is_running]
+
+    def deliver(self, link: Link, frame: ttypes.Frame) -> None:
+        """Delivers a frame, see `Link.post`."""
+        if self._random.random() >= self._loss:
+            self._nursery.start_soon(self._deliver_later, link, frame)
+
+    async def _deliver_later(self, link: Link, frame: ttypes.Frame) -> None:
+        await trio.sleep(self._random.uniform(0.0, 0.06))
+        if not link.target.is_running:
+            return
+        exchange = link.target.exchange
+        back = Link(self, link.target, link.source)
+        if frame.server_statements is not None:
+            exchange.handle_statements(back, frame.server_statements)
+        if frame.reservation_request is not None:
+            exchange.handle_request(back, frame.reservation_request)
+        if frame.reservation_reply is not None:
+            exchange.handle_reply(back, frame.reservation_reply)
+
+
+async def send_requests(entry, sent_at, seed, pause_s) -> None:
+    """Sends requests of an entry at random times until it stops."""
+
+    async def send_request():
+        if await entry.reservations.reserve(SERVER) and entry.is_running:
+            sent_at.append(trio.current_time())
+
+    source = random.Random(seed)
+    async with trio.open_nursery() as nursery:
+        while entry.is_running:
+            await trio.sleep(source.expovariate(1 / pause_s))
+            nursery.start_soon(send_request)
+
+
+def state_limit(entry: Entry, limit_per_s: float) -> None:
+    """Lets an entry hear a limit from the server itself."""
+    now = trio.current_time()
+    record = statements.Record(SERVER.started_at_ms, limit_per_s, now, now)
+    entry.statements.apply_peer(SERVER.instance, record)
+    entry.statements.notify(SERVER.instance, record)
+
+
+def count_most(sent_at: list[float], start: float) -> int:
+    """Returns the largest number of requests in a window after a time."""
+    times = [at for at in sent_at if at >= start]
+    return max(sum(t <= at < t + WINDOW_S for at in times) for t in times)
+
+
+@pytest.mark.parametrize("seed", range(5))
+@pytest.mark.parametrize("loss", [0.0, 0.05])
+@pytest.mark.parametrize("uneven", [False, True])
+def test_forty_entries_stay_within_a_limit_and_use_it(seed, loss, uneven):
+    """Guards against LIMIT with entries that apply a limit one by one."""
+    limit_per_s, duration_s = 5.0, 40.0
+    sent_at: list[float] = []
+
+    @cases.run_on_virtual_clock
+    async def run():
+        async with trio.open_nursery() as nursery:
+            fleet = Fleet(nursery, 40, seed, loss)
+            for entry in fleet.entries.values():
+                state_limit(entry, limit_per_s)
+            for number, entry in enumerate(fleet.entries.values()):
+                pause_s = 0.2 * (number + 1) ** 2 if uneven else 0.4
+                nursery.start_soon(
+                    send_requests, entry, sent_at, 100 * seed + number, pause_s
+                )
+            await trio.sleep(duration_s)
+            nursery.cancel_scope.cancel()
+
+    run()
+    assert count_most(sent_at, GRACE_S) <= 1.5 * WINDOW_S * limit_per_s + 5
+    used = sum(at >= GRACE_S for at in sent_at)
+    assert used >= 0.8 * limit_per_s * (duration_s - GRACE_S)
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_limit_holds_while_coordinators_stop(seed):
+    limit_per_s = 2.0
+    sent_at: list[float] = []
+
+    @cases.run_on_virtual_clock
+    async def run():
+        async with trio.open_nursery() as nursery:
+            fleet = Fleet(nursery, 10, seed, 0.02)
+            for entry in fleet.entries.values():
+                state_limit(entry, limit_per_s)
+            for number, entry in enumerate(fleet.entries.values()):
+                nursery.start_soon(
+                    send_requests, entry, sent_at, 100 * seed + number, 0.1
+                )
+            for _ in range(8):
+                await trio.sleep(2.5)
+                names = [entry.name for entry in fleet.list_running()]
+                name = topologies.choose_coordinator(SERVER.instance, names)
+                fleet.entries[name].is_running = False
+            nursery.cancel_scope.cancel()
+
+    run()
+    assert count_most(sent_at, GRACE_S) <= 1.5 * WINDOW_S * limit_per_s + 5
+    used = sum(at >= GRACE_S for at in sent_at)
+    assert used >= 0.5 * limit_per_s * (20.0 - GRACE_S)
+
+
+@cases.run_on_virtual_clock
+async def test_coordinator_without_a_reply_grants_nothing():
+    table = statements.Statements(ignore)
+    own = reservations.Reservations(table, ignore)
+    now = trio.current_time()
+    table.apply_peer("x", statements.Record(0, 5.0, now + 1, now))
+    own.ask = lambda inquiry, reply: None
+    assert not await own.reserve(SERVER)
+    assert trio.current_time() - now == pytest.approx(
+        reservations.REPLY_TIMEOUT_S
+    )
+    assert own.is_exhausted(SERVER)
+
+
+@cases.run_on_virtual_clock
+async def test_request_waits_until_the_limit_allows_it():
+    table = statements.Statements(ignore)
+    own = reservations.Reservations(table, ignore)
+    now = trio.current_time()
+    table.apply_peer("x", statements.Record(0, 5.0, now + 1, now))
+    assert not await own.reserve(SERVER, 0.1)
+    assert own.get_wait_s(SERVER) == pytest.approx(0.2)
+    assert await own.reserve(SERVER, 0.2)
+    assert trio.current_time() - now == pytest.approx(0.2)
+
+
+@cases.run_on_virtual_clock
+async def test_coordinator_that_knows_the_end_of_a_limit_grants_requests():
+    table = statements.Statements(ignore)
+    own = reservations.Reservations(table, ignore)
+    table.apply_peer("x", statements.Record(0, None, 2.0, 2.0))
+    inquiry = reservations.Inquiry(
+        "x", statements.Record(0, 0.5, 1.0, 1.0, "e2"), 0.0
+    )
+    assert own.decide(inquiry, 1.0) == limits.Granted(0.0)
