Return the headers of small responses

Cause: Pool.fetch returned status and body only, so that neither the store's client nor the callers of reports and orders could read a header.

Change: a frozen data class for the complete response; no change of behaviour. Tests: those of the users pass (upstreams, probes, placement, relays, platform_store).

--- a/packages/peridotyard-daemon/src/peridotyard_daemon/connection/upstreams.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/connection/upstreams.py
@@ -8,6 +8,7 @@
 
 import collections
 import contextlib
+import dataclasses
 import select
 import socket
 import struct
@@ -132,6 +133,29 @@
     return trio.SocketStream(sock)
 
 
+@dataclasses.dataclass(frozen=True)
+class Response:
+    """A small and complete response, see `Pool.fetch`.
+
+    Attributes:
+        status: HTTP status.
+        body: The complete body.
+        headers: Names and values of the headers.
+    """
+
+    status: int
+    body: bytes
+    headers: tuple[tuple[bytes, bytes], ...] = ()
+
+    def find_header(self, name: bytes) -> bytes | None:
+        """Returns the value of a header, the first one if there are several.
+
+        Args:
+            name: Name of the header in lower case.
+        """
+        return next((v for key, v in self.headers if key.lower() == name), None)
+
+
 class Connection:
     """One connection to a server; it carries one request at a time.
 
@@ -362,8 +386,8 @@
         body: bytes = b"",
         *,
         force_new: bool = False,
-    ) -> tuple[int, bytes]:
-        """Sends a small request; returns the status and the complete body.
+    ) -> Response:
+        """Sends a small request; returns the complete response.
 
         Args:
             address: The server's address.
@@ -382,7 +406,8 @@
         try:
             await connection.send(method, target, headers, body)
             head = await connection.receive()
-            if self._names_request(tuple(head.headers.raw_items())):
+            response_headers = tuple(head.headers.raw_items())
+            if self._names_request(response_headers):
                 # A late second response to an earlier request on this
                 # connection.
                 raise LostError(f"{address}: response to another request")
@@ -392,7 +417,7 @@
             if not done:
                 connection.abort()
         self.release(connection)
-        return head.status_code, content
+        return Response(head.status_code, content, response_headers)
 
     async def try_fetch(
         self,
@@ -404,11 +429,11 @@
         *,
         timeout_s: float,
         force_new: bool = False,
-    ) -> result.Result[tuple[int, bytes], errors.PeridotyardError]:
+    ) -> result.Result[Response, errors.PeridotyardError]:
         """Sends a small request with a time limit; see `fetch`.
 
         Returns:
-            Status and body, or one of the errors of this module.
+            The response, or one of the errors of this module.
         """
         with trio.move_on_after(timeout_s):
             try:
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/placement.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/placement.py
@@ -257,13 +257,13 @@
             timeout_s=REPORT_TIMEOUT_S,
         )
         match outcome:
-            case result.Success((200, body)):
+            case result.Success(upstreams.Response(200, body)):
                 try:
                     reports[server.instance] = self._codec.decode_report(body)
                     return
                 except ValueError as error:
                     reason = str(error)
-            case result.Success((status, _)):
+            case result.Success(upstreams.Response(status=status)):
                 reason = f"status {status}"
             case result.Failure(error):
                 reason = str(error)
@@ -310,7 +310,7 @@
             timeout_s=REPORT_TIMEOUT_S,
         )
         match response:
-            case result.Success((status, _)):
+            case result.Success(upstreams.Response(status=status)):
                 outcome = f"status {status}"
             case result.Failure(error):
                 outcome = str(error)
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/probes.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/probes.py
@@ -295,7 +295,7 @@
             )
         duration_s = trio.current_time() - sent_at
         match response:
-            case result.Success((status, body)):
+            case result.Success(upstreams.Response(status, body)):
                 # Any response shows that the process is running.
                 self._update_mean_duration(duration_s)
                 self._alive_at[server.instance] = trio.current_time()
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/relays.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/relays.py
@@ -688,9 +688,9 @@
             timeout_s=ORDER_TIMEOUT_S,
         )
         match response:
-            case result.Success((200 | 202, _)):
+            case result.Success(upstreams.Response(status=200 | 202)):
                 return True
-            case result.Success((status, _)):
+            case result.Success(upstreams.Response(status=status)):
                 reason = f"status {status}"
             case result.Failure(error):
                 reason = str(error)
--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -176,7 +176,7 @@
             address, "GET", target, timeout_s=FETCH_TIMEOUT_S
         )
         pool.close_idle(address)
-        return outcome.value_or(None)
+        return outcome.map(lambda r: (r.status, r.body)).value_or(None)
 
     def reload_entry(self, number: int) -> None:
         """Changes the settings file of an entry and sends it SIGHUP."""
