Keep servers that leave or have left over a restore of the store

Cause: the rows of a copy are older than what entries know, although their revisions are of a new era. A server that was leaving or had left became ready again with its row in the copy, until it wrote the row again (DRAIN).

Change: in a new era, the server's start and its own count of heartbeats order its rows; a removed server is remembered (2,048 at most) and returns with a later heartbeat only.

Tests, failed before: two of test_synchronization for a leaving server and one that has left, and a property test with copies, restores, changes of the configuration and of a server (configuration 3 instead of 5 in effect).

--- a/packages/peridotyard-core/src/peridotyard_core/fleet.py
+++ b/packages/peridotyard-core/src/peridotyard_core/fleet.py
@@ -167,6 +167,8 @@
         layer_range: Layers that it holds; None if it holds none.
         started_at_ms: Unix time of its start, milliseconds.
         revision: Revision of the platform's row that this was read from.
+        heartbeats: Number of times that the server has written its row since
+            its start.
     """
 
     instance: str
@@ -179,6 +181,7 @@
     layer_range: LayerRange | None = None
     started_at_ms: int = 0
     revision: int = 0
+    heartbeats: int = 0
 
 
 class RetryPolicy(enum.Enum):
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/listings.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/listings.py
@@ -16,6 +16,9 @@
 # Removed rows that are remembered, see `ServerRows.has_change_outside`. They
 # cover the changes of a few seconds.
 MAX_REMOVALS = 256
+# Removed servers that are remembered, see `ServerRows`. They cover the seconds
+# by which a copy of the store is older than the store was.
+MAX_REMOVED_SERVERS = 2048
 
 _log = logs.Logger("store")
 
@@ -24,7 +27,13 @@
 
 
 class ServerRows:
-    """The list of servers as last read, owned by the synchronizer."""
+    """The list of servers as last read, owned by the synchronizer.
+
+    After the store was restored from a copy, its rows may be older than the
+    known ones, although their revisions are of a newer era. Then, the server's
+    own count of heartbeats orders its rows, and a server that was removed
+    stays so until it writes its row again.
+    """
 
     def __init__(self, decode: Decode):
         """Creates an empty list.
@@ -40,6 +49,11 @@
         self._removals: collections.deque[tuple[str, int]] = collections.deque(
             maxlen=MAX_REMOVALS
         )
+        # The last known rows of removed servers, with the revision of the
+        # removal.
+        self._removed: collections.OrderedDict[
+            str, tuple[fleet.Server, int]
+        ] = collections.OrderedDict()
         # Keys of unreadable rows that have been logged.
         self._unreadable: set[str] = set()
 
@@ -90,16 +104,45 @@
         server = self._read(row)
         known = self._servers.get(row.key)
         if server is not None:
+            if self._is_restored(server):
+                _log.info(
+                    "row from a copy of the store ignored",
+                    instance=row.key,
+                    heartbeats=server.heartbeats,
+                    revision=stores.format_revision(row.revision),
+                )
+                return False
             self._servers[row.key] = server
             if known is not None and server == dataclasses.replace(
-                known, revision=server.revision
+                known, revision=server.revision, heartbeats=server.heartbeats
             ):
                 return False
         self._changed_at[row.key] = row.revision
         return True
 
+    def _is_restored(self, server: fleet.Server) -> bool:
+        """Returns whether a row is older than what is known of its server."""
+        known = self._servers.get(server.instance)
+        if known is not None:
+            known_at, is_removed = known.revision, False
+        elif server.instance in self._removed:
+            known, known_at = self._removed[server.instance]
+            is_removed = True
+        else:
+            return False
+        if stores.get_era(server.revision) <= stores.get_era(known_at):
+            return False
+        age = (server.started_at_ms, server.heartbeats)
+        known_age = (known.started_at_ms, known.heartbeats)
+        return age < known_age or (is_removed and age == known_age)
+
     def _record_removal(self, instance: str, revision: int) -> None:
-        self._servers.pop(instance, None)
+        server = self._servers.pop(instance, None)
+        if server is not None:
+            self._removed[instance] = (server, revision)
+            self._removed.move_to_end(instance)
+            if len(self._removed) > MAX_REMOVED_SERVERS:
+                self._removed.popitem(last=False)
         self._changed_at.pop(instance, None)
         self._unreadable.discard(instance)
         self._removals.append((instance, revision))
--- a/tests/unit/test_synchronization.py
+++ b/tests/unit/test_synchronization.py
@@ -578,6 +578,41 @@
         assert list(view.routing.services) == ["new"]
 
 
+@cases.run_on_virtual_clock
+async def test_leaving_server_stays_so_with_the_row_of_a_copy():
+    async with open_view() as (stand_in, view):
+        stand_in.put("servers", "s1", encode_server(sequence=1))
+        saved = stand_in.copy()
+        leaving = encode_server(state="draining", sequence=2)
+        stand_in.put("servers", "s1", leaving)
+        await trio.sleep(1.5)
+        assert not view.servers["s1"].ready
+        stand_in.restore(saved)
+        await trio.sleep(1.5)
+        assert not view.servers["s1"].ready
+        stand_in.put("servers", "s1", encode_server(sequence=3))
+        await trio.sleep(1.5)
+        assert view.servers["s1"].ready
+
+
+@cases.run_on_virtual_clock
+async def test_server_that_has_left_does_not_return_with_a_copy():
+    async with open_view() as (stand_in, view):
+        stand_in.put("servers", "s1", encode_server(sequence=4))
+        saved = stand_in.copy()
+        await trio.sleep(1.5)
+        assert "s1" in view.servers
+        stand_in.put("servers", "s1", None)
+        await trio.sleep(1.5)
+        assert "s1" not in view.servers
+        stand_in.restore(saved)
+        await trio.sleep(3)
+        assert "s1" not in view.servers
+        stand_in.put("servers", "s1", encode_server(sequence=5))
+        await trio.sleep(1.5)
+        assert "s1" in view.servers
+
+
 @cases.run_on_virtual_clock
 async def test_server_that_is_missing_in_a_copy_may_register_again():
     async with open_view() as (stand_in, view):
@@ -613,3 +648,60 @@
         older = stores.Listing((), known, trio.current_time())
         assert not synchronizer.apply_peer_rows("op", known, older, 0.0, True)
         assert synchronizer._feeds["op"].revision == newer
+
+
+_restore_steps = strategies.lists(
+    strategies.one_of(
+        strategies.just(("config",)),
+        strategies.just(("copy",)),
+        strategies.just(("restore",)),
+        strategies.tuples(strategies.just("server"), strategies.booleans()),
+        strategies.tuples(
+            strategies.just("sleep"), strategies.sampled_from([0.05, 0.3, 1.2])
+        ),
+    ),
+    max_size=25,
+)
+
+
+@hypothesis.settings(**cases.DERANDOMIZED)
+@hypothesis.given(steps=_restore_steps)
+def test_view_never_reverts_over_restores_and_converges(steps):
+    """The operator and the server write again what the store has lost."""
+
+    async def run():
+        async with open_view() as (stand_in, view):
+            version, heartbeats, ready = 1, 1, True
+            stand_in.put("op", "config", encode_routing(version))
+            stand_in.put("servers", "s1", encode_server(sequence=1))
+            saved = stand_in.copy()
+            seen = 0
+            for step in steps:
+                match step:
+                    case ("config",):
+                        version += 2
+                        stand_in.put("op", "config", encode_routing(version))
+                    case ("copy",):
+                        saved = stand_in.copy()
+                    case ("restore",):
+                        stand_in.restore(saved)
+                    case ("server", ready):
+                        heartbeats += 1
+                    case ("sleep", duration_s):
+                        await trio.sleep(duration_s)
+                if step[0] == "server":
+                    state = "ready" if ready else "draining"
+                    value = encode_server(state=state, sequence=heartbeats)
+                    stand_in.put("servers", "s1", value)
+                if view.routing is not None:
+                    assert view.routing.version >= seen
+                    seen = view.routing.version
+            stand_in.put("op", "config", encode_routing(version))
+            state = "ready" if ready else "draining"
+            value = encode_server(state=state, sequence=heartbeats + 1)
+            stand_in.put("servers", "s1", value)
+            await trio.sleep(3.0)
+            assert view.routing.version == version
+            assert view.servers["s1"].ready == ready
+
+    virtual_clock.run(run)
