Continue a stream elsewhere if the next server answers with an error

Cause: a response with another status than 200 was taken for the response of the request, also when the caller had events of another server already. Here it did not reach the stream: ending the response raised an AttributeError, which no task catches, so it ended the entry with all its streams.

Change: for a stream that has begun, such a response is a broken path. It goes on at a third server within maxAttempts, or is cut without its end.

Test, failed before with that exception: test_relays, test_error_of_the_next_server_is_no_part_of_a_stream (two and three attempts).

--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/relays.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/relays.py
@@ -435,7 +435,17 @@
         if not head.signed or head.request_id != request.head.request_id:
             raise upstreams.LostError("response lacks a signature or id")
         if head.status != 200:
-            return Passed(head, await forwards.read_body(connection))
+            body = await forwards.read_body(connection)
+            if not self._responder.started:
+                return Passed(head, body)
+            # The caller has the head and some events of another server.
+            server = self._path[0].server
+            self._context.view.record_outcome(server, False, None)
+            return Broken(
+                f"status {head.status} for a stream that has begun",
+                frozenset([server.instance]),
+                False,
+            )
         splitter = events.Splitter()
         while True:
             event = await self._receive_monitored(connection.receive)
--- a/tests/support/servers.py
+++ b/tests/support/servers.py
@@ -16,6 +16,8 @@
 # Duration of a pause of a slow stream: longer than any silence limit of the
 # entry, and shorter than a caller's limit.
 PAUSE_S = 4.0
+# Body of a response with an error.
+ERROR_TEXT = b"id: 4 is not available"
 # Time between two pieces of a stream that does not end.
 ENDLESS_GAP_S = 0.01
 
@@ -225,6 +227,9 @@
         self.runs.append(request_id)
         begin = int(request_headers.get("last-event-id", "0")) + 1
         headers = self._make_headers(request_id, fault)
+        if fault.kind == "error":
+            await responder.send_complete(500, headers, ERROR_TEXT)
+            return
         headers.append((b"Content-Type", b"text/event-stream"))
         if fault.kind.startswith("unframed"):
             responder = _UnframedResponder(responder)
--- a/tests/unit/test_relays.py
+++ b/tests/unit/test_relays.py
@@ -825,3 +825,35 @@
         first.failed_server = str(later.address)
         await relay(harness)
         assert harness.context.statements.find_limit(later) == 2.0
+
+
+@pytest.mark.parametrize("attempts", [2, 3])
+@cases.run_on_virtual_clock
+async def test_error_of_the_next_server_is_no_part_of_a_stream(attempts):
+    """Guards against an error's text, or a false end, within a stream."""
+    layers = [(name, "a", (0, 20)) for name in ("a0", "a1", "a2")]
+    async with gateways.open_harness(
+        gateways.make_servers(layers), EVENTS
+    ) as harness:
+        faults = [
+            servers_module.Fault("crash", 3),
+            servers_module.Fault("error"),
+        ]
+        for server in harness.servers.values():
+            # The servers share the list, so each fault occurs once.
+            server.faults = faults
+        request = harness.make_request()
+        route = dataclasses.replace(request.route, max_attempts=attempts)
+        request = dataclasses.replace(request, route=route)
+        recorder = gateways.ResponseRecorder()
+        stream = relays.Stream(
+            harness.context, harness.prober, request, recorder
+        )
+        await stream.run()
+        assert not faults
+        assert servers_module.ERROR_TEXT not in recorder.body
+        if attempts == 3:
+            check_complete(recorder)
+        else:
+            assert gateways.read_event_ids(recorder.body) == [1, 2, 3]
+            assert not recorder.finished
