Do not take a response without an id for that of the next request

What callers saw, by a report of another operator: 'not run' for requests that a server was running, or a second run of such a request.

Cause: servers may write a refusal once more, late, on a kept connection. A response that names another request was skipped, but one without a name was taken for the awaited one, so the next request on that connection counted as refused. Class: a response that is attributed by its place.

Change: a connection knows whether it has carried another request; then a response without an id is a lost one, and the request may have run. Servers echo the id, so real refusals are not affected; the stand-in for servers does so now as well.

Test, failed before: test_upstreams, test_second_copy_of_a_refusal_does_not_refuse_the_next_request (without an id; the case with the id of the first request passed before).

--- a/packages/peridotyard-daemon/src/peridotyard_daemon/connection/upstreams.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/connection/upstreams.py
@@ -165,11 +165,13 @@
         address: The server's address.
         is_framed: Whether the response has a length or chunks; otherwise, it
             ends with the connection.
+        is_reused: Whether it has carried another request before.
     """
 
     def __init__(self, address: addresses.Address, stream: trio.abc.Stream):
         self.address = address
         self.is_framed = True
+        self.is_reused = False
         self._stream = stream
         self._http = h11.Connection(h11.CLIENT)
         self._request = None
@@ -278,6 +280,7 @@
         if self._http.trailing_data[0]:
             return False
         self._http.start_next_cycle()
+        self.is_reused = True
         return True
 
     def is_reusable(self) -> bool:
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/forwards.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/forwards.py
@@ -77,7 +77,8 @@
     """Returns the head of the response to a request.
 
     Discards responses that name another request: a server may send a late one
-    ahead of the awaited response.
+    ahead of the awaited response. Without a name, a response on a reused
+    connection may be one to an earlier request.
 
     Raises:
         LostError: There is no such response.
@@ -89,7 +90,13 @@
         head = codec.decode_response(
             event.status_code, tuple(event.headers.raw_items())
         )
-        if not head.request_id or head.request_id == request_id:
+        if head.request_id == request_id:
+            return head
+        if not head.request_id:
+            if connection.is_reused:
+                raise upstreams.LostError(
+                    f"status {head.status} without request id"
+                )
             return head
         _log.warning(
             "response to another request discarded",
--- a/tests/support/servers.py
+++ b/tests/support/servers.py
@@ -181,8 +181,12 @@
             headers.append((b"X-Server-Signature", b"signature"))
         return headers
 
-    async def _refuse(self, responder) -> None:
-        headers = [(b"X-Not-Executed", b"1"), *self.stated]
+    async def _refuse(self, request_id: str, responder) -> None:
+        headers = [
+            (b"X-Attempt-Id", request_id.encode()),
+            (b"X-Not-Executed", b"1"),
+            *self.stated,
+        ]
         if self.failed_server:
             headers.append((b"At-Server", self.failed_server.encode()))
         await responder.send_complete(503, headers, b"")
@@ -190,7 +194,7 @@
     async def _respond(self, request_headers, fault: Fault, responder) -> None:
         request_id = request_headers["x-attempt-id"]
         if fault.kind == "refuse":
-            await self._refuse(responder)
+            await self._refuse(request_id, responder)
             return
         self.runs.append(request_id)
         if fault.kind == "hang":
@@ -222,7 +226,7 @@
     ) -> None:
         request_id = request_headers["x-attempt-id"]
         if fault.kind == "refuse":
-            await self._refuse(responder)
+            await self._refuse(request_id, responder)
             return
         self.runs.append(request_id)
         begin = int(request_headers.get("last-event-id", "0")) + 1
--- a/tests/unit/test_upstreams.py
+++ b/tests/unit/test_upstreams.py
@@ -228,3 +228,40 @@
         # The connection is closed and not used again.
         assert not pool._idle
         assert len(dialed) == 1
+
+
+def encode_refusal(request_id=b"") -> bytes:
+    name = b"X-Attempt-Id: %s\r\n" % request_id if request_id else b""
+    return (
+        b"HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\n"
+        b"%sContent-Length: 0\r\n\r\n" % name
+    )
+
+
+# Reported by another operator: callers were told "not run" for requests that a
+# server was running.
+@pytest.mark.parametrize("named", [b"", b"r0"])
+@cases.run_on_virtual_clock
+async def test_second_copy_of_a_refusal_does_not_refuse_the_next_request(named):
+    responses = [
+        [encode_refusal(named)],
+        [encode_refusal(named), 0.05, encode(b"r1", b"one")],
+    ]
+    async with open_pool(*responses) as (pool, dialed):
+        wire = codec.Codec()
+        connection = await pool.acquire(ADDRESS)
+        await connection.send("GET", "/", (), b"")
+        head = await forwards.receive_head(connection, wire, "r0")
+        assert head.not_run
+        await forwards.read_body(connection)
+        pool.release(connection)
+        connection = await pool.acquire(ADDRESS)
+        await connection.send("GET", "/", (), b"")
+        assert len(dialed) == 1
+        if named:
+            head = await forwards.receive_head(connection, wire, "r1")
+            assert head.status == 200
+        else:
+            # It may have run, so it must not count as refused.
+            with pytest.raises(upstreams.LostError):
+                await forwards.receive_head(connection, wire, "r1")
