Test that a response whose head is cut is lost at every byte

By a report of another operator, callers got a 200 with an empty or short body when a server stopped within the head of its response and closed. It cannot happen here: the test passes on the code as it was, for heads with a length and with chunks, closed and reset, cut at every byte.

--- a/tests/unit/test_upstreams.py
+++ b/tests/unit/test_upstreams.py
@@ -265,3 +265,19 @@
             # It may have run, so it must not count as refused.
             with pytest.raises(upstreams.LostError):
                 await forwards.receive_head(connection, wire, "r1")
+
+
+# Reported by another operator: callers got a 200 with an empty or short body.
+@pytest.mark.parametrize("how", [None, "reset"])
+@cases.run_on_virtual_clock
+async def test_response_whose_head_is_cut_is_lost_at_every_byte(how):
+    for extra in (b"", b"Transfer-Encoding: chunked\r\n"):
+        head = encode(b"r1", b"", b"Keep-Alive: timeout=5\r\n")
+        if extra:
+            head = head.replace(b"Content-Length: 0\r\n", extra)
+        else:
+            head = head.replace(b"Length: 0", b"Length: 4")
+        for length in range(len(head) + 1):
+            async with open_pool([head[:length], how]) as (pool, _):
+                with pytest.raises(upstreams.LostError):
+                    await exchange(pool)
