Follow servers that state that they leave or want no requests

Change: one place of the codec decodes what a response states of its server, from responses to requests, reports and orders; one table keeps it by server and start of its process. That a server leaves is sent to all entries, holds until it starts again and makes it not ready: streams move and its layers are placed elsewhere. A stated time applies to this entry; with At-Server, to the named server of the path too. If all servers wait, a request is refused at once with the earliest of their times.

Ruled out: to end a server's leaving with a later response that does not state it; responses of several connections arrive in any order.

--- a/packages/peridotyard-core/src/peridotyard_core/exchanges.py
+++ b/packages/peridotyard-core/src/peridotyard_core/exchanges.py
@@ -84,11 +84,16 @@
     Attributes:
         limit_per_s: Requests per second that it accepts from all entries
             together; None if it states no limit.
+        is_leaving: Whether it shuts down and accepts no new work.
+        wait_s: Time for which it wants no request from this entry, seconds;
+            None if it states none.
         malformed: Descriptions of the values that were ignored, for the log.
             Such a value neither sets nor ends what the server stated before.
     """
 
     limit_per_s: float | None = None
+    is_leaving: bool = False
+    wait_s: float | None = None
     malformed: tuple[str, ...] = ()
 
 
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/announcements.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/announcements.py
@@ -57,14 +57,14 @@
         reservations.ask = self._ask
 
     def send_statements(self, connection: peers.Connection) -> None:
-        """Sends all known limits to a peer that has just connected."""
-        limited = [
+        """Sends what is known of servers to a peer that has just connected."""
+        known = [
             _encode_statement(instance, record)
             for instance, record in self._statements.list_records().items()
-            if record.limit_per_s is not None
+            if record.limit_per_s is not None or record.is_leaving
         ]
-        if limited:
-            connection.post(_make_frame(limited))
+        if known:
+            connection.post(_make_frame(known))
 
     def handle_statements(
         self, connection: peers.Connection, message: ttypes.ServerStatements
@@ -169,6 +169,7 @@
         record.limit_per_s is not None,
         record.limit_per_s or 0.0,
         round(1000 * age_s),
+        record.is_leaving,
     )
 
 
@@ -182,4 +183,5 @@
         heard_at=now - statement.age_ms / 1000,
         changed_at=now,
         source=source,
+        is_leaving=statement.is_leaving,
     )
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/gateway.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/gateway.py
@@ -165,7 +165,7 @@
                 codec.decode_response(200, headers).request_id
             ),
         )
-        statements = statements_module.Statements(count)
+        statements = statements_module.Statements(count, random)
         self.context = contexts.Context(
             view=self.view,
             pool=pool,
@@ -176,7 +176,10 @@
             statements=statements,
             reservations=reservations_module.Reservations(statements, count),
         )
-        self._prober = probes.Prober(self.view, pool, codec, count)
+        statements.notify_leaving = self.view.apply_stated_leaving
+        self.view.is_stated_leaving = statements.is_leaving
+        self.view.get_stated_wait_s = statements.get_wait_s
+        self._prober = probes.Prober(self.view, pool, codec, count, statements)
         self._forwarder = forwards.Forwarder(self.context)
         self._synchronizer = synchronization.Synchronizer(
             self.view, store, schema, random
@@ -205,6 +208,7 @@
             codec,
             count,
             self._mesh.announce_layers,
+            statements,
         )
         self._synchronizer.notify_routing = self._mesh.announce_routing
         self._synchronizer.notify_restored = self._presence.refresh_rows
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/placement.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/placement.py
@@ -16,6 +16,7 @@
 
 from peridotyard_daemon.connection import upstreams
 from peridotyard_daemon.process import logs
+from peridotyard_daemon.process import statements as statements_module
 from peridotyard_daemon.process import views
 
 # Longest time between two rounds. A change of the fleet starts a round at once;
@@ -72,6 +73,7 @@
         codec: exchanges.Codec,
         count: collections.abc.Callable[[str], None],
         publish: collections.abc.Callable[[layouts.LayerRanges], None],
+        statements: statements_module.Statements,
     ):
         """Creates the placement of one process.
 
@@ -83,6 +85,7 @@
             codec: Codec of the platform's wire format.
             count: Adds one to the counter with the given name.
             publish: Announces reported layers to the other entries.
+            statements: What the servers state about themselves.
         """
         self._view = view
         self._may_place = may_place
@@ -90,6 +93,7 @@
         self._codec = codec
         self._count = count
         self._publish = publish
+        self._statements = statements
         self._pending: dict[str, _Order] = {}
         # The last order of each server, kept after it has taken effect, since
         # reports from before it may still arrive.
@@ -256,6 +260,7 @@
             self._codec.report_target,
             timeout_s=REPORT_TIMEOUT_S,
         )
+        self._record_statement(server, outcome)
         match outcome:
             case result.Success(upstreams.Response(200, body)):
                 try:
@@ -274,6 +279,15 @@
             reason=reason,
         )
 
+    def _record_statement(self, server: fleet.Server, outcome) -> None:
+        """Records what a server states about itself in a response."""
+        match outcome:
+            case result.Success(upstreams.Response() as response):
+                head = self._codec.decode_response(
+                    response.status, response.headers
+                )
+                self._statements.record(server, head, is_request=False)
+
     def _find_layer_ranges(self, servers) -> layouts.LayerRanges:
         """Returns the layers that servers hold or were ordered to hold."""
         now = trio.current_time()
@@ -309,6 +323,7 @@
             self._codec.encode_placement_order(layer_range, report.order_count),
             timeout_s=REPORT_TIMEOUT_S,
         )
+        self._record_statement(server, response)
         match response:
             case result.Success(upstreams.Response(status=status)):
                 outcome = f"status {status}"
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/probes.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/probes.py
@@ -14,6 +14,7 @@
 
 from peridotyard_daemon.connection import upstreams
 from peridotyard_daemon.process import logs
+from peridotyard_daemon.process import statements as statements_module
 from peridotyard_daemon.process import views
 
 # A server of the same region responds within 2 ms also under load, since a
@@ -67,7 +68,9 @@
         pool: upstreams.Pool,
         codec: exchanges.Codec,
         count: collections.abc.Callable[[str], None],
+        statements: statements_module.Statements,
     ):
+        self._statements = statements
         self._view = view
         self._pool = pool
         self._codec = codec
@@ -295,12 +298,14 @@
             )
         duration_s = trio.current_time() - sent_at
         match response:
-            case result.Success(upstreams.Response(status, body)):
+            case result.Success(upstreams.Response(status, body, headers)):
                 # Any response shows that the process is running.
                 self._update_mean_duration(duration_s)
                 self._alive_at[server.instance] = trio.current_time()
                 self._view.clear_suspicion(server)
                 self._record_report(server, status, body)
+                head = self._codec.decode_response(status, headers)
+                self._statements.record(server, head, is_request=False)
                 _log.debug(
                     "probe succeeded", instance=server.instance, status=status
                 )
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/statements.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/statements.py
@@ -8,6 +8,8 @@
 import collections
 import collections.abc
 import dataclasses
+import random as random_module
+import typing
 
 from peridotyard_core import exchanges
 from peridotyard_core import fleet
@@ -19,6 +21,15 @@
 # such as those of servers that have left the list.
 MAX_SERVERS = 4096
 
+# Longest time for which a server can turn requests away in advance.
+WAIT_MAX_S = 600.0
+# The entries return to a server over this share of its time, and over this
+# time at most, so that it does not get the requests of all at one instant.
+WAIT_SPREAD = 0.1
+WAIT_SPREAD_MAX_S = 0.5
+# Source of the statements in responses to this entry, for logs and status.
+OWN_SOURCE = "own response"
+
 _log = logs.Logger("statement")
 
 
@@ -33,8 +44,9 @@
         limit_per_s: Requests per second that it accepts from all entries; None
             if it states no limit any more.
         heard_at: Time of the newest response with this statement.
-        changed_at: Time at which the limit was last changed.
+        changed_at: Time at which the statement was last changed.
         source: Entry that announced it; empty for a response to this entry.
+        is_leaving: Whether it shuts down. It does not come back from that.
     """
 
     started_at_ms: int
@@ -42,6 +54,14 @@
     heard_at: float
     changed_at: float
     source: str = ""
+    is_leaving: bool = False
+
+    def has_same_content(self, other: "Record") -> bool:
+        """Returns whether both state the same."""
+        return (self.limit_per_s, self.is_leaving) == (
+            other.limit_per_s,
+            other.is_leaving,
+        )
 
 
 class Statements:
@@ -50,49 +70,78 @@
     Attributes:
         notify: Called with the instance and the record of each server whose
             statement has changed in a response to this entry.
+        notify_leaving: Called with the instance of each server that shuts down
+            according to a new statement.
     """
 
-    def __init__(self, count: collections.abc.Callable[[str], None]):
+    def __init__(
+        self,
+        count: collections.abc.Callable[[str], None],
+        random: random_module.Random,
+    ):
         """Creates an empty table.
 
         Args:
             count: Increments a counter.
+            random: Source of random choices.
         """
         self._count = count
+        self._random = random
         self._records: collections.OrderedDict[str, Record] = (
             collections.OrderedDict()
         )
+        # Start of each server's process, and the time until which it wants no
+        # request from this entry.
+        self._waits: collections.OrderedDict[str, tuple[int, float]] = (
+            collections.OrderedDict()
+        )
         self._has_logged_malformed: set[str] = set()
         self.notify: collections.abc.Callable[[str, Record], None] = (
             lambda *_: None
         )
+        self.notify_leaving: collections.abc.Callable[[str], None] = (
+            lambda _: None
+        )
 
     def record(
-        self, server: fleet.Server, head: exchanges.ResponseHead
+        self,
+        server: fleet.Server,
+        head: exchanges.ResponseHead,
+        is_request: bool = True,
     ) -> None:
         """Records the statement in a response to this entry.
 
-        The absence of a limit counts only in a successful response: an error
-        response may come from a part of the server that states nothing.
+        The absence of a limit counts only in a successful response to a
+        request: other responses may come from a part of the server that states
+        nothing.
 
         Args:
             server: Server that sent the response.
             head: Head of the response.
+            is_request: Whether it is the response to a request of a caller, and
+                not a report or the response to an order.
         """
         statement = head.statement
         if statement.malformed:
             self._log_malformed(server, statement)
-            return
-        limit_per_s = statement.limit_per_s
+        self.record_wait(server, statement)
         known = self._find(server.instance, server.started_at_ms)
-        if limit_per_s is None and (
-            known is None
-            or known.limit_per_s is None
-            or not 200 <= head.status < 300
-        ):
+        limit_per_s = statement.limit_per_s
+        may_end = (
+            is_request and 200 <= head.status < 300 and not statement.malformed
+        )
+        if limit_per_s is None and known is not None and not may_end:
+            limit_per_s = known.limit_per_s
+        if known is None and limit_per_s is None and not statement.is_leaving:
             return
         now = trio.current_time()
-        record = Record(server.started_at_ms, limit_per_s, now, now)
+        record = Record(
+            server.started_at_ms,
+            limit_per_s,
+            now,
+            now,
+            is_leaving=statement.is_leaving,
+        )
         if self._store(server.instance, record):
             self.notify(server.instance, self._records[server.instance])
 
@@ -107,21 +156,33 @@
             Whether it has changed what is known.
         """
         known = self._records.get(instance)
-        if known is not None and (
-            record.started_at_ms < known.started_at_ms
-            or (
-                record.started_at_ms == known.started_at_ms
-                and record.heard_at <= known.heard_at
-            )
-        ):
+        if known is not None and record.started_at_ms < known.started_at_ms:
             return False
+        known = self._find(instance, record.started_at_ms)
+        if known is not None and record.heard_at <= known.heard_at:
+            # An older statement that the server leaves is still in force.
+            record = dataclasses.replace(
+                known, is_leaving=known.is_leaving or record.is_leaving
+            )
         return self._store(instance, record)
 
     def find_limit(self, server: fleet.Server) -> float | None:
         """Returns the requests per second that a server accepts, if limited."""
-        record = self._find(server.instance, server.started_at_ms)
+        record = self.find_record(server)
         return record.limit_per_s if record else None
 
+    def is_leaving(self, server: fleet.Server) -> bool:
+        """Returns whether a server has stated that it shuts down."""
+        record = self.find_record(server)
+        return record is not None and record.is_leaving
+
+    def get_wait_s(self, server: fleet.Server) -> float:
+        """Returns how long a server wants no request from this entry, s."""
+        started_at_ms, until = self._waits.get(server.instance, (0, 0.0))
+        if started_at_ms != server.started_at_ms:
+            return 0.0
+        return max(0.0, until - trio.current_time())
+
     def find_record(self, server: fleet.Server) -> Record | None:
         """Returns the newest statement of a server, None if there is none."""
         return self._find(server.instance, server.started_at_ms)
@@ -132,15 +193,24 @@
 
     def describe(self, server: fleet.Server) -> dict:
         """Returns the statement of a server as a JSON value."""
-        record = self._find(server.instance, server.started_at_ms)
-        if record is None or record.limit_per_s is None:
-            return {}
+        described: dict[str, typing.Any] = {}
+        wait_s = self.get_wait_s(server)
+        if wait_s:
+            described["wait_s"] = round(wait_s, 3)
+        record = self.find_record(server)
+        if record is None or (
+            record.limit_per_s is None and not record.is_leaving
+        ):
+            return described
         now = trio.current_time()
-        return {
-            "limit_per_s": record.limit_per_s,
+        if record.is_leaving:
+            described["leaving"] = True
+        if record.limit_per_s is not None:
+            described["limit_per_s"] = record.limit_per_s
+        return described | {
             "age_s": round(now - record.heard_at, 3),
             "since_s": round(now - record.changed_at, 3),
-            "source": record.source or "own response",
+            "source": record.source or OWN_SOURCE,
         }
 
     def _find(self, instance: str, started_at_ms: int) -> Record | None:
@@ -152,8 +222,11 @@
     def _store(self, instance: str, record: Record) -> bool:
         """Stores a record; returns whether it changes what was known."""
         known = self._find(instance, record.started_at_ms)
-        previous = known.limit_per_s if known else None
-        is_changed = previous != record.limit_per_s
+        previous = known or Record(record.started_at_ms, None, 0.0, 0.0)
+        record = dataclasses.replace(
+            record, is_leaving=record.is_leaving or previous.is_leaving
+        )
+        is_changed = not record.has_same_content(previous)
         if known is not None and not is_changed:
             record = dataclasses.replace(
                 record, changed_at=known.changed_at, source=known.source
@@ -163,16 +236,47 @@
         if len(self._records) > MAX_SERVERS:
             self._records.popitem(last=False)
         if is_changed:
-            self._count("limit_changes")
+            self._count("statement_changes")
             _log.info(
-                "server limit changed",
+                "statement of a server changed",
                 instance=instance,
                 limit_per_s=record.limit_per_s,
-                previous=previous,
-                source=record.source or "own response",
+                leaving=record.is_leaving,
+                previous_limit_per_s=previous.limit_per_s,
+                source=record.source or OWN_SOURCE,
             )
+        if record.is_leaving and not previous.is_leaving:
+            self.notify_leaving(instance)
         return is_changed
 
+    def record_wait(
+        self, server: fleet.Server, statement: exchanges.ServerStatement
+    ) -> None:
+        """Records how long a server wants no request from this entry.
+
+        Args:
+            server: The server.
+            statement: The statement in a response to this entry.
+        """
+        wait_s = statement.wait_s
+        if wait_s is None:
+            return
+        spread_s = min(WAIT_SPREAD * wait_s, WAIT_SPREAD_MAX_S)
+        wait_s = min(wait_s, WAIT_MAX_S) + spread_s * self._random.random()
+        if wait_s <= self.get_wait_s(server):
+            return
+        until = trio.current_time() + wait_s
+        self._waits[server.instance] = (server.started_at_ms, until)
+        self._waits.move_to_end(server.instance)
+        if len(self._waits) > MAX_SERVERS:
+            self._waits.popitem(last=False)
+        self._count("server_waits")
+        _log.info(
+            "server wants no requests for a time",
+            instance=server.instance,
+            wait_ms=round(1000 * wait_s),
+        )
+
     def _log_malformed(
         self, server: fleet.Server, statement: exchanges.ServerStatement
     ) -> None:
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/views.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/views.py
@@ -106,6 +106,10 @@
         notify_cleared: Called with each server whose suspicion was cleared.
         notify_leaving: Called with the instance of each server that takes no
             new work or releases layers, so that streams can move away.
+        is_stated_leaving: Returns whether a server has stated that it shuts
+            down, whatever the platform's list says.
+        get_stated_wait_s: Returns how long a server wants no request from this
+            entry, seconds.
         entry_count: Number of entries that share the retry budgets, this one
             included; 0 until known.
     """
@@ -124,6 +128,12 @@
             _ignore
         )
         self.notify_leaving: collections.abc.Callable[[str], None] = _ignore
+        self.is_stated_leaving: collections.abc.Callable[
+            [fleet.Server], bool
+        ] = lambda _: False
+        self.get_stated_wait_s: collections.abc.Callable[
+            [fleet.Server], float
+        ] = lambda _: 0.0
         self._changed = trio.Event()
         self._no_path_since: dict[str, float] = {}
         self._health: dict[str, Health] = collections.defaultdict(Health)
@@ -186,6 +196,8 @@
             return
         self._listed_layers[server.instance] = server.layer_range
         server = self._retain_reported_layers(old, server)
+        if server.ready and self.is_stated_leaving(server):
+            server = dataclasses.replace(server, ready=False)
         self.servers[server.instance] = server
         if old is not None and old.started_at_ms != server.started_at_ms:
             # The server has restarted under the same name. Observations of the
@@ -206,6 +218,21 @@
                 revision=stores.format_revision(server.revision),
             )
 
+    def apply_stated_leaving(self, instance: str) -> None:
+        """Gives no new work to a server that has stated that it shuts down."""
+        server = self.servers.get(instance)
+        if server is None or not server.ready:
+            return
+        if not self.is_stated_leaving(server):
+            return
+        self.servers[instance] = dataclasses.replace(server, ready=False)
+        self._signal_changed(instance)
+        _log.info(
+            "server gets no new work, as it states that it leaves",
+            instance=instance,
+            address=server.address,
+        )
+
     def _remove_superseded(self, server: fleet.Server) -> bool:
         """Removes older servers at the address of a server.
 
@@ -474,6 +501,7 @@
             and server.ready
             and not self.is_suspected(server)
             and now >= self._health[server.instance].refused_until
+            and not self.get_stated_wait_s(server)
         ]
 
     def find_server(self, address: addresses.Address) -> fleet.Server | None:
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/contexts.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/contexts.py
@@ -224,17 +224,23 @@
             if self.reservations.is_exhausted(server)
         )
 
-    def _get_limit_wait_s(self, service: str) -> float:
-        """Returns the time until a server's limit allows a request, seconds.
+    def _get_stated_wait_s(self, service: str) -> float:
+        """Returns the time until a server accepts a request again, seconds.
 
-        It is 0 if some server that may receive a request is not limited, or if
-        there is none.
+        It is what the servers that may receive a request state, and 0 if one of
+        them states neither a time nor a limit, or if there is none.
         """
         return min(
             (
-                self.reservations.get_wait_s(server)
-                for server in self.view.list_usable(service)
-                if server.layer_range is None or not server.layer_range.first
+                max(
+                    self.reservations.get_wait_s(server),
+                    self.statements.get_wait_s(server),
+                )
+                for server in self.view.servers.values()
+                if server.service == service
+                and server.ready
+                and not self.view.is_suspected(server)
+                and (server.layer_range is None or not server.layer_range.first)
             ),
             default=0.0,
         )
@@ -321,11 +327,12 @@
             # none for as long again.
             lasted_s = self.view.get_no_path_duration_s(request.service.name)
             wait_s = max(RETRY_AFTER_LAYERS_S, lasted_s)
-        limit_wait_s = self._get_limit_wait_s(request.service.name)
-        if limit_wait_s:
-            wait_s = max(RETRY_AFTER_BUSY_S, limit_wait_s)
-        wait_s *= 1 + RETRY_AFTER_SPREAD * self.random.random()
-        wait_s = round(min(wait_s, RETRY_AFTER_MAX_S), 3)
+        wait_s = min(wait_s, RETRY_AFTER_MAX_S)
+        stated_s = self._get_stated_wait_s(request.service.name)
+        if stated_s:
+            wait_s = max(RETRY_AFTER_BUSY_S, stated_s)
+        spread_s = min(wait_s, RETRY_AFTER_MAX_S) * RETRY_AFTER_SPREAD
+        wait_s = round(wait_s + spread_s * self.random.random(), 3)
         return verdicts.make_not_run_failure(
             "backend-unavailable",
             "No backend server accepted the request.",
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/forwards.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/forwards.py
@@ -197,7 +197,9 @@
             # attempt is cheaper for the caller than a refusal.
             server
             for server in view.servers.values()
-            if server.service == service and server.ready
+            if server.service == service
+            and server.ready
+            and not view.get_stated_wait_s(server)
         ]
         untried = [s for s in usable if s.instance not in tried]
         random = self._context.random
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/relays.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/relays.py
@@ -466,15 +466,16 @@
         return Completed()
 
     def _record_statement(self, head: exchanges.ResponseHead) -> None:
-        """Records what a server of the path states about itself.
+        """Records what the first server of the path states about itself.
 
-        A refusal may be one of a later server, which it then names.
+        A refusal may be one of a later server, which it then names. The time
+        that it states applies to both.
         """
-        speaker = self._path[0].server
-        for stage in self._path:
+        statements = self._context.statements
+        statements.record(self._path[0].server, head)
+        for stage in self._path[1:]:
             if head.not_run and stage.server.address == head.failed_address:
-                speaker = stage.server
-        self._context.statements.record(speaker, head)
+                statements.record_wait(stage.server, head.statement)
 
     async def _forward_events(self, head, arrived: list[events.Event]) -> None:
         if not arrived:
@@ -697,6 +698,12 @@
             body,
             timeout_s=ORDER_TIMEOUT_S,
         )
+        match response:
+            case result.Success(upstreams.Response() as found):
+                head = context.codec.decode_response(
+                    found.status, found.headers
+                )
+                context.statements.record(first, head, is_request=False)
         match response:
             case result.Success(upstreams.Response(status=200 | 202)):
                 return True
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/wire/peridotyard.thrift
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/wire/peridotyard.thrift
@@ -284,6 +284,8 @@
   4: double limit_per_s = 0,
   /** Time since the sender, or another entry, heard it. */
   5: i64 age_ms = 0,
+  /** Whether the server shuts down. */
+  6: bool is_leaving = false,
 }
 
 struct ServerStatements {
--- a/tests/unit/test_codec.py
+++ b/tests/unit/test_codec.py
@@ -142,6 +142,39 @@
     assert len(description) < 80
 
 
+def test_leaving_of_a_server_is_decoded():
+    def read_leaving(value):
+        head = WIRE.decode_response(500, ((b"Server-Leaving", value),))
+        return head.statement
+
+    assert read_leaving(b"1").is_leaving
+    assert not read_leaving(b"0").is_leaving
+    assert read_leaving(b"yes").malformed
+    assert not read_leaving(b"yes").is_leaving
+
+
+def test_wait_of_a_server_is_decoded_from_its_refusal_only():
+    headers = ((b"Retry-After", b"2.5"),)
+    assert WIRE.decode_response(503, headers).statement.wait_s == 2.5
+    assert WIRE.decode_response(200, headers).statement.wait_s is None
+    date = ((b"Retry-After", b"Fri, 04 Dec 2026 10:00:00 GMT"),)
+    statement = WIRE.decode_response(503, date).statement
+    assert statement.wait_s is None
+    assert statement.malformed
+
+
+def test_malformed_value_does_not_harm_the_others():
+    headers = (
+        (b"Server-Limit", b"many"),
+        (b"Server-Leaving", b"1"),
+        (b"Retry-After", b"1"),
+    )
+    statement = WIRE.decode_response(503, headers).statement
+    assert statement.is_leaving
+    assert statement.wait_s == 1.0
+    assert len(statement.malformed) == 1
+
+
 def test_limit_of_another_server_than_the_expected_one_is_ignored():
     head = WIRE.decode_response(421, ((b"Server-Limit", b"2"),))
     assert head.statement == exchanges.ServerStatement()
--- a/tests/unit/test_forwards.py
+++ b/tests/unit/test_forwards.py
@@ -307,3 +307,59 @@
         for _ in range(10):
             recorder = await forward(harness, fleet.RetryPolicy.ONCE)
             assert recorder.status == 200
+
+
+@pytest.mark.parametrize("kind", ["", "error", "refuse"])
+@cases.run_on_virtual_clock
+async def test_server_that_states_that_it_leaves_gets_no_more_requests(kind):
+    """Guards against DRAIN while the list still has the server as ready."""
+    async with gateways.open_harness(gateways.make_plain_servers(2)) as harness:
+        leaving = harness.servers["p1"]
+        leaving.stated = ((b"Server-Leaving", b"1"),)
+        leaving.faults = [servers_module.Fault(kind)]
+        while not leaving.requests:
+            await forward(harness, fleet.RetryPolicy.ONCE)
+        for _ in range(20):
+            recorder = await forward(harness, fleet.RetryPolicy.ONCE)
+            assert recorder.status == 200
+        assert len(leaving.requests) == 1
+        view = harness.context.view
+        assert not view.servers["p1"].ready
+        view.apply_server(leaving.server)
+        assert not view.servers["p1"].ready
+
+
+@cases.run_on_virtual_clock
+async def test_server_that_wants_nothing_for_a_time_gets_nothing():
+    """Guards against BUDGET: two requests within the stated time."""
+    async with gateways.open_harness(gateways.make_plain_servers(2)) as harness:
+        waiting = harness.servers["p1"]
+        waiting.stated = ((b"Retry-After", b"3"),)
+        waiting.faults = [servers_module.Fault("refuse")] * 100
+        started = trio.current_time()
+        while trio.current_time() < started + 2.9:
+            recorder = await forward(harness, fleet.RetryPolicy.ONCE)
+            assert recorder.status == 200
+            await trio.sleep(0.05)
+        assert len(waiting.requests) == 1
+        while trio.current_time() < started + 4:
+            await forward(harness, fleet.RetryPolicy.ONCE)
+            await trio.sleep(0.05)
+        assert len(waiting.requests) == 2
+
+
+@cases.run_on_virtual_clock
+async def test_request_is_refused_at_once_while_all_servers_wait():
+    async with gateways.open_harness(gateways.make_plain_servers(2)) as harness:
+        for number, server in enumerate(harness.servers.values()):
+            server.stated = ((b"Retry-After", str(4 + number).encode()),)
+            server.faults = [servers_module.Fault("refuse")] * 100
+        recorder = await forward(harness, fleet.RetryPolicy.ONCE)
+        assert recorder.status == 503
+        started = trio.current_time()
+        recorder = await forward(harness, fleet.RetryPolicy.ONCE)
+        assert trio.current_time() == started
+        assert recorder.status == 503
+        wait_s = float(dict(recorder.headers)[b"retry-after"])
+        assert 3.9 <= wait_s <= 1.3 * 4.4
+        assert [len(s.requests) for s in harness.servers.values()] == [1, 1]
--- a/tests/unit/test_mesh.py
+++ b/tests/unit/test_mesh.py
@@ -336,3 +336,44 @@
         most = max(sum(t <= at < t + 4 for at in times) for t in times)
         assert most <= 1.5 * 4 + 5
         assert len(times) >= 0.8 * 12
+
+
+@cases.run_on_virtual_clock
+async def test_one_response_tells_all_entries_that_a_server_leaves():
+    """Guards against DRAIN while the store is away and lists it as ready."""
+    layers = [("x", "a", (0, 20)), ("y", "a", (0, 20))]
+    async with deployments.open_deployment(4, layers) as deployment:
+        await trio.sleep(8)
+        deployment.rows.fault = "refuse"
+        leaving = deployment.servers["x"]
+        leaving.stated = ((b"Server-Leaving", b"1"),)
+        while not leaving.requests:
+            await deployment.call(1)
+        await trio.sleep(0.1)
+        for number in range(12):
+            assert b" 200 " in await deployment.call(number % 4 + 1)
+        assert len(leaving.requests) == 1
+        for entry in deployment.entries:
+            assert not entry.view.servers["x"].ready
+        # An entry that starts learns it from the others.
+        deployment.rows.fault = ""
+        deployment.start_entry(5)
+        await trio.sleep(3)
+        assert not deployment.entries[4].view.servers["x"].ready
+
+
+@cases.run_on_virtual_clock
+async def test_layers_of_a_server_that_states_that_it_leaves_are_placed():
+    async with deployments.open_deployment(
+        1,
+        [("x", "a", (0, 10)), ("y", "a", (10, 20)), ("z", "a", (10, 20))],
+    ) as deployment:
+        await trio.sleep(4)
+        entry = deployment.entries[0]
+        server = entry.view.servers["x"]
+        codec = entry.context.codec
+        head = codec.decode_response(200, ((b"Server-Leaving", b"1"),))
+        entry.context.statements.record(server, head)
+        await trio.sleep(4)
+        orders = deployment.servers["y"].orders + deployment.servers["z"].orders
+        assert any(order["from"] == 0 for order in orders)
--- a/tests/unit/test_placement.py
+++ b/tests/unit/test_placement.py
@@ -10,6 +10,7 @@
 from peridotyard_daemon.connection import upstreams
 from peridotyard_daemon.process import placement
 from peridotyard_daemon.process import presence
+from peridotyard_daemon.process import statements
 from peridotyard_daemon.process import views
 from peridotyard_platform import codec
 from peridotyard_platform import store
@@ -56,6 +57,7 @@
             codec.Codec(),
             self.counts.append,
             self.published.append,
+            statements.Statements(self.counts.append, random.Random(0)),
         )
 
     def apply_servers(self, stand_ins):
