Let a stream that has begun wait for the retry budget

Cause: a stream that has begun waited for lost layers, but not for the budget, which grows again while the caller waits.

Change: it tries again every quarter of a second until two seconds after its last event, then looks for a path anew.

--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/relays.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/relays.py
@@ -47,7 +47,7 @@
 # respond. Callers give up on a stream without events for two seconds.
 STREAM_SILENCE_LIMIT_S = 1.5
 # Time after the last event for which a stream that has begun waits for a path
-# if there is none. Lost layers are loaded again in one or two seconds, and
+# or the retry budget. Lost layers are loaded again in one or two seconds, and
 # callers wait for two seconds at least.
 PATH_WAIT_S = 2.0
 # Time between two searches for a path meanwhile.
@@ -208,9 +208,7 @@
         request, context = self._request, self._context
         outcome: Outcome | None = None
         for sends in range(SEND_LIMIT):
-            path = await self._reserve_path(outcome)
-            if path is None and self._responder.started:
-                path = await self._wait_for_path(outcome)
+            path = await self._find_path(outcome)
             if path is None:
                 outcome = outcome or Refused("no path", frozenset())
                 break
@@ -219,7 +217,12 @@
                 if context.is_quarantined(request):
                     break
                 if not context.spend_retry(request):
-                    break
+                    if not await self._wait_for_retry():
+                        break
+                    # The servers may have changed during the wait.
+                    path = await self._find_path(outcome)
+                    if path is None:
+                        break
             outcome = await self._try_path(path)
             match outcome:
                 case Completed() | Passed():
@@ -234,6 +237,33 @@
                         break
         await self._finish_response(outcome)
 
+    async def _find_path(self, last: Outcome | None) -> paths.Path | None:
+        """Returns the next path; a stream that has begun waits for one.
+
+        Args:
+            last: Outcome of the previous path, None for the first path.
+        """
+        path = await self._reserve_path(last)
+        if path is None and self._responder.started:
+            path = await self._wait_for_path(last)
+        return path
+
+    async def _wait_for_retry(self) -> bool:
+        """Waits until the retry budget allows a stream that has begun to go on.
+
+        Returns:
+            Whether a retry was spent.
+        """
+        if not self._responder.started:
+            return False
+        with trio.move_on_at(self._last_event_at + PATH_WAIT_S):
+            while True:
+                await trio.sleep(PATH_SEARCH_INTERVAL_S)
+                self._responder.check_connected()
+                if self._context.spend_retry(self._request):
+                    return True
+        return False
+
     async def _reserve_path(self, last: Outcome | None) -> paths.Path | None:
         """Returns the next path, within the limit of its first server.
 
