Keep a stream on a silent path while no retry is left

A path whose first server was silent, but alive, was given up for another one that the retry budget then denied, so the stream was cut.

Change: another path counts only if the budget has a retry left. It is spent when the other path is used, so it can still be gone by then; the stream then waits for it.

Test, failed before: test_stream_stays_on_a_silent_path_without_a_retry_left.

--- a/packages/peridotyard-core/src/peridotyard_core/budgets.py
+++ b/packages/peridotyard-core/src/peridotyard_core/budgets.py
@@ -104,14 +104,18 @@
             entries: Number of entries that share the reserve; 0 if unknown, so
                 that only the fraction of the requests is allowed.
         """
+        if not self.has_retry(now, entries):
+            return False
+        self._retries.append(now)
+        return True
+
+    def has_retry(self, now: float, entries: int) -> bool:
+        """Returns whether a retry is left; see `try_spend`."""
         self._trim(now)
         share = self._reserve / entries if entries else 0.0
         share *= min(1.0, (now - self._started_at) / self._window_s)
         allowed = self._fraction * len(self._requests) + share
-        if len(self._retries) + 1 > allowed:
-            return False
-        self._retries.append(now)
-        return True
+        return len(self._retries) + 1 <= allowed
 
     def _trim(self, now: float) -> None:
         for times in (self._requests, self._retries):
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/contexts.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/contexts.py
@@ -202,8 +202,9 @@
             Whether the request may be retried.
         """
         budget = self.find_budget(request.service.name)
-        entries = self.view.entry_count if self.is_listed() else 0
-        granted = budget.try_spend(trio.current_time(), entries)
+        granted = budget.try_spend(
+            trio.current_time(), self._count_sharing_entries()
+        )
         self.metrics.increment("retries" if granted else "retries_denied")
         if not granted:
             request.log(
@@ -211,6 +212,20 @@
             )
         return granted
 
+    def has_retry(self, request: Request) -> bool:
+        """Returns whether the service's budget has a retry left."""
+        budget = self.find_budget(request.service.name)
+        return budget.has_retry(
+            trio.current_time(), self._count_sharing_entries()
+        )
+
+    def _count_sharing_entries(self) -> int:
+        """Returns the number of entries that share the reserve of retries.
+
+        It is 0 if this one must not use a share.
+        """
+        return self.view.entry_count if self.is_listed() else 0
+
     def get_queue_limit_s(self, request: Request) -> float:
         """Returns how long a request waits for a server's limit, seconds."""
         limit_s = QUEUE_OBJECTIVE_SHARE * request.route.latency_objective_s
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/relays.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/relays.py
@@ -620,6 +620,8 @@
         """
         if not self._may_resume(self._possible_runs + 1):
             return False
+        if not self._context.has_retry(self._request):
+            return False
         avoid = self._avoid | failed
         view, service = self._context.view, self._request.service
         not_first = self._context.list_exhausted(service.name)
--- a/tests/unit/test_relays.py
+++ b/tests/unit/test_relays.py
@@ -5,6 +5,7 @@
 
 import hypothesis
 from hypothesis import strategies
+from peridotyard_core import budgets
 from peridotyard_core import fleet
 from peridotyard_core import verdicts
 from peridotyard_daemon.request import relays
@@ -905,3 +906,14 @@
             for r in server.requests[2:]
         ]
         assert not any(str(later.address) in path for path in paths)
+
+
+@cases.run_on_virtual_clock
+async def test_stream_stays_on_a_silent_path_without_a_retry_left():
+    """Guards against a stream that is cut while its server is alive."""
+    async with gateways.open_harness(
+        gateways.make_servers(LAYER_RANGES), EVENTS
+    ) as harness:
+        harness.context.make_budget = lambda: budgets.WindowBudget(0, 0, 10.0)
+        harness.servers["a0"].faults = [servers_module.Fault("pause", 4)]
+        check_complete(await relay(harness))
