End only one request with an internal error

Cause: an exception in the handling of one request ended the whole entry, as the AttributeError of a stream whose next server answered with an error did.

Change: the entry logs the exception with its innermost frames, counts the request as internal-error and closes its connection without a response, which promises nothing to the caller.

Test, failed before (the exception ended the entry): test_internal_error_ends_only_its_own_request.

--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/gateway.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/gateway.py
@@ -10,6 +10,7 @@
 import dataclasses
 import json
 import random as random_module
+import traceback
 
 from peridotyard_core import addresses
 from peridotyard_core import budgets
@@ -62,6 +63,8 @@
 )
 # Request target at the metrics address that returns the known fleet as JSON.
 FLEET_TARGET = "/admin/v1/fleet"
+# Innermost frames of the traceback of an internal error that are logged.
+TRACEBACK_FRAMES = 4
 # Retry-After of requests that a stopping entry refuses. It is short, since
 # other entries can serve them.
 RETRY_AFTER_STOP_S = 0.1
@@ -445,6 +448,16 @@
             # The caller closed its connection, or the process is stopping.
             self.context.record_end(admitted, "abandoned")
             raise
+        except Exception as error:
+            # An error in one request must not end the requests of all others.
+            _log.error(
+                "request ended by an internal error",
+                request=head.request_id,
+                error=repr(error),
+                traceback=traceback.format_exc(limit=-TRACEBACK_FRAMES),
+            )
+            self.context.record_end(admitted, "internal-error")
+            raise trio.BrokenResourceError from error
 
     async def _wait_initialized(self) -> None:
         """Waits for the first configuration and server list after a start."""
--- a/tests/unit/test_gateway.py
+++ b/tests/unit/test_gateway.py
@@ -594,3 +594,17 @@
         versions = [e.view.routing.version for e in deployment.entries]
         assert versions == [7] * 4
         assert b" 200 " in await deployment.call(3, key="key-2")
+
+
+@cases.run_on_virtual_clock
+async def test_internal_error_ends_only_its_own_request(monkeypatch):
+    """Guards against an entry that ends with all its streams."""
+    async with deployments.open_deployment() as deployment:
+
+        def fail(*_):
+            raise AttributeError("reason")
+
+        with monkeypatch.context() as patch:
+            patch.setattr(deployment.entries[0].view, "choose_path", fail)
+            assert await deployment.call() == b""
+        assert b" 200 " in await deployment.call()
