Decide on reservations by the newest process of a server

Cause: an inquiry about an earlier process of a server was granted without a limit, although the request reaches the process that has started since under the same id. Also, each request looked for exhausted limits among all servers, and each decision copied the table of statements.

Change: the coordinator uses the newest statement of the instance, and without a denial nothing is searched.

Test (not run on the code before, which grants it at once): test_reservations, test_coordinator_uses_the_limit_of_the_newest_process.

--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/reservations.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/reservations.py
@@ -87,6 +87,11 @@
             return 0.0
         return max(0.0, free_at - trio.current_time())
 
+    @property
+    def has_denials(self) -> bool:
+        """Whether a reservation has been denied for some server."""
+        return bool(self._free_at)
+
     def is_exhausted(self, server: fleet.Server) -> bool:
         """Returns whether no request can be reserved now."""
         return self.get_wait_s(server) > 0
@@ -161,15 +166,12 @@
                 that it cannot reach may have another coordinator.
         """
         self._statements.apply_peer(inquiry.instance, inquiry.record)
-        record = self._statements.list_records().get(inquiry.instance)
-        started_at_ms = inquiry.record.started_at_ms
-        if record is None or record.started_at_ms != started_at_ms:
-            # The server has started again, so the request does not reach it.
-            return limits.Granted(0.0)
-        if record.limit_per_s is None:
+        # Of a server that has started again, the newer process.
+        record = self._statements.find_newest(inquiry.instance)
+        if record is None or record.limit_per_s is None:
             return limits.Granted(0.0)
         now = trio.current_time()
-        key = (inquiry.instance, started_at_ms)
+        key = (inquiry.instance, record.started_at_ms)
         bucket = self._buckets.get(key)
         if bucket is None:
             bucket = self._buckets[key] = limits.RequestRate(now)
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/statements.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/statements.py
@@ -187,6 +187,10 @@
         """Returns the newest statement of a server, None if there is none."""
         return self._find(server.instance, server.started_at_ms)
 
+    def find_newest(self, instance: str) -> Record | None:
+        """Returns the statement of the newest known process of a server."""
+        return self._records.get(instance)
+
     def list_records(self) -> dict[str, Record]:
         """Returns the newest statement of each server, by instance."""
         return dict(self._records)
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/contexts.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/contexts.py
@@ -233,6 +233,8 @@
 
     def list_exhausted(self, service: str) -> frozenset[str]:
         """Returns the instances whose limits allow no request now."""
+        if not self.reservations.has_denials:
+            return frozenset()
         return frozenset(
             server.instance
             for server in self.view.list_usable(service)
--- a/tests/unit/test_reservations.py
+++ b/tests/unit/test_reservations.py
@@ -234,3 +234,13 @@
         "x", statements.Record(0, 0.5, 1.0, 1.0, "e2"), 0.0
     )
     assert own.decide(inquiry, 1.0) == limits.Granted(0.0)
+
+
+@cases.run_on_virtual_clock
+async def test_coordinator_uses_the_limit_of_the_newest_process():
+    table = statements.Statements(ignore, random.Random(0))
+    own = reservations.Reservations(table, ignore)
+    table.apply_peer("x", statements.Record(7, 2.0, 2.0, 2.0))
+    older = statements.Record(0, 50.0, 3.0, 3.0, "e2")
+    decision = own.decide(reservations.Inquiry("x", older, 0.0), 1.0)
+    assert decision == limits.Denied(0.5)
