Restore the store and limit servers in the soak

The soak draws two more faults: the store returns from a copy up to three seconds old, with the rows of operator and servers written again, and a plain server states a limit, which is checked over all entries.

--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -81,6 +81,10 @@
         self.all_servers: list[servers_module.StandIn] = []
         self.proxies: dict[str, proxies.Proxy] = {}
         self.written_at: dict[int, float] = {}
+        self._routing_value = b""
+        self._heartbeats = itertools.count(1)
+        # Instances whose rows were written as those of leaving servers.
+        self._leaving: set[str] = set()
         self.disturbed_until: dict[str, float] = {}
         self.problems: list[str] = []
         self.store_proxy: proxies.Proxy | None = None
@@ -256,7 +260,8 @@
             ],
             "tenants": [{"name": "north", "apiKeys": ["key", f"k{version}"]}],
         }
-        self.rows.put("op", "config", json.dumps(value).encode())
+        self._routing_value = json.dumps(value).encode()
+        self.rows.put("op", "config", self._routing_value)
         self.written_at[version] = time.monotonic()
         return version
 
@@ -316,9 +321,33 @@
         self, item: servers_module.StandIn, ready: bool
     ) -> None:
         """Writes the row of a server to the store."""
-        server = dataclasses.replace(item.server, ready=ready)
+        if not ready:
+            self._leaving.add(item.server.instance)
+        server = dataclasses.replace(
+            item.server, ready=ready, heartbeats=next(self._heartbeats)
+        )
         self.rows.put("servers", server.instance, rows.encode_server(server))
 
+    def restore_store(self, saved: tuple) -> None:
+        """Restores the store from a copy.
+
+        Operator and servers write again what they have written, and the rows of
+        ended servers are deleted again.
+
+        Args:
+            saved: The copy, see `platform_store.StandIn.copy`.
+        """
+        self.rows.restore(saved)
+        self.rows.put("op", "config", self._routing_value)
+        current = [*self.models.values(), *self.plain.values()]
+        names = {item.server.instance for item in current}
+        for table, key in list(self.rows.rows):
+            if table == "servers" and key not in names:
+                self.rows.put(table, key, None)
+        for item in current:
+            is_leaving = item.server.instance in self._leaving
+            self.write_server_row(item, ready=not is_leaving)
+
     def end_model(self, address: str) -> None:
         """Ends a model server, as a crash does."""
         item = self.models.pop(address)
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -11,6 +11,12 @@
 
 # Time for which a draining server continues to serve.
 DRAIN_S = 2.0
+# Time after its statement from which a limit is checked, and the requests that
+# are allowed in the window that follows it.
+LIMIT_GRACE_S = 4.0
+LIMIT_WINDOW_S = 4.0
+LIMIT_EXCESS_FACTOR = 1.5
+LIMIT_EXCESS_REQUESTS = 5
 # Maximum duration of a fault. With the pauses between their starts, two or
 # three faults overlap.
 MAX_DURATION_S = 3.0
@@ -115,6 +121,32 @@
         await trio.sleep(duration_s)
         rows.fault = ""
 
+    async def restore_store(self, duration_s: float) -> None:
+        """Restores the store from a copy that is as old as the duration."""
+        saved = self._deployment.rows.copy()
+        await trio.sleep(duration_s)
+        self._record_disturbance("store", 0.5)
+        self._deployment.restore_store(saved)
+
+    async def limit_server(self, duration_s: float) -> None:
+        """Lets a plain server state a limit, and checks that it is kept."""
+        plain = self._deployment.plain
+        item = plain[self._random.choice(sorted(plain))]
+        if item.stated:
+            return
+        limit_per_s = self._random.choice((1, 3))
+        item.stated = ((b"Server-Limit", str(limit_per_s).encode()),)
+        begin = trio.current_time() + LIMIT_GRACE_S
+        await trio.sleep(LIMIT_GRACE_S + duration_s)
+        item.stated = ()
+        arrived_at = [at for at in item.arrived_at if at >= begin]
+        allowed = LIMIT_EXCESS_FACTOR * LIMIT_WINDOW_S * limit_per_s
+        if len(arrived_at) > allowed + LIMIT_EXCESS_REQUESTS:
+            self._deployment.problems.append(
+                f"LIMIT: {len(arrived_at)} requests in {duration_s:.1f} s with"
+                f" a limit of {limit_per_s} per second"
+            )
+
     async def disturb_server(self, duration_s: float) -> None:
         """Delays, blocks or resets the connections to a server."""
         names = sorted(self._deployment.proxies)
@@ -161,6 +193,9 @@
         address = self._random.choice(sorted(models))
         item = models[address]
         await self._deployment.add_model(item.server.zone)
+        # Some servers state that they leave, whether or not the list says so.
+        if self._random.random() < 0.5:
+            item.stated = ((b"Server-Leaving", b"1"),)
         self._deployment.write_server_row(item, ready=False)
         item.is_draining = True
         await trio.sleep(DRAIN_S + duration_s)
@@ -184,6 +219,8 @@
     Faults.reload_entry,
     Faults.disturb_store,
     Faults.break_store,
+    Faults.restore_store,
+    Faults.limit_server,
     Faults.disturb_server,
     Faults.disturb_server,
     Faults.lose_responses,
--- a/tests/soak/stand_ins.py
+++ b/tests/soak/stand_ins.py
@@ -33,7 +33,7 @@
     async def _send_events(self, request_headers, fault, responder) -> None:
         path = read_path(request_headers["x-hop-count"])
         if self.is_draining or not self._check_path(path):
-            await self._refuse(responder)
+            await self._refuse(request_headers["x-attempt-id"], responder)
             return
         request_id = request_headers["x-attempt-id"]
         self._paths[request_id] = path
--- a/tests/support/rows.py
+++ b/tests/support/rows.py
@@ -34,7 +34,7 @@
         "slots": server.slots,
         "state": "ready" if server.ready else "draining",
         "kind": server.accelerator_type,
-        "sequence": 0,
+        "sequence": server.heartbeats,
         "born": server.started_at_ms,
     }
     if server.layer_range is not None:
