Test the limits of servers while entries stop, start and are cut off

A property test over twelve entries with late and lost messages: the requests of those that were never cut off nor started meanwhile stay within one and a half times the limit and five in any four seconds.

--- a/tests/unit/test_reservations.py
+++ b/tests/unit/test_reservations.py
@@ -3,9 +3,12 @@
 They cover peridotyard_daemon.process.reservations and announcements.
 """
 
+import collections
 import dataclasses
 import random
 
+import hypothesis
+from hypothesis import strategies
 from peridotyard_core import limits
 from peridotyard_core import topologies
 from peridotyard_daemon.process import announcements
@@ -20,6 +23,8 @@
 
 SERVER = fleets.make_server("x")
 WINDOW_S = 4.0
+# Time after which a connection without heartbeats is closed.
+HEARTBEAT_TIMEOUT_S = 1.5
 # Time after its statement from which a server's limit is in force.
 GRACE_S = 4.0
 
@@ -61,7 +66,7 @@
 
     def find_coordinator(self, instance: str) -> Link | None:
         """See `announcements.Mesh`."""
-        names = [entry.name for entry in self.fleet.list_running()]
+        names = [entry.name for entry in self.fleet.list_connected(self)]
         chosen = topologies.choose_coordinator(instance, names)
         if chosen == self.name:
             return None
@@ -73,7 +78,8 @@
 
     def compute_limit_share(self) -> float:
         """See `announcements.Mesh`."""
-        return 1.0
+        connected = len(self.fleet.list_connected(self))
+        return connected / len(self.fleet.list_running())
 
     def forward(self, frame: ttypes.Frame, source=None) -> None:
         """Sends a message of this entry to all others."""
@@ -88,6 +94,8 @@
 
     def __init__(self, nursery, count: int, seed: int, loss: float):
         self.entries = {f"e{n}": Entry(self, f"e{n}") for n in range(count)}
+        # Time since which entries are cut off from all others, by name.
+        self.cut_at: dict[str, float] = {}
         self._nursery = nursery
         self._random = random.Random(seed)
         self._loss = loss
@@ -96,9 +104,41 @@
         """Returns the entries that have not been stopped."""
         return [e for e in self.entries.values() if e.is_running]
 
+    def start_entry(self) -> Entry:
+        """Starts an entry, which learns the statements from the others."""
+        entry = Entry(self, f"e{len(self.entries)}")
+        others = [o for o in self.list_running() if not self.is_cut(entry, o)]
+        self.entries[entry.name] = entry
+        for other in others:
+            other.exchange.send_statements(Link(self, other, entry))
+        return entry
+
+    def is_cut(self, entry: Entry, other: Entry) -> bool:
+        """Returns whether two entries cannot reach each other."""
+        return entry is not other and bool(
+            self.cut_at.keys() & {entry.name, other.name}
+        )
+
+    def list_connected(self, entry: Entry) -> list[Entry]:
+        """Returns an entry and those that it takes for connected.
+
+        A cut is noticed when heartbeats are missing.
+        """
+        noticed_at = trio.current_time() - HEARTBEAT_TIMEOUT_S
+        return [
+            other
+            for other in self.list_running()
+            if not self.is_cut(entry, other)
+            or max(
+                self.cut_at.get(e.name, float("-inf")) for e in (entry, other)
+            )
+            > noticed_at
+        ]
+
     def deliver(self, link: Link, frame: ttypes.Frame) -> None:
         """Delivers a frame, see `Link.post`."""
-        if self._random.random() >= self._loss:
+        is_cut = self.is_cut(link.source, link.target)
+        if not is_cut and self._random.random() >= self._loss:
             self._nursery.start_soon(self._deliver_later, link, frame)
 
     async def _deliver_later(self, link: Link, frame: ttypes.Frame) -> None:
@@ -140,7 +180,9 @@
 def count_most(sent_at: list[float], start: float) -> int:
     """Returns the largest number of requests in a window after a time."""
     times = [at for at in sent_at if at >= start]
-    return max(sum(t <= at < t + WINDOW_S for at in times) for t in times)
+    return max(
+        (sum(t <= at < t + WINDOW_S for at in times) for t in times), default=0
+    )
 
 
 @pytest.mark.parametrize("seed", range(5))
@@ -244,3 +286,68 @@
     older = statements.Record(0, 50.0, 3.0, 3.0, "e2")
     decision = own.decide(reservations.Inquiry("x", older, 0.0), 1.0)
     assert decision == limits.Denied(0.5)
+
+
+@hypothesis.settings(**dict(cases.DERANDOMIZED, max_examples=25))
+@hypothesis.given(
+    limit_per_s=strategies.sampled_from([0.5, 2.0, 8.0]),
+    steps=strategies.lists(
+        strategies.tuples(
+            strategies.sampled_from(("stop", "start", "cut", "heal", "state")),
+            strategies.integers(0, 11),
+            strategies.sampled_from([0.1, 0.7, 2.0]),
+        ),
+        max_size=15,
+    ),
+)
+def test_limit_holds_while_entries_stop_start_and_are_cut_off(
+    limit_per_s, steps
+):
+    """The requests of entries that were cut off or started do not count."""
+    sent_at: dict[str, list[float]] = collections.defaultdict(list)
+    excused = set()
+
+    @cases.run_on_virtual_clock
+    async def run():
+        async with trio.open_nursery() as nursery:
+            fleet = Fleet(nursery, 12, 1, 0.02)
+
+            def start(entry):
+                number = int(entry.name[1:])
+                nursery.start_soon(
+                    send_requests, entry, sent_at[entry.name], number, 0.1
+                )
+
+            for entry in fleet.entries.values():
+                state_limit(entry, limit_per_s)
+                start(entry)
+            await trio.sleep(GRACE_S)
+            for kind, number, pause_s in steps:
+                entry = fleet.entries[f"e{number}"]
+                match kind:
+                    case "stop" if len(fleet.list_running()) > 1:
+                        entry.is_running = False
+                    case "start":
+                        entry = fleet.start_entry()
+                        excused.add(entry.name)
+                        start(entry)
+                    case "cut":
+                        fleet.cut_at[entry.name] = trio.current_time()
+                        excused.add(entry.name)
+                    case "heal":
+                        fleet.cut_at.pop(entry.name, None)
+                    case "state":
+                        state_limit(entry, limit_per_s)
+                await trio.sleep(pause_s)
+            await trio.sleep(WINDOW_S)
+            nursery.cancel_scope.cancel()
+
+    run()
+    times = sorted(
+        at
+        for name, values in sent_at.items()
+        if name not in excused
+        for at in values
+    )
+    allowed = 1.5 * WINDOW_S * limit_per_s + 5
+    assert not times or count_most(times, 0.0) <= allowed
