Show what servers state in the output of 'peridotyard fleet'

Cause: the text output rendered each JSON object as empty, since the pattern {} matches any mapping, so the column 'states' was always '-'.

Change: an object is shown as its items in one cell.

Tests: test_cli (failed before: '-' instead of the items), test_gateway (the status of another entry names the one that heard the statement).

--- a/packages/peridotyard-cli/src/peridotyard_cli/status.py
+++ b/packages/peridotyard-cli/src/peridotyard_cli/status.py
@@ -103,8 +103,11 @@
 
 def _render_cell(value: typing.Any) -> str:
     match value:
-        case None | "" | [] | {}:
+        case None | "" | []:
             return "-"
+        case dict():
+            items = [f"{key}={_render_cell(v)}" for key, v in value.items()]
+            return ",".join(items) or "-"
         case bool():
             return "yes" if value else "no"
         case float():
--- a/tests/unit/test_cli.py
+++ b/tests/unit/test_cli.py
@@ -223,3 +223,16 @@
     arguments = ["status", "--token", "t", "--admin", "http://127.0.0.1:1"]
     assert main.main(arguments) == client.EXIT_FAILED
     assert "http://127.0.0.1:1" in capsys.readouterr().err
+
+
+def test_statements_of_servers_are_shown_in_one_column():
+    """Guards against a column that is empty for each JSON object."""
+    rows = [
+        {"instance": "i-1", "states": {}},
+        {"instance": "i-2", "states": {"leaving": True, "limit_per_s": 2.0}},
+    ]
+    assert status.render_table(rows).splitlines() == [
+        "  instance  states",
+        "  i-1       -",
+        "  i-2       leaving=yes,limit_per_s=2.000",
+    ]
--- a/tests/unit/test_gateway.py
+++ b/tests/unit/test_gateway.py
@@ -608,3 +608,17 @@
             patch.setattr(deployment.entries[0].view, "choose_path", fail)
             assert await deployment.call() == b""
         assert b" 200 " in await deployment.call()
+
+
+@cases.run_on_virtual_clock
+async def test_fleet_state_shows_what_servers_state():
+    async with deployments.open_deployment(2) as deployment:
+        deployment.servers["x"].stated = ((b"Server-Limit", b"2"),)
+        await deployment.call(1)
+        await trio.sleep(0.2)
+        response = await deployment.call(2, target="/admin/v1/fleet", port=83)
+        described = json.loads(response.partition(b"\r\n\r\n")[2])
+        states = {s["instance"]: s["states"] for s in described["servers"]}
+        assert states["y"] == {}
+        assert states["x"]["limit_per_s"] == 2.0
+        assert states["x"]["source"].startswith("front-1#")
