Use a little less than the allowed retries on each entry

Seven of 23 entries were killed at 15.6 s. They had spent 154 retries for the requests of their own windows, which begin before the one that is judged; their callers then moved to the others, whose windows hold these requests as well, and the sum of the windows is larger than any common one.

Change: the entries use 0.92 of the fraction and of the reserve. Ruled out: no share of the reserve for a replaced entry in its first window; in the model it leaves 30 of the excess with twelve replaced entries, and streams are cut after restarts (LOST).

--- a/packages/peridotyard-core/src/peridotyard_core/budgets.py
+++ b/packages/peridotyard-core/src/peridotyard_core/budgets.py
@@ -7,6 +7,10 @@
 # Allows a process to retry a few requests before the first one has succeeded.
 DEFAULT_RESERVE = 10.0
 MAX_SAVED_RETRIES = 100.0
+# Part of the allowed retries of a window that the entries use. Each one counts
+# its own window, so the sum can exceed the limit when callers move from entries
+# that have spent their retries and ended to the others.
+USED_PART = 0.92
 
 
 class RetryBudget:
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/gateway.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/gateway.py
@@ -253,8 +253,8 @@
     def _make_budget(self) -> budgets.WindowBudget:
         settings = self._settings
         return budgets.WindowBudget(
-            settings.retry_fraction,
-            settings.retry_reserve,
+            budgets.USED_PART * settings.retry_fraction,
+            budgets.USED_PART * settings.retry_reserve,
             settings.retry_window_s,
             self._started_at,
         )
@@ -323,8 +323,8 @@
             },
         )
         self.context.adjust_budgets(
-            new_settings.retry_fraction,
-            new_settings.retry_reserve,
+            budgets.USED_PART * new_settings.retry_fraction,
+            budgets.USED_PART * new_settings.retry_reserve,
             new_settings.retry_window_s,
         )
         _log.info(
--- a/tests/unit/test_budgets.py
+++ b/tests/unit/test_budgets.py
@@ -80,10 +80,16 @@
         killed: Number of killed entries.
     """
     fraction, reserve, window_s = 0.2, 226, 10.0
-    entries = {
-        number: budgets.WindowBudget(fraction, reserve, window_s)
-        for number in range(21)
-    }
+
+    def make_budget(started_at=float("-inf")):
+        return budgets.WindowBudget(
+            budgets.USED_PART * fraction,
+            budgets.USED_PART * reserve,
+            window_s,
+            started_at,
+        )
+
+    entries = {number: make_budget() for number in range(21)}
     step_s = 1 / 480
     requests, retries = [], []
     for step in range(int(26 / step_s)):
@@ -93,9 +99,7 @@
                 del entries[number]
         if now >= 13.0 and len(entries) == 21 - killed:
             for number in range(21, 21 + killed):
-                entries[number] = budgets.WindowBudget(
-                    fraction, reserve, window_s, started_at=now
-                )
+                entries[number] = make_budget(now)
         is_burst = 8.0 <= now < 18.0
         if step % 4 and not is_burst:
             continue
@@ -119,7 +123,7 @@
     )
 
 
-# Found on the day capped-burst, cobfleet-grown seed 75: BUDGET, 1158 retries in
-# ten seconds where 1147 are allowed.
+# Found on the day capped-burst: BUDGET, 1158 retries in ten seconds where 1147
+# are allowed (cobfleet-grown seed 75), and 785 where 726 are.
 def test_replaced_entries_and_the_others_stay_within_the_budget_in_a_burst():
     assert find_largest_excess(killed=6) <= 0
