Share the set-up of tests of refusals, lost leases and reservations

The same set-up stood twice in test_relays and test_platform_store and four times in test_reservations. Assertions are unchanged; a lost lease now also asserts that its version was given again in both tests.

--- a/tests/unit/test_platform_store.py
+++ b/tests/unit/test_platform_store.py
@@ -189,17 +189,26 @@
         assert stand_in.calls["/rows-feed"] == calls
 
 
+async def lose_lease(stand_in, client) -> stores.Condition:
+    """Gives the version of an own row to a row of another process.
+
+    Returns:
+        The condition that held before the restore.
+    """
+    saved = stand_in.copy()
+    outcome = await client.commit((), (write("lease", b"own"),))
+    known = outcome.unwrap().revision
+    stand_in.restore(saved)
+    stand_in.put("t", "lease", b"other")
+    assert stand_in.revision == stores.get_number(known)
+    return stores.Condition("t", "lease", known)
+
+
 @cases.run_on_virtual_clock
 async def test_condition_of_an_earlier_era_does_not_hold():
     """Guards against two holders of a lease whose version is given again."""
     async with open_store() as (stand_in, client):
-        saved = stand_in.copy()
-        outcome = await client.commit((), (write("lease", b"own"),))
-        known = outcome.unwrap().revision
-        stand_in.restore(saved)
-        stand_in.put("t", "lease", b"other")
-        assert stand_in.revision == stores.get_number(known)
-        condition = stores.Condition("t", "lease", known)
+        condition = await lose_lease(stand_in, client)
         await client.scan("t")
         outcome = await client.commit((condition,), (write("lease", b"own"),))
         assert isinstance(outcome.failure(), stores.Conflict)
@@ -210,12 +219,7 @@
 async def test_write_under_a_condition_of_an_earlier_era_is_no_success():
     """As above, with a client that does not know of the new era yet."""
     async with open_store() as (stand_in, client):
-        saved = stand_in.copy()
-        outcome = await client.commit((), (write("lease", b"own"),))
-        known = outcome.unwrap().revision
-        stand_in.restore(saved)
-        stand_in.put("t", "lease", b"other")
-        condition = stores.Condition("t", "lease", known)
+        condition = await lose_lease(stand_in, client)
         outcome = await client.commit((condition,), (write("lease", b"own"),))
         assert isinstance(outcome.failure(), stores.Conflict)
 
--- a/tests/unit/test_relays.py
+++ b/tests/unit/test_relays.py
@@ -56,6 +56,25 @@
     return "a1" if "10.0.0.2:80" in path else "spare"
 
 
+async def refuse_at_later_server(harness, stated):
+    """Lets the first server of a path refuse because of a later one.
+
+    Args:
+        harness: The harness.
+        stated: Headers of the first server's responses from now on.
+
+    Returns:
+        The first server's stand-in and the later server.
+    """
+    check_complete(await relay(harness))
+    first = harness.servers["a0"]
+    later = harness.servers[find_second(harness)].server
+    first.stated = stated
+    first.faults = [servers_module.Fault("refuse")]
+    first.failed_server = str(later.address)
+    return first, later
+
+
 def check_complete(recorder, after=0):
     assert recorder.finished
     assert recorder.status == 200
@@ -818,12 +837,9 @@
     async with gateways.open_harness(
         gateways.make_servers(LAYER_RANGES), EVENTS
     ) as harness:
-        check_complete(await relay(harness))
-        first = harness.servers["a0"]
-        later = harness.servers[find_second(harness)].server
-        first.stated = ((b"Server-Limit", b"2"),)
-        first.faults = [servers_module.Fault("refuse")]
-        first.failed_server = str(later.address)
+        first, later = await refuse_at_later_server(
+            harness, ((b"Server-Limit", b"2"),)
+        )
         await relay(harness)
         table = harness.context.statements
         assert table.find_limit(first.server) == 2.0
@@ -886,12 +902,9 @@
     async with gateways.open_harness(
         gateways.make_servers(LAYER_RANGES), EVENTS
     ) as harness:
-        check_complete(await relay(harness))
-        first = harness.servers["a0"]
-        later = harness.servers[find_second(harness)].server
-        first.stated = ((b"Retry-After", b"9"),)
-        first.faults = [servers_module.Fault("refuse")]
-        first.failed_server = str(later.address)
+        first, later = await refuse_at_later_server(
+            harness, ((b"Retry-After", b"9"),)
+        )
         check_complete(await relay(harness))
         table = harness.context.statements
         assert table.get_wait_s(first.server) >= 8
--- a/tests/unit/test_reservations.py
+++ b/tests/unit/test_reservations.py
@@ -241,12 +241,17 @@
     assert used >= 0.5 * limit_per_s * (20.0 - GRACE_S)
 
 
+def make_reservations(record) -> reservations.Reservations:
+    """Returns those of an entry that has heard one statement of `SERVER`."""
+    table = statements.Statements(ignore, random.Random(0))
+    table.apply_peer(SERVER.instance, record)
+    return reservations.Reservations(table, ignore)
+
+
 @cases.run_on_virtual_clock
 async def test_coordinator_without_a_reply_grants_nothing():
-    table = statements.Statements(ignore, random.Random(0))
-    own = reservations.Reservations(table, ignore)
+    own = make_reservations(statements.Record(0, 5.0, 1.0, 0.0))
     now = trio.current_time()
-    table.apply_peer("x", statements.Record(0, 5.0, now + 1, now))
     own.ask = lambda inquiry, reply: None
     assert not await own.reserve(SERVER)
     assert trio.current_time() - now == pytest.approx(
@@ -257,10 +262,8 @@
 
 @cases.run_on_virtual_clock
 async def test_request_waits_until_the_limit_allows_it():
-    table = statements.Statements(ignore, random.Random(0))
-    own = reservations.Reservations(table, ignore)
+    own = make_reservations(statements.Record(0, 5.0, 1.0, 0.0))
     now = trio.current_time()
-    table.apply_peer("x", statements.Record(0, 5.0, now + 1, now))
     assert not await own.reserve(SERVER, 0.1)
     assert own.get_wait_s(SERVER) == pytest.approx(0.2)
     assert await own.reserve(SERVER, 0.2)
@@ -269,9 +272,7 @@
 
 @cases.run_on_virtual_clock
 async def test_coordinator_that_knows_the_end_of_a_limit_grants_requests():
-    table = statements.Statements(ignore, random.Random(0))
-    own = reservations.Reservations(table, ignore)
-    table.apply_peer("x", statements.Record(0, None, 2.0, 2.0))
+    own = make_reservations(statements.Record(0, None, 2.0, 2.0))
     inquiry = reservations.Inquiry(
         "x", statements.Record(0, 0.5, 1.0, 1.0, "e2"), 0.0
     )
@@ -280,9 +281,7 @@
 
 @cases.run_on_virtual_clock
 async def test_coordinator_uses_the_limit_of_the_newest_process():
-    table = statements.Statements(ignore, random.Random(0))
-    own = reservations.Reservations(table, ignore)
-    table.apply_peer("x", statements.Record(7, 2.0, 2.0, 2.0))
+    own = make_reservations(statements.Record(7, 2.0, 2.0, 2.0))
     older = statements.Record(0, 50.0, 3.0, 3.0, "e2")
     decision = own.decide(reservations.Inquiry("x", older, 0.0), 1.0)
     assert decision == limits.Denied(0.5)
