--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/gateway.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/gateway.py
@@ -251,12 +251,17 @@
             stream.stop_if_quarantined()
 
     def _make_budget(self) -> budgets.WindowBudget:
-        settings = self._settings
         return budgets.WindowBudget(
+            *self._compute_retry_limits(), self._started_at
+        )
+
+    def _compute_retry_limits(self) -> tuple[float, float, float]:
+        """Returns fraction, reserve and window of the retry budgets."""
+        settings = self._settings
+        return (
             budgets.USED_PART * settings.retry_fraction,
             budgets.USED_PART * settings.retry_reserve,
             settings.retry_window_s,
-            self._started_at,
         )
 
     @property
@@ -322,11 +327,7 @@
                 for name in RELOADABLE_SETTINGS
             },
         )
-        self.context.adjust_budgets(
-            budgets.USED_PART * new_settings.retry_fraction,
-            budgets.USED_PART * new_settings.retry_reserve,
-            new_settings.retry_window_s,
-        )
+        self.context.adjust_budgets(*self._compute_retry_limits())
         _log.info(
             "settings reloaded",
             changed=",".join(changed),
