Use one piece of code for limits and statements of the request paths

Plain requests and streams looked for a choice within the servers' limits with the same steps; Context.reserve has them now. Probes, placement and orders decoded and recorded the statement of a fetched response each by itself; Statements.record_fetched does. Requests no longer search for exhausted limits after the last denial has passed.

--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/placement.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/placement.py
@@ -260,7 +260,7 @@
             self._codec.report_target,
             timeout_s=REPORT_TIMEOUT_S,
         )
-        self._record_statement(server, outcome)
+        self._statements.record_fetched(server, self._codec, outcome)
         match outcome:
             case result.Success(upstreams.Response(200, body)):
                 try:
@@ -279,15 +279,6 @@
             reason=reason,
         )
 
-    def _record_statement(self, server: fleet.Server, outcome) -> None:
-        """Records what a server states about itself in a response."""
-        match outcome:
-            case result.Success(upstreams.Response() as response):
-                head = self._codec.decode_response(
-                    response.status, response.headers
-                )
-                self._statements.record(server, head, is_request=False)
-
     def _find_layer_ranges(self, servers) -> layouts.LayerRanges:
         """Returns the layers that servers hold or were ordered to hold."""
         now = trio.current_time()
@@ -323,7 +314,7 @@
             self._codec.encode_placement_order(layer_range, report.order_count),
             timeout_s=REPORT_TIMEOUT_S,
         )
-        self._record_statement(server, response)
+        self._statements.record_fetched(server, self._codec, response)
         match response:
             case result.Success(upstreams.Response(status=status)):
                 outcome = f"status {status}"
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/probes.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/probes.py
@@ -297,15 +297,14 @@
                 force_new=True,
             )
         duration_s = trio.current_time() - sent_at
+        self._statements.record_fetched(server, self._codec, response)
         match response:
-            case result.Success(upstreams.Response(status, body, headers)):
+            case result.Success(upstreams.Response(status, body)):
                 # Any response shows that the process is running.
                 self._update_mean_duration(duration_s)
                 self._alive_at[server.instance] = trio.current_time()
                 self._view.clear_suspicion(server)
                 self._record_report(server, status, body)
-                head = self._codec.decode_response(status, headers)
-                self._statements.record(server, head, is_request=False)
                 _log.debug(
                     "probe succeeded", instance=server.instance, status=status
                 )
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/reservations.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/reservations.py
@@ -89,8 +89,9 @@
 
     @property
     def has_denials(self) -> bool:
-        """Whether a reservation has been denied for some server."""
-        return bool(self._free_at)
+        """Whether the limit of some server allows no request now."""
+        now = trio.current_time()
+        return any(free_at > now for free_at in self._free_at.values())
 
     def is_exhausted(self, server: fleet.Server) -> bool:
         """Returns whether no request can be reserved now."""
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/statements.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/statements.py
@@ -13,6 +13,7 @@
 
 from peridotyard_core import exchanges
 from peridotyard_core import fleet
+from returns import result
 import trio
 
 from peridotyard_daemon.process import logs
@@ -145,6 +146,21 @@
         if self._store(server.instance, record):
             self.notify(server.instance, self._records[server.instance])
 
+    def record_fetched(
+        self, server: fleet.Server, codec: exchanges.Codec, outcome
+    ) -> None:
+        """Records the statement in a report or the response to an order.
+
+        Args:
+            server: The server.
+            codec: Codec of the platform's wire format.
+            outcome: Result of `upstreams.Pool.try_fetch`.
+        """
+        match outcome:
+            case result.Success(response):
+                head = codec.decode_response(response.status, response.headers)
+                self.record(server, head, is_request=False)
+
     def apply_peer(self, instance: str, record: Record) -> bool:
         """Applies a statement that another entry has heard.
 
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/contexts.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/contexts.py
@@ -4,6 +4,7 @@
 import dataclasses
 import functools
 import random as random_module
+import typing
 
 from peridotyard_core import budgets
 from peridotyard_core import exchanges
@@ -47,6 +48,9 @@
 # within a round trip, 2 ms within a region.
 CRASH_CHECK_S = 0.05
 
+# A server, or a path of servers.
+_Choice = typing.TypeVar("_Choice")
+
 _log = logs.Logger("request")
 
 
@@ -226,10 +230,40 @@
         """
         return self.view.entry_count if self.is_listed() else 0
 
-    def get_queue_limit_s(self, request: Request) -> float:
-        """Returns how long a request waits for a server's limit, seconds."""
+    async def reserve(
+        self,
+        request: Request,
+        choose: collections.abc.Callable[[frozenset[str]], _Choice | None],
+        choose_exhausted: collections.abc.Callable[[], _Choice | None],
+        get_server: collections.abc.Callable[[_Choice], fleet.Server],
+    ) -> _Choice | None:
+        """Returns where a request is sent next, within the servers' limits.
+
+        If the limits allow no choice, the request waits for a part of its
+        latency objective.
+
+        Args:
+            request: The request.
+            choose: Returns the best choice without the given instances, None if
+                there is none.
+            choose_exhausted: The same if all choices are exhausted.
+            get_server: Returns the server of a choice that gets the request.
+        """
+        denied = self.list_exhausted(request.service.name)
+        while (choice := choose(denied)) is not None:
+            server = get_server(choice)
+            if await self.reservations.reserve(server):
+                return choice
+            denied |= {server.instance}
+        choice = choose_exhausted() if denied else None
+        if choice is None:
+            return None
         limit_s = QUEUE_OBJECTIVE_SHARE * request.route.latency_objective_s
-        return max(0.0, min(limit_s, request.get_remaining_s()))
+        is_reserved = await self.reservations.reserve(
+            get_server(choice),
+            max(0.0, min(limit_s, request.get_remaining_s())),
+        )
+        return choice if is_reserved else None
 
     def list_exhausted(self, service: str) -> frozenset[str]:
         """Returns the instances whose limits allow no request now."""
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/forwards.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/forwards.py
@@ -161,19 +161,14 @@
             tried: Instances that are not used.
         """
         service = request.service.name
-        reservations = self._context.reservations
-        denied = self._context.list_exhausted(service)
-        while server := self._choose_server(service, tried | denied):
-            if await reservations.reserve(server):
-                return server
-            denied |= {server.instance}
-        if not denied:
-            return None
-        server = self._choose_server(service, tried, reservations.get_wait_s)
-        limit_s = self._context.get_queue_limit_s(request)
-        if server and await reservations.reserve(server, limit_s):
-            return server
-        return None
+        return await self._context.reserve(
+            request,
+            lambda denied: self._choose_server(service, tried | denied),
+            lambda: self._choose_server(
+                service, tried, self._context.reservations.get_wait_s
+            ),
+            lambda server: server,
+        )
 
     def _choose_server(
         self,
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/relays.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/relays.py
@@ -272,20 +272,12 @@
         Args:
             last: Outcome of the previous path, None for the first path.
         """
-        context, request = self._context, self._request
-        denied = context.list_exhausted(request.service.name)
-        while path := self._choose_path(last, denied):
-            first = path[0].server
-            if await context.reservations.reserve(first):
-                return path
-            denied |= {first.instance}
-        path = self._choose_path(last) if denied else None
-        if path is None:
-            return None
-        is_reserved = await context.reservations.reserve(
-            path[0].server, context.get_queue_limit_s(request)
+        return await self._context.reserve(
+            self._request,
+            lambda denied: self._choose_path(last, denied),
+            lambda: self._choose_path(last),
+            lambda path: path[0].server,
         )
-        return path if is_reserved else None
 
     def _choose_path(
         self, last: Outcome | None, not_first: frozenset[str] = frozenset()
@@ -730,12 +722,7 @@
             body,
             timeout_s=ORDER_TIMEOUT_S,
         )
-        match response:
-            case result.Success(upstreams.Response() as found):
-                head = context.codec.decode_response(
-                    found.status, found.headers
-                )
-                context.statements.record(first, head, is_request=False)
+        context.statements.record_fetched(first, context.codec, response)
         match response:
             case result.Success(upstreams.Response(status=200 | 202)):
                 return True
