--- a/review/support/cases.py
+++ b/review/support/cases.py
@@ -21,9 +21,12 @@
 
 async def end_tasks(tasks: list[asyncio.Task]) -> None:
     """Cancels tasks and waits until they have ended."""
-    for task in tasks:
-        task.cancel()
-    await asyncio.gather(*tasks, return_exceptions=True)
+    running = set(tasks)
+    while running:
+        # Repeated, since `asyncio.wait_for` may swallow a cancellation.
+        for task in running:
+            task.cancel()
+        _, running = await asyncio.wait(running, timeout=0.1)
 
 
 def run(case: Case, folder: pathlib.Path) -> int:
