review: the model server's stand-in bears a request that comes again

Cause: it kept the path of a run by the request's id, and a run that still ended removed the path of the next one.

--- a/review/support/servers.py
+++ b/review/support/servers.py
@@ -201,6 +201,19 @@
 Part = tuple[str, int, int]
 
 
+@dataclasses.dataclass
+class _Run:
+    """One stream in progress on its first server.
+
+    Attributes:
+        path: Address, first layer and end of each part.
+        stalled_at: Address of the dead server that it waits for, if any.
+    """
+
+    path: list[Part]
+    stalled_at: str = ""
+
+
 class ModelServer(Server):
     """A model server that holds layers and streams events.
 
@@ -240,10 +253,8 @@
         self._peers = peers
         peers[identity.address] = self
         self._orders = 0
-        # Paths of the streams in progress, by request.
-        self._paths: dict[str, list[Part]] = {}
-        # Address of the server that a stream waits for, by request.
-        self._stalled: dict[str, str] = {}
+        # Streams in progress, by request.
+        self._runs: dict[str, _Run] = {}
         self._load: asyncio.Task | None = None
         self._restart: asyncio.Task | None = None
 
@@ -283,14 +294,15 @@
                 "busy": self._load is not None,
                 "sequence": self._orders,
                 "queued": 0,
-                "running": len(self._paths),
+                "running": len(self._runs),
                 "kvUsed": 0,
                 "kvTotal": 90000,
                 "handles": 0,
                 "pace": 1,
                 "stalled": [
-                    {"id": name, "address": address}
-                    for name, address in self._stalled.items()
+                    {"id": name, "address": run.stalled_at}
+                    for name, run in self._runs.items()
+                    if run.stalled_at
                 ],
                 "born": self._born_ms,
             }
@@ -311,11 +323,12 @@
         """Begins to carry an order out; returns the status of the response."""
         if order["op"] == "repath":
             path = _read_path(order["path"])
-            if order["id"] not in self._paths:
+            run = self._runs.get(order["id"])
+            if run is None:
                 return 404
             if self._find_fault(path) is not None:
                 return 409
-            self._paths[order["id"]] = path
+            run.path = path
             return 202
         if order["op"] != "place":
             return 400
@@ -362,14 +375,17 @@
             writer.write(http1.render_response(status, headers))
             return
         request_id = echo["X-Attempt-Id"]
-        self._paths[request_id] = path
+        # The same request may come again while the first run still ends.
+        run = self._runs[request_id] = _Run(path)
         try:
-            await self._send_events(request, echo, writer)
+            await self._send_events(request, echo, writer, run)
         finally:
-            self._paths.pop(request_id, None)
-            self._stalled.pop(request_id, None)
+            if self._runs.get(request_id) is run:
+                del self._runs[request_id]
 
-    async def _send_events(self, request, echo: dict, writer) -> None:
+    async def _send_events(
+        self, request: http1.Message, echo: dict, writer, run: "_Run"
+    ) -> None:
         first = int(request.headers.get("last-event-id", "0")) + 1
         signed = echo | {
             "X-Server-Signature": f"s.{self.identity.instance}",
@@ -386,7 +402,7 @@
             range(first, self._model.events + 1, size)
         ):
             await asyncio.sleep(EVENT_GAP_S)
-            await self._wait_for_path(echo["X-Attempt-Id"])
+            await self._wait_for_path(run)
             if is_fatal and sent == self.fatal_events:
                 self._crash(echo["X-Attempt-Id"])
                 raise http1.BrokenError("the server has crashed")
@@ -414,27 +430,24 @@
         )
         return data.replace(right, wrong)
 
-    async def _wait_for_path(self, request_id: str) -> None:
+    async def _wait_for_path(self, run: "_Run") -> None:
         """Stalls while a server of the path is dead.
 
         Raises:
             BrokenError: It was not replaced in time; the stream is cut off.
         """
         waited_s = 0.0
-        while True:
-            dead = [
-                address
-                for address, _, _ in self._paths[request_id]
-                if not self._peers[address].is_alive
-            ]
-            if not dead:
-                self._stalled.pop(request_id, None)
-                return
+        while dead := [
+            address
+            for address, _, _ in run.path
+            if not self._peers[address].is_alive
+        ]:
             if waited_s >= STALL_S:
                 raise http1.BrokenError("a server of the path is dead")
-            self._stalled[request_id] = dead[0]
+            run.stalled_at = dead[0]
             waited_s += STALL_CHECK_S
             await asyncio.sleep(STALL_CHECK_S)
+        run.stalled_at = ""
 
     def _crash(self, request_id: str) -> None:
         """Ends the process; another one starts at the address later."""
