review: case 3 spoils the first and a later event in turn

Cause: with the wrong byte only in the second event of a pass, the case showed one of the two ways in which events are lost.

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -20,8 +20,11 @@
 MODEL = servers_module.Model(layers=20, events=30, load_s=1.0, pass_events=2)
 # `garble` with x = 0.05: one answer of twenty is spoiled.
 SPOILED_ANSWERS = 20
-# Whether the wrong byte is in the first event, instead of in a later one.
-SPOILS_FIRST = os.environ.get("SPOILS_FIRST", "0") != "0"
+# The spoiled events, in turn; one of them can be chosen.
+SPOILED = [
+    servers_module.Spoiled(name)
+    for name in os.environ.get("SPOILED", "later,first").split(",")
+]
 CALLERS = 12
 TIME_LIMIT_S = 20.0
 # Longer than `contactMs` (3 s), so that all entries are in touch.
@@ -92,8 +95,11 @@
     tasks = []
     answers = itertools.count(1)
 
-    def spoils() -> bool:
-        return next(answers) % SPOILED_ANSWERS == 0
+    def choose_spoiled() -> servers_module.Spoiled:
+        count, rest = divmod(next(answers), SPOILED_ANSWERS)
+        if rest:
+            return servers_module.Spoiled.NONE
+        return SPOILED[count % len(SPOILED)]
 
     try:
         write_configuration(deployment)
@@ -122,11 +128,10 @@
         await asyncio.sleep(WARM_UP_S)
         if is_troubled:
             for server in servers:
-                server.spoils = spoils
-                server.spoils_first = SPOILS_FIRST
+                server.choose_spoiled = choose_spoiled
         await asyncio.sleep(GARBLE_S)
         for server in servers:
-            server.spoils = lambda: False
+            server.choose_spoiled = lambda: servers_module.Spoiled.NONE
         await asyncio.sleep(3.0)
         return _judge(record, outcomes)
     finally:
--- a/review/support/servers.py
+++ b/review/support/servers.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections.abc
 import dataclasses
+import enum
 import itertools
 import json
 import time
@@ -44,6 +45,15 @@
     kind: str = ""
 
 
+class Spoiled(enum.Enum):
+    """Which event of an answer has a wrong byte in its id."""
+
+    NONE = "none"
+    FIRST = "first"
+    # The last event of a pass that has sent sound ones before.
+    LATER = "later"
+
+
 @dataclasses.dataclass(frozen=True)
 class Model:
     """The model that model servers run.
@@ -225,8 +235,7 @@
         fatal_events: Events that the server sends before that crash.
         down_s: Time until it is back after a crash.
         crashes: How often it has crashed.
-        spoils: Returns whether to spoil the answer to a request.
-        spoils_first: Whether to spoil the first event and not a later one.
+        choose_spoiled: Returns which event of an answer to spoil.
         is_alive: Whether its process runs.
         held: The layers that it holds; None for none.
     """
@@ -244,8 +253,9 @@
         self.fatal_events = 0
         self.down_s = 4.0
         self.crashes = 0
-        self.spoils_first = False
-        self.spoils: collections.abc.Callable[[], bool] = lambda: False
+        self.choose_spoiled: collections.abc.Callable[[], Spoiled] = (
+            lambda: Spoiled.NONE
+        )
         self.is_alive = False
         self.held: tuple[int, int] | None = None
         self._name = identity.instance
@@ -396,7 +406,7 @@
         lines = ["HTTP/1.1 200 X", *(f"{k}: {v}" for k, v in signed.items())]
         head = "\r\n".join(lines).encode() + http1.HEAD_END
         is_fatal = request.body == self.fatal_body
-        is_spoiled = self.spoils()
+        spoiled = self.choose_spoiled()
         size = self._model.pass_events
         for sent, number in enumerate(
             range(first, self._model.events + 1, size)
@@ -408,9 +418,9 @@
                 raise http1.BrokenError("the server has crashed")
             last = min(number + size - 1, self._model.events)
             data = b"".join(map(_make_event, range(number, last + 1)))
-            if is_spoiled and self.spoils_first and not sent:
+            if spoiled is Spoiled.FIRST and not sent:
                 data = self._spoil(data, number, echo["X-Attempt-Id"])
-            elif is_spoiled and not self.spoils_first and sent == SPOILED_PASS:
+            if spoiled is Spoiled.LATER and sent == SPOILED_PASS:
                 data = self._spoil(data, last, echo["X-Attempt-Id"])
             writer.write(head + http1.render_chunk(data))
             head = b""
