--- a/review/5/case.py
+++ b/review/5/case.py
@@ -12,7 +12,7 @@
 from support import servers as servers_module
 
 ENTRIES = 3
-SERVERS = 8
+SERVERS = 12
 SLOTS = 6
 WORK_S = 0.0225
 CALLERS = 18
@@ -20,9 +20,9 @@
 WARM_UP_S = 6.0
 # `node_freeze` of one machine for 4 seconds.
 FREEZE_S = 4.0
-# Times from the end of the freeze to the removal of a server's row. Two servers
-# of eight leave (`scale_in` with share = 0.25).
-LEAVE_AFTER_S = (0.1, 0.35)
+# Times from the end of the freeze to the removal of a server's row. Three
+# servers of twelve leave (`scale_in` with share = 0.25).
+LEAVE_AFTER_S = (0.1, 0.35, 0.6)
 # The servers continue to serve for `drainMs` and a little longer.
 SERVE_S = 6.0
 DRAIN_S = deployment_module.BOUNDS["drainMs"] / 1000
