review: scripts end their processes first; case 1 has more callers

Cause: the time limit of a case could fall on the wait for its callers, before its processes were ended; two early runs of case 5 left six entries. Case 1 had 12 callers in lockstep, of which the end of the entries cut off 3 at most in one run, so that the run held.

Measured: case 1, with 30 callers, failed in 5 of 5 runs with 22 to 26 requests cut, and held without the row (4,235 of 4,235 answered). Cases 2 to 5 failed and held as before, in one more run each; all five ended their processes when they were stopped after 7 s.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -11,11 +11,13 @@
 from support import servers as servers_module
 
 ENTRIES = 2
-SERVERS = 3
+SERVERS = 5
 SLOTS = 6
 WORK_S = 0.09
 TIME_LIMIT_S = 3.0
-CALLERS = 12
+CALLERS = 30
+# Time between the first requests of two callers.
+STAGGER_S = 0.013
 # Longer than `contactMs` (3 s), so that all entries are in touch.
 WARM_UP_S = 6.0
 AFTER_S = 12.0
@@ -72,6 +74,7 @@
                     _call(f"c{number + 1}", entry, record, outcomes)
                 )
             )
+            await asyncio.sleep(STAGGER_S)
         await asyncio.sleep(WARM_UP_S)
         if is_troubled:
             deployment.store.put("servers", "x-unreadable", ROW)
@@ -79,11 +82,12 @@
         await asyncio.sleep(AFTER_S)
         return _judge(record, deployment, outcomes)
     finally:
-        await cases.end_tasks(tasks)
+        # First what does not wait, so that no process is left behind.
         deployment.stop()
         for server in servers:
             server.close()
         deployment.store.close()
+        await cases.end_tasks(tasks)
 
 
 async def _call(
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -135,11 +135,12 @@
         await asyncio.sleep(3.0)
         return _judge(record, outcomes)
     finally:
-        await cases.end_tasks(tasks)
+        # First what does not wait, so that no process is left behind.
         deployment.stop()
         for server in servers:
             server.close()
         deployment.store.close()
+        await cases.end_tasks(tasks)
 
 
 async def _call(
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -134,11 +134,12 @@
             await asyncio.sleep(REPEAT_S)
         return _judge(record, attempts)
     finally:
-        await cases.end_tasks(tasks)
+        # First what does not wait, so that no process is left behind.
         deployment.stop()
         for server in servers:
             server.close()
         deployment.store.close()
+        await cases.end_tasks(tasks)
 
 
 def _make_headers(part: str) -> dict[str, str]:
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -87,11 +87,12 @@
         await asyncio.sleep(SERVE_S)
         return _judge(record, acks)
     finally:
-        await cases.end_tasks(tasks)
+        # First what does not wait, so that no process is left behind.
         deployment.stop()
         for server in servers:
             server.close()
         deployment.store.close()
+        await cases.end_tasks(tasks)
 
 
 async def _call(
