Separate the runs of a stream from the choice of its paths

request/relays.py held both the choice of paths for a stream and what happens on one of them: connection, relaying, probes, repair. request/runs.py now holds the latter, as one object for each run, so that a stream can have two.

Conclusion: state of a path no longer outlives its run.

--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/relays.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/relays.py
@@ -8,103 +8,24 @@
 """
 
 import dataclasses
-import typing
 
-import h11
-from peridotyard_core import events
-from peridotyard_core import exchanges
-from peridotyard_core import fleet
 from peridotyard_core import paths
 from peridotyard_core import verdicts
-from returns import result
 import trio
 
 from peridotyard_daemon.connection import callers
-from peridotyard_daemon.connection import upstreams
-from peridotyard_daemon.process import logs
 from peridotyard_daemon.process import probes
 from peridotyard_daemon.request import contexts
-from peridotyard_daemon.request import forwards
+from peridotyard_daemon.request import runs
 
 # Attempts to send one request, including refusals and resumptions.
 SEND_LIMIT = 5
-# The path is probed after a silence of this many mean gaps between events, but
-# no later than after this fraction of the longest gap that the route allows.
-# Half of that gap leaves time to replace a failed server before it is exceeded.
-SILENCE_MEAN_GAPS = 2.5
-SILENCE_GAP_FRACTION = 0.5
-# Bounds of that silence, before the probe time is added. The minimum covers a
-# few steps of a full batch; below that, each normal step would look like a
-# failure.
-SILENCE_MIN_S = 0.06
-SILENCE_MAX_S = 0.5
-# Multiple of the mean probe time that is added to that silence. A probe takes
-# 2 ms in an idle process.
-PROBE_TIME_FACTOR = 3
-# Weight of the newest gap in the moving average of the gaps.
-GAP_SMOOTHING = 0.2
-# Silence after which a stream is moved to another path although all its servers
-# respond. Callers give up on a stream without events for two seconds.
-STREAM_SILENCE_LIMIT_S = 1.5
 # Time after the last event for which a stream that has begun waits for a path
 # or the retry budget. Lost layers are loaded again in one or two seconds, and
 # callers wait for two seconds at least.
 PATH_WAIT_S = 2.0
 # Time between two searches for a path meanwhile.
 PATH_SEARCH_INTERVAL_S = 0.25
-# Slowness (1 is normal) from which a server of a stream without events is
-# replaced. Rerunning the prefix on another server costs about three slow steps.
-SLOWNESS_LIMIT = 3.0
-# Time limit of an order to a server. The server responds at once and carries
-# the order out in the background.
-ORDER_TIMEOUT_S = 0.3
-
-_log = logs.Logger("stream")
-
-
-@dataclasses.dataclass(frozen=True)
-class Completed:
-    """The complete stream was relayed."""
-
-
-@dataclasses.dataclass(frozen=True)
-class Passed:
-    """The server sent a response that is not a stream."""
-
-    head: exchanges.ResponseHead
-    body: bytes
-
-
-@dataclasses.dataclass(frozen=True)
-class Refused:
-    """The path did not run the request.
-
-    Attributes:
-        reason: Why it did not run, for the log.
-        avoid: Instances that the next path must not use.
-    """
-
-    reason: str
-    avoid: frozenset[str]
-
-
-@dataclasses.dataclass(frozen=True)
-class Broken:
-    """The path failed; it may have run a part of the request.
-
-    Attributes:
-        reason: Why it failed, for the log.
-        avoid: Instances that the next path must not use.
-        ended: Whether the process of the path's first server is known to have
-            terminated.
-    """
-
-    reason: str
-    avoid: frozenset[str]
-    ended: bool
-
-
-Outcome = Completed | Passed | Refused | Broken
 
 
 class Stream:
@@ -121,27 +42,15 @@
         self._prober = prober
         self._request = request
         self._responder = responder
-        self._sequence = events.Sequence(request.head.last_event_id)
-        self._path: paths.Path = ()
-        # Ends the run on the current path.
-        self._run_scope = trio.CancelScope()
-        # Serializes changes of the path, since each order has a complete path.
-        self._path_lock = trio.Lock()
+        self._progress = runs.Progress(request.head.last_event_id)
+        # The run in progress, if any.
+        self._run: runs.Run | None = None
         # Instances that refused the request or failed on an earlier path.
         self._avoid: frozenset[str] = frozenset()
         # Whether a path may have run a part of the request.
         self._may_have_run = False
-        # Number of the last event before the current path.
-        self._path_start_event = self._sequence.last
-        # Times of the last event and of the next check of a silent path.
-        self._last_activity_at = trio.current_time()
-        self._check_at = self._last_activity_at
-        self._check_interval_s = 0.0
-        self._last_event_at = self._last_activity_at
         # Number of paths that may still run a part of the request.
         self._possible_runs = 0
-        self._mean_gap_s: float | None = None
-        self._longest_gap_s = 0.0
 
     async def run(self) -> None:
         """Relays the stream, and resumes it on other paths after failures."""
@@ -166,7 +75,7 @@
 
         Only such a server can be replaced while the stream continues.
         """
-        return any(s.server.instance == instance for s in self._path[1:])
+        return self._run is not None and self._run.has_later_stage(instance)
 
     async def replace_server(self, instance: str) -> None:
         """Replaces a server that is leaving or suspected, if another is free.
@@ -175,42 +84,28 @@
         releases layers waits for the streams that use them, so moving them off
         early lets it release the layers sooner.
         """
-        async with self._path_lock:
-            if not self.has_later_stage(instance):
-                return
-            path = self._plan_replacement(frozenset([instance]))
-            if path is None:
-                return
-            if await self._change_path(path):
-                self._request.log(
-                    _log,
-                    "stream moved off a server",
-                    instance=instance,
-                    path=describe_path(path),
-                )
-
-    @property
-    def _is_unanswered(self) -> bool:
-        """Whether no event has come on the current path."""
-        return self._sequence.last == self._path_start_event
+        if self._run is not None:
+            await self._run.replace_server(instance)
 
     def stop_if_quarantined(self) -> None:
         """Ends a run without an answer if its request is quarantined now.
 
         The server has not crashed yet.
         """
-        if not self._responder.started and self._context.is_quarantined(
-            self._request
+        if (
+            self._run is not None
+            and not self._responder.started
+            and self._context.is_quarantined(self._request)
         ):
-            self._run_scope.cancel()
+            self._run.stop()
 
     async def _run_paths(self) -> None:
         request, context = self._request, self._context
-        outcome: Outcome | None = None
+        outcome: runs.Outcome | None = None
         for sends in range(SEND_LIMIT):
             path = await self._find_path(outcome)
             if path is None:
-                outcome = outcome or Refused("no path", frozenset())
+                outcome = outcome or runs.Refused("no path", frozenset())
                 break
             if sends:
                 self._responder.check_connected()
@@ -225,11 +120,11 @@
                         break
             outcome = await self._try_path(path)
             match outcome:
-                case Completed() | Passed():
+                case runs.Completed() | runs.Passed():
                     break
-                case Refused(avoid=avoid):
+                case runs.Refused(avoid=avoid):
                     self._avoid |= avoid
-                case Broken(avoid=avoid, ended=ended):
+                case runs.Broken(avoid=avoid, ended=ended):
                     self._may_have_run = True
                     self._avoid |= avoid
                     self._possible_runs += not ended
@@ -237,11 +132,26 @@
                         break
         await self._finish_response(outcome)
 
-    async def _find_path(self, last: Outcome | None) -> paths.Path | None:
+    async def _try_path(self, path: paths.Path) -> runs.Outcome:
+        self._run = runs.Run(
+            self._context,
+            self._prober,
+            self._request,
+            self._responder,
+            self._progress,
+            path,
+            self._has_other_path,
+        )
+        try:
+            return await self._run.execute()
+        finally:
+            self._run = None
+
+    async def _find_path(self, last: runs.Outcome | None) -> paths.Path | None:
         """Returns the next path; a stream that has begun waits for one.
 
         Args:
-            last: Outcome of the previous path, None for the first path.
+            last: runs.Outcome of the previous path, None for the first path.
         """
         path = await self._reserve_path(last)
         if path is None and self._responder.started:
@@ -256,7 +166,7 @@
         """
         if not self._responder.started:
             return False
-        with trio.move_on_at(self._last_event_at + PATH_WAIT_S):
+        with trio.move_on_at(self._progress.last_event_at + PATH_WAIT_S):
             while True:
                 await trio.sleep(PATH_SEARCH_INTERVAL_S)
                 self._responder.check_connected()
@@ -264,13 +174,15 @@
                     return True
         return False
 
-    async def _reserve_path(self, last: Outcome | None) -> paths.Path | None:
+    async def _reserve_path(
+        self, last: runs.Outcome | None
+    ) -> paths.Path | None:
         """Returns the next path, within the limit of its first server.
 
         Only the first server of a path receives a request.
 
         Args:
-            last: Outcome of the previous path, None for the first path.
+            last: runs.Outcome of the previous path, None for the first path.
         """
         return await self._context.reserve(
             self._request,
@@ -280,29 +192,29 @@
         )
 
     def _choose_path(
-        self, last: Outcome | None, not_first: frozenset[str] = frozenset()
+        self, last: runs.Outcome | None, not_first: frozenset[str] = frozenset()
     ) -> paths.Path | None:
         """Returns the cheapest path.
 
         Args:
-            last: Outcome of the previous path, None for the first path.
+            last: runs.Outcome of the previous path, None for the first path.
             not_first: Instances with which the path must not begin.
         """
         view, service = self._context.view, self._request.service
         path = view.choose_path(service, self._avoid, not_first)
-        if path is None and isinstance(last, Broken):
+        if path is None and isinstance(last, runs.Broken):
             # Without other servers, those that lost an earlier attempt may be
             # used again. Servers that refused would refuse again.
             path = view.choose_path(service, last.avoid, not_first)
         return path
 
-    async def _wait_for_path(self, last: Outcome) -> paths.Path | None:
+    async def _wait_for_path(self, last: runs.Outcome) -> paths.Path | None:
         """Waits for a path of a stream that has begun; None if there is none.
 
         Args:
-            last: Outcome of the previous path.
+            last: runs.Outcome of the previous path.
         """
-        with trio.move_on_at(self._last_event_at + PATH_WAIT_S):
+        with trio.move_on_at(self._progress.last_event_at + PATH_WAIT_S):
             while True:
                 await trio.sleep(PATH_SEARCH_INTERVAL_S)
                 path = await self._reserve_path(last)
@@ -316,21 +228,21 @@
             return False
         return possible_runs < route.max_attempts
 
-    async def _finish_response(self, outcome: Outcome) -> None:
+    async def _finish_response(self, outcome: runs.Outcome) -> None:
         request, context = self._request, self._context
-        if self._responder.started and not isinstance(outcome, Completed):
+        if self._responder.started and not isinstance(outcome, runs.Completed):
             # Leaving out the final chunk shows the caller that the response is
             # incomplete, so that it can resume after its last event.
             context.record_end(request, f"cut ({outcome.reason})")
             return
         match outcome:
-            case Completed():
+            case runs.Completed():
                 context.record_end(request, "status 200")
-            case Passed(head=head, body=body):
+            case runs.Passed(head=head, body=body):
                 await context.send_response(
                     request, self._responder, head, body
                 )
-            case Refused(reason=reason) | Broken(reason=reason):
+            case runs.Refused(reason=reason) | runs.Broken(reason=reason):
                 failure = context.refuse_unavailable(request, reason)
                 if self._may_have_run:
                     failure = dataclasses.replace(
@@ -341,267 +253,6 @@
                     )
                 await context.fail(request, self._responder, failure)
 
-    async def _try_path(self, path: paths.Path) -> Outcome:
-        request, context = self._request, self._context
-        first_server = path[0].server
-        self._set_path(path)
-        self._record_activity()
-        self._path_start_event = self._sequence.last
-        request.log(
-            _log,
-            "request sent on a path",
-            path=describe_path(path),
-            after=self._sequence.last,
-            prompt=",".join(request.head.prompt_parts),
-            routing=request.version,
-            fleet_age_ms=context.get_fleet_age_ms(),
-        )
-        connection = None
-        reusable = False
-        successions: tuple[int, ...] = ()
-        outcome: Outcome = Broken("cancelled", frozenset(), False)
-        try:
-            connection = await context.pool.acquire(first_server.address)
-            dispatch = request.make_dispatch(
-                first_server, path, self._sequence.last
-            )
-            successions = context.parts.get_successions(request.shared_parts)
-            await connection.send(
-                request.head.method,
-                request.head.target,
-                context.codec.encode_request(request.head, dispatch),
-                request.body,
-            )
-            with trio.CancelScope() as self._run_scope:
-                outcome = await self._relay(connection)
-            if self._run_scope.cancelled_caught:
-                outcome = Broken("quarantined", frozenset(), False)
-            reusable = not isinstance(outcome, Broken)
-        except upstreams.UnsentError as error:
-            refused = isinstance(error, upstreams.RefusedError)
-            context.view.suspect(first_server, str(error), ended=refused)
-            outcome = Refused(str(error), frozenset([first_server.instance]))
-        except (upstreams.LostError, events.SequenceError) as error:
-            outcome = await self._classify_loss(
-                first_server, str(error), successions
-            )
-        finally:
-            self._set_path(())
-            if connection is not None:
-                if reusable:
-                    context.pool.release(connection)
-                else:
-                    connection.abort()
-            # Also if the caller left: the server is told to stop only here.
-            request.log(
-                _log,
-                "path ended",
-                outcome=type(outcome).__name__.lower(),
-                reason=getattr(outcome, "reason", ""),
-                ended=getattr(outcome, "ended", False),
-                last_event=self._sequence.last,
-                longest_gap_ms=round(1000 * self._longest_gap_s),
-            )
-        return outcome
-
-    async def _classify_loss(
-        self, server: fleet.Server, reason: str, successions: tuple[int, ...]
-    ) -> Broken:
-        """Returns the outcome of a lost connection to the first server.
-
-        Records a crash if the server terminated before it sent an event.
-
-        Args:
-            server: The server.
-            reason: Why the connection was lost.
-            successions: Known crashes for the parts of the prompt when the
-                request was sent.
-        """
-        ended = await self._context.check_ended(server)
-        if not ended:
-            await self._prober.find_unresponsive([server])
-            ended = self._context.view.has_ended(server)
-        avoid = frozenset([server.instance])
-        if ended and self._is_unanswered:
-            self._context.record_crash(self._request, server)
-            if self._sequence.last is None:
-                # A request with an answer, even from another server, has no
-                # part that crashes servers.
-                self._context.parts.record_crash(
-                    self._request.shared_parts, server, successions
-                )
-        return Broken(reason, avoid, ended)
-
-    def _set_path(self, path: paths.Path) -> None:
-        """Sets the path; moves the in-flight count from old to new servers."""
-        for stage in self._path:
-            self._context.view.get_health(stage.server).in_flight -= 1
-        for stage in path:
-            self._context.view.get_health(stage.server).in_flight += 1
-        self._path = path
-
-    async def _relay(self, connection: upstreams.Connection) -> Outcome:
-        """Relays the response of the path's first server."""
-        context, request = self._context, self._request
-        head = await self._receive_monitored(
-            lambda: forwards.receive_head(
-                connection, context.codec, request.head.request_id
-            )
-        )
-        if isinstance(head, Broken):
-            return head
-        self._record_statement(head)
-        if head.not_run:
-            await forwards.read_body(connection)
-            return await self._classify_refusal(head)
-        if not head.signed or head.request_id != request.head.request_id:
-            raise upstreams.LostError("response lacks a signature or id")
-        if head.status != 200:
-            body = await forwards.read_body(connection)
-            if not self._responder.started:
-                return Passed(head, body)
-            # The caller has the head and some events of another server.
-            server = self._path[0].server
-            self._context.view.record_outcome(server, False, None)
-            return Broken(
-                f"status {head.status} for a stream that has begun",
-                frozenset([server.instance]),
-                False,
-            )
-        splitter = events.Splitter()
-        while True:
-            event = await self._receive_monitored(connection.receive)
-            if isinstance(event, Broken):
-                return event
-            if isinstance(event, h11.EndOfMessage):
-                break
-            await self._forward_events(head, splitter.feed(bytes(event.data)))
-        if not splitter.is_empty:
-            raise upstreams.LostError("stream ended within an event")
-        if not connection.is_framed and self._is_unanswered:
-            # Without length and chunks, only the events show that the stream
-            # was not broken off.
-            raise upstreams.LostError("connection ended before an event")
-        if not self._responder.started:
-            await self._responder.start(head.status, head.headers, b"")
-        await self._responder.finish()
-        return Completed()
-
-    def _record_statement(self, head: exchanges.ResponseHead) -> None:
-        """Records what the first server of the path states about itself.
-
-        A refusal may be one of a later server, which it then names. The time
-        that it states applies to both.
-        """
-        statements = self._context.statements
-        statements.record(self._path[0].server, head)
-        for stage in self._path[1:]:
-            if head.not_run and stage.server.address == head.failed_address:
-                statements.record_wait(stage.server, head.statement)
-
-    async def _forward_events(self, head, arrived: list[events.Event]) -> None:
-        if not arrived:
-            return
-        begins = self._is_unanswered
-        for event in arrived:
-            self._sequence.accept_event(event)
-        data = b"".join(event.data for event in arrived)
-        if all(event.number is None for event in arrived):
-            # Comments show no progress, so they do not delay the next check.
-            if self._responder.started:
-                await self._responder.send(data)
-            return
-        gap_s = trio.current_time() - self._last_activity_at
-        if self._responder.started:
-            self._longest_gap_s = max(self._longest_gap_s, gap_s)
-            if self._mean_gap_s is None:
-                self._mean_gap_s = gap_s
-            self._mean_gap_s += GAP_SMOOTHING * (gap_s - self._mean_gap_s)
-        self._record_activity()
-        self._last_event_at = self._last_activity_at
-        if begins:
-            self._context.parts.record_answer(self._request.shared_parts)
-        if self._responder.started:
-            await self._responder.send(data)
-            return
-        for stage in self._path:
-            self._context.view.record_acceptance(stage.server)
-        self._context.metrics.record(
-            "first_event",
-            self._request.workspace_name,
-            self._request.route.name,
-            self._last_activity_at - self._request.arrived_at,
-        )
-        await self._responder.start(head.status, head.headers, data)
-
-    async def _receive_monitored(self, receive) -> typing.Any:
-        """Awaits `receive`; without events, probes and repairs the path.
-
-        The time counts from the last event and not from the last byte, since a
-        server in trouble may send bytes that never complete an event.
-        """
-        while True:
-            with trio.move_on_at(self._check_at):
-                return await receive()
-            broken = await self._handle_silence()
-            if broken is not None:
-                return broken
-            # Back off, since a path that is only slow needs fewer probes.
-            self._check_interval_s = min(
-                2 * self._check_interval_s, SILENCE_MAX_S
-            )
-            self._check_at = trio.current_time() + self._check_interval_s
-
-    def _record_activity(self) -> None:
-        """Records an event or the start of a path."""
-        self._last_activity_at = trio.current_time()
-        self._check_interval_s = self._compute_silence_limit()
-        self._check_at = self._last_activity_at + self._check_interval_s
-
-    def _compute_silence_limit(self) -> float:
-        """Returns the silence after which the path is probed, seconds."""
-        route = self._request.route
-        limit_s = SILENCE_GAP_FRACTION * (
-            route.event_gap_objective_s or route.latency_objective_s
-        )
-        if self._mean_gap_s is not None:
-            limit_s = min(limit_s, SILENCE_MEAN_GAPS * self._mean_gap_s)
-        limit_s = min(max(limit_s, SILENCE_MIN_S), SILENCE_MAX_S)
-        # If this process is busy, events are delayed here and not at the
-        # servers. A long probe time shows that.
-        return limit_s + PROBE_TIME_FACTOR * self._prober.mean_probe_duration_s
-
-    async def _handle_silence(self) -> Broken | None:
-        """Probes and repairs a silent path; returns `Broken` to abandon it."""
-        silent_s = trio.current_time() - self._last_activity_at
-        servers = [stage.server for stage in self._path]
-        failed = await self._prober.find_unresponsive(servers)
-        stalled = self._prober.find_stalled(
-            servers[0], self._request.head.request_id
-        )
-        if stalled is not None:
-            failed |= {
-                server.instance
-                for server in servers
-                if server.address == stalled
-            }
-        async with self._path_lock:
-            # The failed servers may have been replaced during the probes.
-            failed &= paths.list_instances(self._path)
-            if failed:
-                return await self._repair_path(failed, silent_s)
-            if (
-                await self._replace_slow_servers(silent_s)
-                or silent_s < STREAM_SILENCE_LIMIT_S
-                or not self._has_other_path(paths.list_instances(self._path))
-            ):
-                return None
-        return Broken(
-            f"path silent for {silent_s:.1f} s",
-            paths.list_instances(self._path),
-            False,
-        )
-
     def _has_other_path(self, failed: frozenset[str]) -> bool:
         """Returns whether the stream can continue on another path.
 
@@ -618,139 +269,3 @@
         view, service = self._context.view, self._request.service
         not_first = self._context.list_exhausted(service.name)
         return view.choose_path(service, avoid, not_first) is not None
-
-    async def _repair_path(
-        self, failed: frozenset[str], silent_s: float
-    ) -> Broken | None:
-        """Replaces failed servers of a path; returns `Broken` if it cannot."""
-        first = self._path[0].server
-        if first.instance in failed:
-            ended = self._context.view.has_ended(first)
-            return self._abandon_path("first server failed", failed, ended)
-        path = self._plan_replacement(failed)
-        if path is None:
-            reason = f"no replacement for {','.join(sorted(failed))}"
-            return self._abandon_path(reason, failed)
-        accepted = await self._change_path(path)
-        self._request.log(
-            _log,
-            "path repaired" if accepted else "path repair not accepted",
-            dead=",".join(sorted(failed)),
-            path=describe_path(path),
-            silent_ms=round(1000 * silent_s),
-        )
-        if not accepted:
-            return self._abandon_path("path repair not accepted", failed)
-        return None
-
-    def _abandon_path(
-        self, reason: str, failed: frozenset[str], ended: bool = False
-    ) -> Broken | None:
-        """Returns the outcome of a path with failed servers.
-
-        It is None while the stream can only continue on this path: a server
-        that is silent for a time may respond again, lost layers may be loaded
-        elsewhere, and work that cannot be run again must not be given up.
-
-        Args:
-            reason: Why the path failed.
-            failed: Instances that failed.
-            ended: Whether the process of the first server has terminated.
-        """
-        if not ended and not self._has_other_path(failed):
-            return None
-        return Broken(reason, failed, ended)
-
-    def _plan_replacement(self, excluded: frozenset[str]) -> paths.Path | None:
-        """Returns the path with the excluded servers replaced, or None."""
-        view, service = self._context.view, self._request.service
-        usable = view.list_usable(service.name)
-        planner = view.make_planner(service)
-        return planner.replace_failed_stages(
-            self._path, excluded, usable, view.get_load
-        )
-
-    async def _replace_slow_servers(self, silent_s: float) -> bool:
-        """Replaces slow servers of the path if faster ones are free."""
-        view, request = self._context.view, self._request
-        slowness = view.make_planner(request.service).slowness
-        slow = frozenset(
-            stage.server.instance
-            for stage in self._path[1:]
-            if slowness.get(stage.server.instance, 1.0) >= SLOWNESS_LIMIT
-        )
-        path = self._plan_replacement(slow) if slow else None
-        if path is None or any(
-            slowness.get(name, 1.0) >= SLOWNESS_LIMIT
-            for name in paths.list_instances(path)
-            - paths.list_instances(self._path)
-        ):
-            return False
-        if not await self._change_path(path):
-            return False
-        request.log(
-            _log,
-            "slow servers replaced",
-            slow=",".join(sorted(slow)),
-            path=describe_path(path),
-            silent_ms=round(1000 * silent_s),
-        )
-        return True
-
-    async def _change_path(self, path: paths.Path) -> bool:
-        """Orders a new path; returns whether the first server accepted it."""
-        before = self._path
-        accepted = await self._send_order(before[0].server, path)
-        # The attempt on this path may have ended before the response to the
-        # order; its servers' counts have been updated then.
-        if accepted and self._path is before:
-            self._context.metrics.increment("repairs")
-            self._set_path(path)
-        return accepted
-
-    async def _send_order(self, first: fleet.Server, path: paths.Path) -> bool:
-        context = self._context
-        context.metrics.increment("orders")
-        body = context.codec.encode_reroute_order(
-            self._request.head.request_id, path
-        )
-        response = await context.pool.try_fetch(
-            first.address,
-            "POST",
-            context.codec.order_target,
-            context.codec.encode_order_headers(first),
-            body,
-            timeout_s=ORDER_TIMEOUT_S,
-        )
-        context.statements.record_fetched(first, context.codec, response)
-        match response:
-            case result.Success(upstreams.Response(status=200 | 202)):
-                return True
-            case result.Success(upstreams.Response(status=status)):
-                reason = f"status {status}"
-            case result.Failure(error):
-                reason = str(error)
-        self._request.log(_log, "path order failed", reason=reason)
-        return False
-
-    async def _classify_refusal(self, head: exchanges.ResponseHead) -> Refused:
-        at_fault = [
-            stage.server
-            for stage in self._path
-            if stage.server.address == head.failed_address
-        ] or [self._path[0].server]
-        for server in at_fault:
-            self._context.view.record_refusal(server)
-        # The server at fault may have failed instead of refusing work.
-        await self._prober.find_unresponsive(at_fault)
-        avoid = frozenset(server.instance for server in at_fault)
-        return Refused(f"status {head.status} at {head.failed_address}", avoid)
-
-
-def describe_path(path: paths.Path) -> str:
-    """Formats a path for the log."""
-    return ",".join(
-        f"{stage.server.address}={stage.layer_range.first}"
-        f"-{stage.layer_range.end}"
-        for stage in path
-    )
