Log why a stream is not sent again

'request ended' had the reason for which the last path ended, but not why no other one was tried: no path, the retry budget, a quarantine or the limits of attempts.

Conclusion: 'stream given up' names it, with the time since the last event.

--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/relays.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/relays.py
@@ -14,6 +14,7 @@
 import trio
 
 from peridotyard_daemon.connection import callers
+from peridotyard_daemon.process import logs
 from peridotyard_daemon.process import probes
 from peridotyard_daemon.request import contexts
 from peridotyard_daemon.request import runs
@@ -27,6 +28,8 @@
 # Time between two searches for a path meanwhile.
 PATH_SEARCH_INTERVAL_S = 0.25
 
+_log = logs.Logger("stream")
+
 
 class Stream:
     """One streamed response, owned by its request."""
@@ -106,17 +109,21 @@
             path = await self._find_path(outcome)
             if path is None:
                 outcome = outcome or runs.Refused("no path", frozenset())
+                self._log_given_up("no path", sends)
                 break
             if sends:
                 self._responder.check_connected()
                 if context.is_quarantined(request):
+                    self._log_given_up("quarantined", sends)
                     break
                 if not context.spend_retry(request):
                     if not await self._wait_for_retry():
+                        self._log_given_up("retry budget", sends)
                         break
                     # The servers may have changed during the wait.
                     path = await self._find_path(outcome)
                     if path is None:
+                        self._log_given_up("no path", sends)
                         break
             outcome = await self._try_path(path)
             match outcome:
@@ -129,9 +136,31 @@
                     self._avoid |= avoid
                     self._possible_runs += not ended
                     if not self._may_resume(self._possible_runs):
+                        self._log_given_up("attempts", sends + 1)
                         break
+        else:
+            self._log_given_up("sends", SEND_LIMIT)
         await self._finish_response(outcome)
 
+    def _log_given_up(self, reason: str, sends: int) -> None:
+        """Logs why a stream is not sent again.
+
+        Args:
+            reason: What is missing: a path, a retry of the budget, an attempt
+                ("attempts": servers that may run the request, "sends": all), or
+                "quarantined".
+            sends: Number of times that it was sent.
+        """
+        last_event_at = self._progress.last_event_at
+        self._request.log(
+            _log,
+            "stream given up",
+            reason=reason,
+            sends=sends,
+            possible_runs=self._possible_runs,
+            silent_ms=round(1000 * (trio.current_time() - last_event_at)),
+        )
+
     async def _try_path(self, path: paths.Path) -> runs.Outcome:
         self._run = runs.Run(
             self._context,
