Show streams that are cut while their servers are alive

The entry gives up the path after two probes of 50 ms (first hypothesis), and the stream is cut two seconds after its last event, or answered 502 before its first one.

The stand-ins can fall silent now, together with the streams that pass through them.

Conclusion: the first hypothesis is reproduced; the others are not excluded by this.

--- a/tests/support/gateways.py
+++ b/tests/support/gateways.py
@@ -214,6 +214,10 @@
             stand_in.join(network, nursery)
             stand_ins[server.instance] = stand_in
             view.apply_server(server)
+        for stand_in in stand_ins.values():
+            stand_in.peers = {
+                str(item.server.address): item for item in stand_ins.values()
+            }
         view.entry_count = 1
         view.servers_at = trio.current_time()
         pool = upstreams.Pool(host.dial)
--- a/tests/support/servers.py
+++ b/tests/support/servers.py
@@ -67,6 +67,7 @@
         arrived_at: Times at which the requests arrived.
         fatal_part: Part of a prompt that ends the server before it has sent an
             event of the answer; empty for none.
+        peers: Stand-ins for all servers, by address.
     """
 
     def __init__(self, server: fleet.Server, events: int = 10):
@@ -86,6 +87,20 @@
         self.stated: tuple[tuple[bytes, bytes], ...] = ()
         self.arrived_at: list[float] = []
         self.fatal_part = ""
+        self.peers: dict[str, StandIn] = {}
+        self._paths: dict[str, str] = {}
+        self._responsive = trio.Event()
+        self._responsive.set()
+
+    async def fall_silent(self, duration_s: float) -> None:
+        """Stops the process for a time; its connections stay open."""
+        self._responsive = trio.Event()
+        await trio.sleep(duration_s)
+        self._responsive.set()
+
+    async def wait_responsive(self) -> None:
+        """Waits until the process runs."""
+        await self._responsive.wait()
 
     def join(self, network, nursery) -> None:
         """Starts to serve on an in-memory network."""
@@ -104,6 +119,7 @@
         request_headers = {
             name.decode().lower(): value.decode() for name, value in headers
         }
+        await self.wait_responsive()
         if target == "/report":
             await self._send_report(responder)
             return
@@ -171,7 +187,9 @@
             )
             state = (trio.current_time(), layer_range, len(self.orders))
             self._states.append(state)
-        elif order["id"] in self.stalled:
+        elif order["id"] in self._paths:
+            self._paths[order["id"]] = order["path"]
+        if order.get("id") in self.stalled:
             self.stalled.pop(order["id"]).set()
         await responder.send_complete(202, [], b"")
 
@@ -230,6 +248,7 @@
             return
         self.runs.append(request_id)
         begin = int(request_headers.get("last-event-id", "0")) + 1
+        self._paths[request_id] = request_headers.get("x-hop-count", "")
         headers = self._make_headers(request_id, fault)
         if fault.kind == "error":
             await responder.send_complete(500, headers, ERROR_TEXT)
@@ -249,7 +268,11 @@
         await responder.finish()
 
     async def _wait_before_event(self, request_id: str) -> None:
-        """Called before each event; a subclass can wait or fail in it."""
+        """Waits for the servers of the path; a subclass can also fail in it."""
+        for stage in self._paths[request_id].split(","):
+            address = stage.partition("=")[0]
+            if address in self.peers:
+                await self.peers[address].wait_responsive()
 
     async def _inject_fault(self, request_id, fault, number, responder) -> int:
         """Injects a fault into a stream; returns the next event's number."""
--- /dev/null
+++ b/tests/unit/test_runs.py
@@ -0,0 +1,176 @@
+"""Tests of peridotyard_daemon.request.runs."""
+
+import hypothesis
+from hypothesis import strategies
+from peridotyard_core import fleet
+from peridotyard_daemon.request import relays
+import pytest
+import trio
+
+from tests.support import cases
+from tests.support import gateways
+from tests.support import servers as servers_module
+from tests.support import virtual_clock
+
+# Three zones with a complete copy of the layers each.
+LAYER_RANGES = (
+    ("a0", "a", (0, 10)),
+    ("a1", "a", (10, 20)),
+    ("b0", "b", (0, 10)),
+    ("b1", "b", (10, 20)),
+    ("c0", "c", (0, 20)),
+)
+EVENTS = 30
+
+
+async def relay_beside(harness, interfere, **changes):
+    """Returns the response to a stream beside which `interfere` runs."""
+    recorder = gateways.ResponseRecorder()
+
+    async def run():
+        stream = relays.Stream(
+            harness.context,
+            harness.prober,
+            harness.make_request(**changes),
+            recorder,
+        )
+        await stream.run()
+        nursery.cancel_scope.cancel()
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(harness.prober.run)
+        nursery.start_soon(interfere, nursery)
+        nursery.start_soon(run)
+    return recorder
+
+
+def check_complete(recorder):
+    assert recorder.finished
+    assert recorder.status == 200
+    numbers = gateways.read_event_ids(recorder.body)
+    assert numbers == list(range(1, EVENTS + 1))
+
+
+def make_silence(harness, silences):
+    """Returns a function that lets servers fall silent.
+
+    Args:
+        harness: The harness.
+        silences: Instance, start and duration in seconds of each silence.
+    """
+
+    async def fall_silent(instance, begin_s, duration_s):
+        await trio.sleep(begin_s)
+        await harness.servers[instance].fall_silent(duration_s)
+
+    async def interfere(nursery):
+        for silence in silences:
+            nursery.start_soon(fall_silent, *silence)
+
+    return interfere
+
+
+@pytest.mark.parametrize("silent", ["a0", "a1"])
+@cases.run_on_virtual_clock
+async def test_silent_server_is_waited_for_while_other_paths_refuse(silent):
+    """Guards against streams cut by the entry although their servers live.
+
+    A path with a silent server was given up for others that refused, and the
+    server would have continued within a second.
+    """
+    async with gateways.open_harness(
+        gateways.make_servers(LAYER_RANGES), EVENTS
+    ) as harness:
+        for other in ("b0", "c0"):
+            refusal = servers_module.Fault("refuse")
+            harness.servers[other].faults = [refusal] * 20
+        interfere = make_silence(harness, [(silent, 0.3, 1.5)])
+        check_complete(await relay_beside(harness, interfere))
+
+
+@cases.run_on_virtual_clock
+async def test_stream_continues_on_the_path_that_responds_first():
+    """Guards against repeated events, and a run without a reader, after a race."""
+    async with gateways.open_harness(
+        gateways.make_servers(LAYER_RANGES), EVENTS
+    ) as harness:
+        interfere = make_silence(
+            harness, [("a0", 0.3, 0.6), ("b0", 0.2, 1.5), ("c0", 0.2, 1.5)]
+        )
+        check_complete(await relay_beside(harness, interfere))
+        await trio.sleep(2.0)
+        for name in ("b0", "c0"):
+            assert not harness.servers[name].runs or (
+                harness.servers[name].abandoned
+            )
+        assert not harness.servers["a0"].abandoned
+
+
+@cases.run_on_virtual_clock
+async def test_silent_server_is_replaced_by_one_that_responds():
+    """Guards against a stream that waits although another path responds."""
+    async with gateways.open_harness(
+        gateways.make_servers(LAYER_RANGES), EVENTS
+    ) as harness:
+        interfere = make_silence(harness, [("a0", 0.3, 6.0)])
+        began = trio.current_time()
+        check_complete(await relay_beside(harness, interfere))
+        assert trio.current_time() - began < 2.5
+        assert harness.servers["a0"].abandoned or harness.servers["a0"].runs
+        loads = harness.context.view.count_in_flight()
+        assert not any(loads.values())
+
+
+_SILENCES = strategies.lists(
+    strategies.tuples(
+        strategies.sampled_from([item[0] for item in LAYER_RANGES]),
+        strategies.floats(0, 1.5),
+        strategies.floats(0.2, 1.6),
+    ),
+    max_size=8,
+    unique_by=lambda item: item[0],
+)
+
+
+@hypothesis.given(
+    silences=_SILENCES,
+    refusing=strategies.sets(strategies.sampled_from(["b0", "c0"])),
+)
+@hypothesis.settings(max_examples=60, deadline=None)
+def test_streams_outlast_any_silence_of_sound_servers(silences, refusing):
+    """Guards against a stream that is cut while a server may still run it."""
+
+    async def play():
+        async with gateways.open_harness(
+            gateways.make_servers(LAYER_RANGES), EVENTS
+        ) as harness:
+            for name in refusing:
+                refusal = servers_module.Fault("refuse")
+                harness.servers[name].faults = [refusal] * 20
+            recorder = await relay_beside(
+                harness, make_silence(harness, silences)
+            )
+            runs = sum(len(s.runs) for s in harness.servers.values())
+            limit = gateways.ROUTE.max_attempts
+            assert runs <= limit
+            if recorder.status == 200:
+                check_complete(recorder)
+            else:
+                # Refused before its first event; no server has been lost.
+                assert recorder.status == 503
+
+    virtual_clock.run(play)
+
+
+@cases.run_on_virtual_clock
+async def test_stream_that_must_run_once_has_no_second_run():
+    """Guards against a non-idempotent stream that runs on two servers."""
+    async with gateways.open_harness(
+        gateways.make_servers(LAYER_RANGES), EVENTS
+    ) as harness:
+        interfere = make_silence(harness, [("a0", 0.3, 1.5)])
+        recorder = await relay_beside(
+            harness, interfere, retry_policy=fleet.RetryPolicy.STREAM_ONCE
+        )
+        check_complete(recorder)
+        assert sum(len(s.runs) for s in harness.servers.values()) == 1
