Keep a silent path of a stream until another one has its next event

Class: work that is alive is given up before its replacement is known to run.

Change: a run whose servers are only silent goes on, and a second one begins on another path, within the attempts, the retry budget and the sends. Both count as servers that run the request. The run with the next event takes the lead and ends the other, so the caller gets each event once. Only the end of the process of the first server, or of its connection, loses a run.

Ruled out: a longer time limit of the probes, which only moves the point at which a live run is given up, and delays the recovery from real losses.

--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/relays.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/relays.py
@@ -1,12 +1,14 @@
-"""Relays streamed responses; repairs or replaces the path of a stream.
+"""Relays streamed responses; chooses the paths of a stream.
 
 The entry sends a request to the first server of a path, which responds with the
 events of the stream. If a later server of the path fails, the entry orders the
-first server to use another one, and the stream continues. If that is not
-possible, the entry sends an idempotent request again, on another path and with
-the id of the last event that it received.
+first server to use another one, and the stream continues, see `runs`. If that
+is not possible, the entry sends an idempotent request again, on another path
+and with the id of the last event that it received. A path that is only silent
+is kept meanwhile, and the one with the next event continues the stream.
 """
 
+import collections.abc
 import dataclasses
 
 from peridotyard_core import paths
@@ -46,8 +48,16 @@
         self._request = request
         self._responder = responder
         self._progress = runs.Progress(request.head.last_event_id)
-        # The run in progress, if any.
-        self._run: runs.Run | None = None
+        # The runs in progress: one, and a second one while that is silent.
+        self._runs: list[runs.Run] = []
+        # Runs the second one; set while a run is in progress.
+        self._nursery: trio.Nursery | None = None
+        # Outcome of the run that ended last.
+        self._outcome: runs.Outcome | None = None
+        # Error that ended a run, raised by the stream.
+        self._error: Exception | None = None
+        # Number of times that the request was sent or about to be sent.
+        self._sends = 0
         # Instances that refused the request or failed on an earlier path.
         self._avoid: frozenset[str] = frozenset()
         # Whether a path may have run a part of the request.
@@ -78,7 +88,7 @@
 
         Only such a server can be replaced while the stream continues.
         """
-        return self._run is not None and self._run.has_later_stage(instance)
+        return any(run.has_later_stage(instance) for run in self._runs)
 
     async def replace_server(self, instance: str) -> None:
         """Replaces a server that is leaving or suspected, if another is free.
@@ -87,100 +97,219 @@
         releases layers waits for the streams that use them, so moving them off
         early lets it release the layers sooner.
         """
-        if self._run is not None:
-            await self._run.replace_server(instance)
+        for run in list(self._runs):
+            await run.replace_server(instance)
 
     def stop_if_quarantined(self) -> None:
-        """Ends a run without an answer if its request is quarantined now.
+        """Ends the runs without an answer if the request is quarantined now.
 
-        The server has not crashed yet.
+        The servers have not crashed yet.
         """
-        if (
-            self._run is not None
-            and not self._responder.started
-            and self._context.is_quarantined(self._request)
+        if not self._responder.started and self._context.is_quarantined(
+            self._request
         ):
-            self._run.stop()
+            for run in self._runs:
+                run.scope.cancel()
 
     async def _run_paths(self) -> None:
         request, context = self._request, self._context
-        outcome: runs.Outcome | None = None
-        for sends in range(SEND_LIMIT):
-            path = await self._find_path(outcome)
+        while True:
+            path = await self._find_path(self._outcome)
             if path is None:
-                outcome = outcome or runs.Refused("no path", frozenset())
-                self._log_given_up("no path", sends)
+                if self._sends:
+                    self._log_given_up("no path")
                 break
-            if sends:
+            if self._sends:
                 self._responder.check_connected()
                 if context.is_quarantined(request):
-                    self._log_given_up("quarantined", sends)
+                    self._log_given_up("quarantined")
                     break
                 if not context.spend_retry(request):
                     if not await self._wait_for_retry():
-                        self._log_given_up("retry budget", sends)
+                        self._log_given_up("retry budget")
                         break
                     # The servers may have changed during the wait.
-                    path = await self._find_path(outcome)
+                    path = await self._find_path(self._outcome)
                     if path is None:
-                        self._log_given_up("no path", sends)
+                        self._log_given_up("no path")
                         break
-            outcome = await self._try_path(path)
-            match outcome:
+            await self._try_path(path)
+            match self._outcome:
                 case runs.Completed() | runs.Passed():
                     break
-                case runs.Refused(avoid=avoid):
-                    self._avoid |= avoid
-                case runs.Broken(avoid=avoid, ended=ended):
-                    self._may_have_run = True
-                    self._avoid |= avoid
-                    self._possible_runs += not ended
-                    if not self._may_resume(self._possible_runs):
-                        self._log_given_up("attempts", sends + 1)
-                        break
-        else:
-            self._log_given_up("sends", SEND_LIMIT)
+                case runs.Broken() if not self._may_resume(self._possible_runs):
+                    self._log_given_up("attempts")
+                    break
+            if self._sends >= SEND_LIMIT:
+                self._log_given_up("sends")
+                break
+        outcome = self._outcome or runs.Refused("no path", frozenset())
         await self._finish_response(outcome)
 
-    def _log_given_up(self, reason: str, sends: int) -> None:
+    def _log_given_up(self, reason: str) -> None:
         """Logs why a stream is not sent again.
 
         Args:
             reason: What is missing: a path, a retry of the budget, an attempt
                 ("attempts": servers that may run the request, "sends": all), or
                 "quarantined".
-            sends: Number of times that it was sent.
         """
         last_event_at = self._progress.last_event_at
         self._request.log(
             _log,
             "stream given up",
             reason=reason,
-            sends=sends,
+            sends=self._sends,
             possible_runs=self._possible_runs,
             silent_ms=round(1000 * (trio.current_time() - last_event_at)),
         )
 
-    async def _try_path(self, path: paths.Path) -> runs.Outcome:
-        self._run = runs.Run(
+    async def _try_path(self, path: paths.Path) -> None:
+        """Runs the stream on a path, and on others while that is silent.
+
+        Returns once all of these runs have ended.
+        """
+
+        async def find_path() -> paths.Path:
+            return path
+
+        try:
+            async with trio.open_nursery() as self._nursery:
+                run = self._make_run()
+                self._nursery.start_soon(self._execute, run, find_path)
+        except BaseExceptionGroup:
+            # Errors of runs are not in the group, so the request is cancelled.
+            # Callers expect the exception itself.
+            await trio.lowlevel.checkpoint_if_cancelled()
+            raise
+        if self._error is not None:
+            raise self._error
+
+    def _make_run(self) -> runs.Run:
+        run = runs.Run(
             self._context,
             self._prober,
             self._request,
             self._responder,
             self._progress,
-            path,
-            self._has_other_path,
+            self._take_lead,
+            lambda: len(self._runs) == 1,
+            self._start_second_run,
         )
+        self._runs.append(run)
+        return run
+
+    async def _execute(
+        self,
+        run: runs.Run,
+        find_path: collections.abc.Callable[
+            [], collections.abc.Awaitable[paths.Path | None]
+        ],
+    ) -> None:
+        """Executes a run and records its outcome.
+
+        Args:
+            run: The run.
+            find_path: Returns its path, None if there is none.
+        """
+        outcome = None
         try:
-            return await self._run.execute()
+            with run.scope:
+                path = await find_path()
+                if path is not None:
+                    self._sends += 1
+                    outcome = await run.execute(path)
+        except Exception as error:
+            # Raised later, since the nursery would wrap it in a group.
+            self._error = error
+            self._nursery.cancel_scope.cancel()
         finally:
-            self._run = None
+            self._runs.remove(run)
+        outcome = outcome or run.describe_cancelled()
+        match outcome:
+            case runs.Completed() | runs.Passed():
+                self._take_lead(run)
+            case runs.Refused(avoid=avoid):
+                self._avoid |= avoid
+            case runs.Broken(avoid=avoid, ended=ended):
+                self._may_have_run = True
+                self._avoid |= avoid
+                self._possible_runs += not ended
+        if outcome is not None and not self._is_done:
+            self._outcome = outcome
+
+    @property
+    def _is_done(self) -> bool:
+        """Whether a run has ended with the final response."""
+        return isinstance(self._outcome, (runs.Completed, runs.Passed))
+
+    def _take_lead(self, run: runs.Run) -> None:
+        """Ends the other runs, since this one sends to the caller."""
+        for other in self._runs:
+            if other is not run:
+                other.scope.cancel()
+
+    def _start_second_run(
+        self, silent: runs.Run, reason: str, failed: frozenset[str]
+    ) -> None:
+        """Starts a run on another path while one is silent, if allowed.
+
+        The silent one goes on: its servers may respond again before the other
+        path does, or the other path may refuse. The run with the next event
+        continues the stream.
+
+        Args:
+            silent: The silent run.
+            reason: Why it does not continue, for the log.
+            failed: Instances that the other path must not use.
+        """
+        # One send is left for the case that the silent path is lost.
+        if len(self._runs) > 1 or self._sends + 1 >= SEND_LIMIT:
+            return
+        if not self._may_resume(self._possible_runs + len(self._runs)):
+            return
+        context, service = self._context, self._request.service
+        if context.is_quarantined(self._request):
+            return
+        if not context.has_retry(self._request):
+            return
+
+        def choose_path(denied: frozenset[str]) -> paths.Path | None:
+            # Orders name a run by its first server and the request, so both
+            # runs must not begin at the same server.
+            not_first = denied | {silent.first_instance}
+            return context.view.choose_path(
+                service, self._avoid | failed, not_first
+            )
+
+        if choose_path(context.list_exhausted(service.name)) is None:
+            return
+        self._request.log(
+            _log,
+            "second path tried beside a silent one",
+            reason=reason,
+            last_event=self._progress.sequence.last,
+        )
+
+        async def find_path() -> paths.Path | None:
+            path = await context.reserve(
+                self._request,
+                choose_path,
+                lambda: choose_path(frozenset()),
+                lambda path: path[0].server,
+            )
+            self._responder.check_connected()
+            if path is None or not context.spend_retry(self._request):
+                return None
+            return path
+
+        self._nursery.start_soon(self._execute, self._make_run(), find_path)
 
     async def _find_path(self, last: runs.Outcome | None) -> paths.Path | None:
         """Returns the next path; a stream that has begun waits for one.
 
         Args:
-            last: runs.Outcome of the previous path, None for the first path.
+            last: Outcome of the previous path, None for the first path.
         """
         path = await self._reserve_path(last)
         if path is None and self._responder.started:
@@ -211,7 +340,7 @@
         Only the first server of a path receives a request.
 
         Args:
-            last: runs.Outcome of the previous path, None for the first path.
+            last: Outcome of the previous path, None for the first path.
         """
         return await self._context.reserve(
             self._request,
@@ -226,7 +355,7 @@
         """Returns the cheapest path.
 
         Args:
-            last: runs.Outcome of the previous path, None for the first path.
+            last: Outcome of the previous path, None for the first path.
             not_first: Instances with which the path must not begin.
         """
         view, service = self._context.view, self._request.service
@@ -241,7 +370,7 @@
         """Waits for a path of a stream that has begun; None if there is none.
 
         Args:
-            last: runs.Outcome of the previous path.
+            last: Outcome of the previous path.
         """
         with trio.move_on_at(self._progress.last_event_at + PATH_WAIT_S):
             while True:
@@ -281,20 +410,3 @@
                         message="The stream was lost before its first event.",
                     )
                 await context.fail(request, self._responder, failure)
-
-    def _has_other_path(self, failed: frozenset[str]) -> bool:
-        """Returns whether the stream can continue on another path.
-
-        The current one counts as a path that still runs the request.
-
-        Args:
-            failed: Instances that the other path must not use.
-        """
-        if not self._may_resume(self._possible_runs + 1):
-            return False
-        if not self._context.has_retry(self._request):
-            return False
-        avoid = self._avoid | failed
-        view, service = self._context.view, self._request.service
-        not_first = self._context.list_exhausted(service.name)
-        return view.choose_path(service, avoid, not_first) is not None
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/runs.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/runs.py
@@ -125,8 +125,11 @@
         request: contexts.Request,
         responder: callers.Responder,
         progress: Progress,
-        path: paths.Path,
-        has_other_path: collections.abc.Callable[[frozenset[str]], bool],
+        take_lead: collections.abc.Callable[["Run"], None],
+        is_alone: collections.abc.Callable[[], bool],
+        notify_silent: collections.abc.Callable[
+            ["Run", str, frozenset[str]], None
+        ],
     ):
         """Creates a run that has not been sent.
 
@@ -136,22 +139,28 @@
             request: The request.
             responder: Response to the caller.
             progress: Events that the caller has received.
-            path: The path.
-            has_other_path: Returns whether the stream can continue on a path
-                without the given instances.
+            take_lead: Called with this run before it sends an event to the
+                caller; ends the other runs.
+            is_alone: Returns whether the stream has no other run.
+            notify_silent: Called with this run, a reason and the instances
+                to avoid, if its path has no events and cannot be repaired.
         """
         self._context = context
         self._prober = prober
         self._request = request
         self._responder = responder
         self._progress = progress
-        self._initial_path = path
-        self._has_other_path = has_other_path
+        self._take_lead = take_lead
+        self._is_alone = is_alone
+        self._notify_silent = notify_silent
         # The path while the run is in progress, else empty.
         self._path: paths.Path = ()
         # Serializes changes of the path, since each order has a complete path.
         self._path_lock = trio.Lock()
-        self._scope = trio.CancelScope()
+        # Ends the run.
+        self.scope = trio.CancelScope()
+        # Whether a server may have received the request.
+        self._is_sent = False
         # Number of the last event before this run.
         self._start_event = progress.sequence.last
         # Times of the last event and of the next check of a silent path.
@@ -164,17 +173,17 @@
         """Whether no event has come in this run."""
         return self._progress.sequence.last == self._start_event
 
-    def stop(self) -> None:
-        """Ends the run, whose request is quarantined."""
-        self._scope.cancel()
+    async def execute(self, path: paths.Path) -> Outcome:
+        """Sends the request, and relays the response until the run ends.
 
-    async def execute(self) -> Outcome:
-        """Sends the request, and relays the response until the run ends."""
+        Args:
+            path: The path, at whose first server the run begins.
+        """
         request, context = self._request, self._context
-        path = self._initial_path
         first_server = path[0].server
         self._set_path(path)
         self._record_activity()
+        self._start_event = self._progress.sequence.last
         request.log(
             _log,
             "request sent on a path",
@@ -187,23 +196,21 @@
         connection = None
         reusable = False
         successions: tuple[int, ...] = ()
-        outcome: Outcome = Broken("cancelled", frozenset(), False)
+        outcome: Outcome | None = None
         try:
             connection = await context.pool.acquire(first_server.address)
             dispatch = request.make_dispatch(
                 first_server, path, self._progress.sequence.last
             )
             successions = context.parts.get_successions(request.shared_parts)
+            self._is_sent = True
             await connection.send(
                 request.head.method,
                 request.head.target,
                 context.codec.encode_request(request.head, dispatch),
                 request.body,
             )
-            with self._scope:
-                outcome = await self._relay(connection)
-            if self._scope.cancelled_caught:
-                outcome = Broken("quarantined", frozenset(), False)
+            outcome = await self._relay(connection)
             reusable = not isinstance(outcome, Broken)
         except upstreams.UnsentError as error:
             refused = isinstance(error, upstreams.RefusedError)
@@ -224,8 +231,8 @@
             request.log(
                 _log,
                 "path ended",
-                outcome=type(outcome).__name__.lower(),
-                reason=getattr(outcome, "reason", ""),
+                outcome=type(outcome).__name__.lower() if outcome else "broken",
+                reason=getattr(outcome, "reason", "cancelled"),
                 ended=getattr(outcome, "ended", False),
                 last_event=self._progress.sequence.last,
                 longest_gap_ms=round(1000 * self._progress.longest_gap_s),
@@ -260,6 +267,17 @@
                     path=describe_path(path),
                 )
 
+    def describe_cancelled(self) -> Broken | None:
+        """Returns the outcome of a cancelled run; None if it was not sent."""
+        if self._is_sent:
+            return Broken("cancelled", frozenset(), False)
+        return None
+
+    @property
+    def first_instance(self) -> str:
+        """Instance of the first server of the path in progress."""
+        return self._path[0].server.instance
+
     async def _classify_loss(
         self, server: fleet.Server, reason: str, successions: tuple[int, ...]
     ) -> Broken:
@@ -338,6 +356,7 @@
             # Without length and chunks, only the events show that the stream
             # was not broken off.
             raise upstreams.LostError("connection ended before an event")
+        self._take_lead(self)
         if not self._responder.started:
             await self._responder.start(head.status, head.headers, b"")
         await self._responder.finish()
@@ -358,15 +377,19 @@
     async def _forward_events(self, head, arrived: list[events.Event]) -> None:
         if not arrived:
             return
+        # Another run may have sent these events since they arrived here.
+        await trio.lowlevel.checkpoint_if_cancelled()
         begins = self.is_unanswered
         for event in arrived:
             self._progress.sequence.accept_event(event)
         data = b"".join(event.data for event in arrived)
         if all(event.number is None for event in arrived):
-            # Comments show no progress, so they do not delay the next check.
-            if self._responder.started:
+            # Comments show no progress, so they neither delay the next check
+            # nor end another run, which must not send at the same time.
+            if self._responder.started and self._is_alone():
                 await self._responder.send(data)
             return
+        self._take_lead(self)
         gap_s = trio.current_time() - self._last_activity_at
         if self._responder.started:
             self._progress.longest_gap_s = max(
@@ -434,7 +457,7 @@
         return limit_s + PROBE_TIME_FACTOR * self._prober.mean_probe_duration_s
 
     async def _handle_silence(self) -> Broken | None:
-        """Probes and repairs a silent path; returns `Broken` to abandon it."""
+        """Probes and repairs a silent path; returns `Broken` if it is lost."""
         silent_s = trio.current_time() - self._last_activity_at
         servers = [stage.server for stage in self._path]
         failed = await self._prober.find_unresponsive(servers)
@@ -452,30 +475,33 @@
             failed &= paths.list_instances(self._path)
             if failed:
                 return await self._repair_path(failed, silent_s)
-            if (
-                await self._replace_slow_servers(silent_s)
-                or silent_s < STREAM_SILENCE_LIMIT_S
-                or not self._has_other_path(paths.list_instances(self._path))
-            ):
+            if await self._replace_slow_servers(silent_s):
                 return None
-        return Broken(
-            f"path silent for {silent_s:.1f} s",
-            paths.list_instances(self._path),
-            False,
-        )
+        if silent_s >= STREAM_SILENCE_LIMIT_S:
+            instances = paths.list_instances(self._path)
+            self._notify_silent(self, "no event", instances)
+        return None
 
     async def _repair_path(
         self, failed: frozenset[str], silent_s: float
     ) -> Broken | None:
-        """Replaces failed servers of a path; returns `Broken` if it cannot."""
+        """Replaces failed servers of a path; returns `Broken` if it is lost.
+
+        The path is lost only if the process of its first server has ended: a
+        server without a response to probes may only be silent for a time.
+        """
         first = self._path[0].server
         if first.instance in failed:
-            ended = self._context.view.has_ended(first)
-            return self._abandon_path("first server failed", failed, ended)
+            reason = "first server failed"
+            if self._context.view.has_ended(first):
+                return Broken(reason, failed, True)
+            self._notify_silent(self, reason, failed)
+            return None
         path = self._plan_replacement(failed)
         if path is None:
             reason = f"no replacement for {','.join(sorted(failed))}"
-            return self._abandon_path(reason, failed)
+            self._notify_silent(self, reason, failed)
+            return None
         accepted = await self._change_path(path)
         self._request.log(
             _log,
@@ -485,27 +511,9 @@
             silent_ms=round(1000 * silent_s),
         )
         if not accepted:
-            return self._abandon_path("path repair not accepted", failed)
+            self._notify_silent(self, "path repair not accepted", failed)
         return None
 
-    def _abandon_path(
-        self, reason: str, failed: frozenset[str], ended: bool = False
-    ) -> Broken | None:
-        """Returns the outcome of a path with failed servers.
-
-        It is None while the stream can only continue on this path: a server
-        that is silent for a time may respond again, lost layers may be loaded
-        elsewhere, and work that cannot be run again must not be given up.
-
-        Args:
-            reason: Why the path failed.
-            failed: Instances that failed.
-            ended: Whether the process of the first server has terminated.
-        """
-        if not ended and not self._has_other_path(failed):
-            return None
-        return Broken(reason, failed, ended)
-
     def _plan_replacement(self, excluded: frozenset[str]) -> paths.Path | None:
         """Returns the path with the excluded servers replaced, or None."""
         view, service = self._context.view, self._request.service
--- a/tests/unit/test_runs.py
+++ b/tests/unit/test_runs.py
@@ -90,7 +90,7 @@
 
 @cases.run_on_virtual_clock
 async def test_stream_continues_on_the_path_that_responds_first():
-    """Guards against repeated events, and a run without a reader, after a race."""
+    """Guards against repeated events, and a second run that goes on unread."""
     async with gateways.open_harness(
         gateways.make_servers(LAYER_RANGES), EVENTS
     ) as harness:
