Ask for API keys whenever a configuration has tenants

The servers got these requests without the name of a tenant.

Cause: `Routing.needs_keys` followed from the number of keys, so that no keys were taken for no tenants. Ruled out: the transfer between entries, which forwards the encoded configuration, and the versions, which were applied in time.

PROTOCOL.md asks for a key "if the configuration contains `tenants`", so with an empty list no key is valid.

Tests: test_tenants_without_keys_admit_no_key (3 cases), test_unreadable_tenants_are_an_error and test_keys_are_asked_for_after_the_last_one_was_removed failed before (5 failures) and pass. test_configuration_without_tenants_needs_no_key passed before as well.

Conclusion: the presence of the field decides whether keys are needed, and the keys decide who is admitted.

--- a/packages/peridotyard-core/src/peridotyard_core/fleet.py
+++ b/packages/peridotyard-core/src/peridotyard_core/fleet.py
@@ -290,7 +290,7 @@
         version: int,
         routes: tuple[Route, ...],
         services: tuple[Service, ...],
-        workspaces: dict[str, Workspace],
+        workspaces: dict[str, Workspace] | None,
         limits: CallerLimits,
     ):
         """Creates the indexes that look up routes and workspaces.
@@ -299,7 +299,8 @@
             version: See the attribute.
             routes: All routes.
             services: All services.
-            workspaces: Workspace of each API key; empty if no route needs one.
+            workspaces: Workspace of each API key; None if the configuration
+                does not use API keys. If it is empty, no key is valid.
             limits: See the attribute.
         """
         self.version = version
@@ -314,8 +315,11 @@
 
     @property
     def needs_keys(self) -> bool:
-        """Whether requests on routes that are not public need an API key."""
-        return bool(self._workspaces)
+        """Whether requests on routes that are not public need an API key.
+
+        They also do while no key is valid, and are then all rejected.
+        """
+        return self._workspaces is not None
 
     @property
     def routes(self) -> tuple[Route, ...]:
@@ -331,4 +335,4 @@
 
     def authenticate(self, key: str) -> Workspace | None:
         """Returns the workspace of an API key, None if the key is unknown."""
-        return self._workspaces.get(key)
+        return self._workspaces.get(key) if self._workspaces else None
--- a/tests/support/deployments.py
+++ b/tests/support/deployments.py
@@ -40,8 +40,14 @@
     )
 
 
-def encode_routing(version, key="key-1"):
-    """Returns a configuration with one route as the store holds it."""
+def encode_routing(version, key="key-1", **changes):
+    """Returns a configuration with one route as the store holds it.
+
+    Args:
+        version: Its version.
+        key: API key of the only tenant.
+        **changes: Fields that are added or replaced.
+    """
     value = {
         "version": version,
         "routes": [
@@ -63,7 +69,7 @@
         ],
         "tenants": [{"name": "north", "apiKeys": [key]}],
     }
-    return json.dumps(value).encode()
+    return json.dumps(value | changes).encode()
 
 
 @dataclasses.dataclass
--- a/tests/unit/test_codec.py
+++ b/tests/unit/test_codec.py
@@ -292,6 +292,38 @@
     assert route.retry_policy is fleet.RetryPolicy.STREAM_ONCE
 
 
+# Guards against requests that are admitted with any key once the tenants have
+# lost their last keys (ROUTE).
+@pytest.mark.parametrize(
+    "tenants",
+    [
+        [],
+        [{"name": "north", "apiKeys": []}],
+        [{"name": "north", "apiKeys": []}, {"name": "south", "apiKeys": []}],
+    ],
+)
+def test_tenants_without_keys_admit_no_key(tenants):
+    config = make_config(tenants=tenants)
+    routing = schema.Schema(2.5).decode_routing(config)
+    assert routing.needs_keys
+    assert routing.authenticate("k1") is None
+    assert routing.authenticate("") is None
+
+
+def test_configuration_without_tenants_needs_no_key():
+    """Guards against rejected requests where no keys are configured."""
+    fields = json.loads(make_config())
+    del fields["tenants"]
+    routing = schema.Schema(2.5).decode_routing(json.dumps(fields).encode())
+    assert not routing.needs_keys
+
+
+def test_unreadable_tenants_are_an_error():
+    """Guards against admission of every key if the tenants are no list."""
+    with pytest.raises(ValueError, match="."):
+        schema.Schema(2.5).decode_routing(make_config(tenants=None))
+
+
 @pytest.mark.parametrize("value", [b"", b"[]", b"{}", make_config(routes=[{}])])
 def test_malformed_configuration_is_an_error(value):
     """Guards against a malformed configuration that is partly applied."""
--- a/tests/unit/test_gateway.py
+++ b/tests/unit/test_gateway.py
@@ -36,6 +36,25 @@
         assert deployment.servers["x"].requests == []
 
 
+@cases.run_on_virtual_clock
+async def test_keys_are_asked_for_after_the_last_one_was_removed():
+    # Guards against requests with any key that run once no key is left (ROUTE),
+    # also at an entry that receives the configuration from another one.
+    async with deployments.open_deployment(entries=2) as deployment:
+        await trio.sleep(5)
+        deployment.cut_from_store(2)
+        tenants = [{"name": "north", "apiKeys": []}]
+        value = deployments.encode_routing(5, tenants=tenants)
+        deployment.rows.put("op", "config", value)
+        await trio.sleep(2)
+        for number in (1, 2):
+            assert deployment.entries[number - 1].view.routing.version == 5
+            for key in ("key-1", "wrong", ""):
+                data = await deployment.call(number, key=key)
+                assert b" 401 " in data[:15]
+        assert deployment.servers["x"].requests == []
+
+
 @cases.run_on_virtual_clock
 async def test_entry_without_configuration_refuses_as_not_run():
     # Guards against a 404 or 401 for a valid request, which a caller would not
--- a/tests/unit/test_placement.py
+++ b/tests/unit/test_placement.py
@@ -25,7 +25,7 @@
 
 ENGINE = fleets.make_engine(layers=20)
 ROUTING = fleet.Routing(
-    1, (), (fleet.Service("model", 100, ENGINE),), {}, fleet.CallerLimits()
+    1, (), (fleet.Service("model", 100, ENGINE),), None, fleet.CallerLimits()
 )
 
 
