entry: a slow store no longer prolongs the admission while stopping

Seen by callers: an entry that holds the placement lease and is stopped while the store does not answer took and passed on new requests for up to 3.5 s after SIGTERM instead of 2.3 s (the time limit of a store call is 1.2 s).

Cause: `Gateway._drain` awaited the release of the lease before it began to count `BALANCER_REMOVAL_S`.

Ruled out: other waits ahead of the refusals; there are none. The end of the grace was computed from the signal, so that the late requests had less time.

Why the fix works: the lease is released in a task of its own, beside the wait. The release still begins at the signal and ends within 1.2 s.

Test: test_slow_store_does_not_prolong_the_admission_of_a_stopping_entry; it failed before (200 instead of 503 at 2.31 s) and passes. tests/unit/ test_gateway.py passes.

Conclusion: new requests are refused 2.3 s after the signal whatever the store does.

--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/gateway.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/gateway.py
@@ -341,7 +341,8 @@
         await self._lifecycle.draining.wait()
         began = trio.current_time()
         _log.info("entry stopping", connections=len(self._connections))
-        await self._presence.release_lease()
+        # In a task of its own, since a slow store must not delay the refusals.
+        self._nursery.start_soon(self._presence.release_lease)
         await trio.sleep(min(BALANCER_REMOVAL_S, self._settings.grace_s / 2))
         self._is_refusing = True
         for connection in list(self._connections):
--- a/tests/unit/test_gateway.py
+++ b/tests/unit/test_gateway.py
@@ -156,6 +156,31 @@
         assert received[0].endswith(b"0\r\n\r\n")
 
 
+@cases.run_on_virtual_clock
+async def test_slow_store_does_not_prolong_the_admission_of_a_stopping_entry():
+    """Guards against requests that are taken late in the grace and then cut.
+
+    The holder of the placement lease waited for the store before it counted
+    the time in which it takes requests.
+    """
+    async with deployments.open_deployment(
+        server_layers=[("x", "a", (0, 20))]
+    ) as deployment:
+        await trio.sleep(6)
+        (entry,) = deployment.entries
+        assert entry._presence.is_lease_holder()
+        deployment.servers["x"].events = 100
+        deployment.nursery.start_soon(deployment.call)
+        await trio.sleep(0.1)
+        deployment.rows.fault = "silent"
+        entry._lifecycle.request_stop()
+        await trio.sleep(gateway.BALANCER_REMOVAL_S + 0.01)
+        data = await deployment.call()
+        assert b" 503 " in data[:15]
+        assert b"draining" in data
+        assert len(deployment.servers["x"].runs) == 1
+
+
 @cases.run_on_virtual_clock
 async def test_entry_without_the_store_gets_changes_from_the_others():
     # Guards against a removed API key that is still accepted by an entry that
