A row that another program writes no longer ends the entries

In the table of entries, a lease of the far future kept the lease from all, and more unreadable rows than one write may delete did so too.

Cause: each reader called json.loads and caught its own selection of errors; RecursionError, OverflowError and ZeroDivisionError were not among them, and ranges were not checked. Ruled out: catching Exception in the reader alone, since most odd values fail later, where they are used.

core.documents reads JSON that others have written: it returns a value of the stated type and range or raises ValueError. Rows of servers and entries, the lease, the configuration and the store's responses are read with it. The store client passes over a row whose base64 or key is malformed instead of the whole response. A row that cannot be read names no server (PROTOCOL.md, Service discovery: "It names no server to use; the others hold"): what was known under its key is removed until the row can be read again. It is forwarded once, logged once for each key, for 256 keys, and counted in unreadable_rows.

--- a/packages/peridotyard-core/src/peridotyard_core/addresses.py
+++ b/packages/peridotyard-core/src/peridotyard_core/addresses.py
@@ -3,6 +3,9 @@
 import dataclasses
 import ipaddress
 
+MAX_PORT = 65535
+PORT_DIGITS = 5
+
 
 @dataclasses.dataclass(frozen=True)
 class Address:
@@ -22,9 +25,14 @@
         if not separator:
             raise ValueError("no port")
         host = host.strip("[]")
+        # The zone index of an IPv6 address may be any text.
+        if not host.isascii() or not host.isprintable() or " " in host:
+            raise ValueError("the host is not an IP address")
         ipaddress.ip_address(host)
+        if not (port.isascii() and port.isdigit()) or len(port) > PORT_DIGITS:
+            raise ValueError("the port is not a number")
         number = int(port)
-        if not 0 <= number <= 65535:
+        if number > MAX_PORT:
             raise ValueError("port out of range")
         return cls(host, number)
 
--- a/packages/peridotyard-core/src/peridotyard_core/leases.py
+++ b/packages/peridotyard-core/src/peridotyard_core/leases.py
@@ -7,6 +7,13 @@
 import dataclasses
 import json
 
+from peridotyard_core import documents
+
+# Remaining time beyond which a record was not written by a lease holder.
+MAX_REMAINING_S = 60.0
+# Largest time on the store's clock, seconds.
+MAX_CLOCK_S = 1e12
+
 
 @dataclasses.dataclass(frozen=True)
 class Record:
@@ -24,9 +31,12 @@
     def from_json(cls, value: bytes) -> "Record | None":
         """Returns the content of a row; None if it cannot be interpreted."""
         try:
-            fields = json.loads(value)
-            return cls(str(fields["holder"]), float(fields["until_s"]))
-        except (ValueError, TypeError, LookupError):
+            fields = documents.parse(value)
+            return cls(
+                documents.read_text(fields, "holder"),
+                documents.read_number(fields, "until_s", 0, MAX_CLOCK_S),
+            )
+        except ValueError:
             return None
 
     def to_json(self) -> bytes:
@@ -85,7 +95,7 @@
         if (
             record is not None
             and record.holder != self._name
-            and clock_s < record.until_s
+            and clock_s < record.until_s <= clock_s + MAX_REMAINING_S
         ):
             self.record_lost()
             return None
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/gateway.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/gateway.py
@@ -185,11 +185,13 @@
         self._prober = probes.Prober(self.view, pool, codec, count, statements)
         self._forwarder = forwards.Forwarder(self.context)
         self._synchronizer = synchronization.Synchronizer(
-            self.view, store, schema, random
+            self.view, store, schema, random, count
         )
         name = f"{settings.instance}#{random.getrandbits(32):08x}"
         own = topologies.Entry(settings.peers, settings.zone, settings.capacity)
-        self._presence = presence.Presence(self.view, store, name, own, clock)
+        self._presence = presence.Presence(
+            self.view, store, name, own, clock, count
+        )
         self._mesh = mesh.Mesh(
             self.view,
             self._synchronizer,
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/listings.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/listings.py
@@ -11,6 +11,7 @@
 from peridotyard_core import fleet
 
 from peridotyard_daemon.process import logs
+from peridotyard_daemon.process import rejections
 from peridotyard_daemon.process import stores
 
 # Removed rows that are remembered, see `ServerRows.has_change_outside`. They
@@ -33,14 +34,24 @@
     known ones, although their revisions are of a newer era. Then, the server's
     own count of heartbeats orders its rows, and a server that was removed
     stays so until it writes its row again.
+
+    A row that cannot be read names no server. Whatever was known under its key
+    is no longer listed, as after the removal of the row: the platform's rules
+    say that such an entry names no server to use, and a server that is alive
+    writes its row again with its next heartbeat.
     """
 
-    def __init__(self, decode: Decode):
+    def __init__(
+        self,
+        decode: Decode,
+        count: collections.abc.Callable[[str], None] = lambda _: None,
+    ):
         """Creates an empty list.
 
         Args:
             decode: Decodes a row from its key, value and revision; raises
                 `ValueError` if it is malformed.
+            count: Increases the counter of the given name.
         """
         self._decode = decode
         # Listed servers by instance, and the revisions of their last changes.
@@ -54,11 +65,10 @@
         self._removed: collections.OrderedDict[
             str, tuple[fleet.Server, int]
         ] = collections.OrderedDict()
-        # Keys of unreadable rows that have been logged.
-        self._unreadable: set[str] = set()
+        self._rejections = rejections.Rejections("server", count)
 
     def get(self, instance: str) -> fleet.Server | None:
-        """Returns a listed server; None if its row has never been readable."""
+        """Returns a listed server; None if its row cannot be read."""
         return self._servers.get(instance)
 
     def update(self, rows: Rows) -> Rows:
@@ -75,7 +85,7 @@
         Returns:
             The changed rows, and the instances that are no longer listed.
         """
-        missing = set(self._servers) - {row.key for row in rows}
+        missing = set(self._changed_at) - {row.key for row in rows}
         for instance in missing:
             self._record_removal(instance, revision)
         return self.update(rows), missing
@@ -103,7 +113,11 @@
             return True
         server = self._read(row)
         known = self._servers.get(row.key)
-        if server is not None:
+        if server is None:
+            if known is None and row.key in self._changed_at:
+                return False
+            self._withdraw(row.key, row.revision)
+        else:
             if self._is_restored(server):
                 _log.info(
                     "row from a copy of the store ignored",
@@ -137,28 +151,24 @@
         return age < known_age or (is_removed and age == known_age)
 
     def _record_removal(self, instance: str, revision: int) -> None:
-        server = self._servers.pop(instance, None)
-        if server is not None:
-            self._removed[instance] = (server, revision)
-            self._removed.move_to_end(instance)
-            if len(self._removed) > MAX_REMOVED_SERVERS:
-                self._removed.popitem(last=False)
+        self._withdraw(instance, revision)
         self._changed_at.pop(instance, None)
-        self._unreadable.discard(instance)
+        self._rejections.discard(instance)
         self._removals.append((instance, revision))
 
+    def _withdraw(self, instance: str, revision: int) -> None:
+        """Ends the listing of a server; its last row stays known."""
+        server = self._servers.pop(instance, None)
+        if server is None:
+            return
+        self._removed[instance] = (server, revision)
+        self._removed.move_to_end(instance)
+        if len(self._removed) > MAX_REMOVED_SERVERS:
+            self._removed.popitem(last=False)
+
     def _read(self, row: stores.Row) -> fleet.Server | None:
         try:
             return self._decode(row.key, row.value, row.revision)
         except ValueError as error:
-            # Logged once for each key, since a server that writes its row with
-            # each heartbeat would fill the log.
-            if row.key not in self._unreadable:
-                _log.warning(
-                    "unreadable server row ignored",
-                    key=row.key,
-                    revision=row.revision,
-                    error=str(error),
-                )
-            self._unreadable.add(row.key)
+            self._rejections.record(row.key, row.revision, error)
             return None
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/presence.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/presence.py
@@ -9,12 +9,14 @@
 import time
 
 from peridotyard_core import addresses
+from peridotyard_core import documents
 from peridotyard_core import leases
 from peridotyard_core import topologies
 from returns import result
 import trio
 
 from peridotyard_daemon.process import logs
+from peridotyard_daemon.process import rejections
 from peridotyard_daemon.process import stores
 from peridotyard_daemon.process import views
 
@@ -52,6 +54,10 @@
 # Time after the last heartbeat of a holder, which sends one each half second,
 # at which the other entries read the lease again.
 HOLDER_HEARTBEAT_TIMEOUT_S = 1.1
+# Entries of one write that the store accepts.
+WRITE_LIMIT = 100
+# Largest processor capacity that a row may state, in cores.
+MAX_CAPACITY = 1e6
 
 _log = logs.Logger("presence")
 
@@ -86,6 +92,7 @@
         name: str,
         own: topologies.Entry,
         clock=read_clock,
+        count: collections.abc.Callable[[str], None] = lambda _: None,
     ):
         """Creates the presence of one process.
 
@@ -95,12 +102,14 @@
             name: Name of the entry, unique for each process start.
             own: This entry as the others are to know it.
             clock: Returns seconds, also while the machine is suspended.
+            count: Increases the counter of the given name.
         """
         self._view = view
         self._store = store
         self._name = name
         self._own = own
         self._clock = clock
+        self._rejections = rejections.Rejections("entry", count)
         self.lease = leases.Lease(name, LEASE_DURATION_S)
         self.entries: frozenset[topologies.Entry] = frozenset()
         self.may_claim: collections.abc.Callable[[], bool] = lambda: True
@@ -279,6 +288,7 @@
             return LEASE_RENEWAL_INTERVAL_S
         # Another entry holds the lease, which is read again when it expires.
         left_s = record.until_s - listing.clock_s if record else 0.0
+        left_s = min(left_s, HEARTBEAT_INTERVAL_S)
         if is_first_read:
             left_s = min(left_s, FIRST_READ_PAUSE_S)
         return max(left_s, LEASE_READ_PAUSE_MIN_S)
@@ -308,26 +318,13 @@
             if not row.key.startswith(ENTRY_PREFIX):
                 continue
             try:
-                fields = json.loads(row.value)
-                at = float(fields["clock_s"])
-                entry = topologies.Entry(
-                    addresses.Address.from_text(fields["address"]),
-                    str(fields.get("zone", "")),
-                    max(0.0, float(fields.get("capacity", 0.0))),
-                )
-            except (
-                ValueError,
-                TypeError,
-                LookupError,
-                AttributeError,
-            ) as error:
-                _log.warning(
-                    "unreadable entry row ignored",
-                    key=row.key,
-                    error=str(error),
-                )
+                at, entry = _decode_entry(row.value)
+                age_s = listing.clock_s - at
+                if age_s < -ENTRY_TTL_S:
+                    raise ValueError("written later than the store's clock")
+            except ValueError as error:
+                self._rejections.record(row.key, row.revision, error)
                 continue
-            age_s = listing.clock_s - at
             if age_s < ENTRY_COUNT_S:
                 live.add(row.key.removeprefix(ENTRY_PREFIX))
             if age_s < ENTRY_TTL_S:
@@ -371,7 +368,8 @@
             for row in listing.rows
             if claim is not None and _is_stale(row, listing.clock_s)
         )
-        outcome = await self._store.commit(conditions, writes, stale)
+        room = max(0, WRITE_LIMIT - len(conditions) - len(writes))
+        outcome = await self._store.commit(conditions, writes, stale[:room])
         if isinstance(outcome, result.Success):
             self._written_at = sent_at
             self._listed_until = sent_at + ENTRY_TTL_S
@@ -431,13 +429,39 @@
     return stores.Write(TABLE, ENTRY_PREFIX + name, json.dumps(fields).encode())
 
 
+def _decode_entry(value: bytes) -> tuple[float, topologies.Entry]:
+    """Decodes the row of an entry, which another program may have written.
+
+    Returns:
+        The time on the store's clock at which it was written, in seconds, and
+        the entry.
+
+    Raises:
+        ValueError: The row is malformed.
+    """
+    fields = documents.parse(value)
+    address = addresses.Address.from_text(
+        documents.read_text(fields, "address")
+    )
+    if not address.port:
+        raise ValueError("no entry listens on port 0")
+    return (
+        documents.read_number(fields, "clock_s", 0, leases.MAX_CLOCK_S),
+        topologies.Entry(
+            address,
+            documents.read_text(fields, "zone", ""),
+            documents.read_number(fields, "capacity", 0, MAX_CAPACITY, 0.0),
+        ),
+    )
+
+
 def _is_stale(row: stores.Row, clock_s: float) -> bool:
     """Returns whether an entry's row is old enough to be removed."""
     if not row.key.startswith(ENTRY_PREFIX):
         return False
     try:
-        at = float(json.loads(row.value)["clock_s"])
-    except (ValueError, TypeError, LookupError):
-        # Logged by `_update_entries`; no other code reads the row.
+        at, _ = _decode_entry(row.value)
+    except ValueError:
+        # Recorded by `_update_entries`; no other code reads the row.
         return True
     return clock_s - at > 10 * ENTRY_TTL_S
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/synchronization.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/synchronization.py
@@ -128,12 +128,14 @@
         store: stores.Store,
         schema: Schema,
         random: random_module.Random,
+        count: collections.abc.Callable[[str], None] = lambda _: None,
     ):
         self._view = view
         self._store = store
         self._schema = schema
         self._random = random
-        self._server_rows = listings.ServerRows(schema.decode_server)
+        self._server_rows = listings.ServerRows(schema.decode_server, count)
+        self._count = count
         # Servers whose rows have expired but that may register again, by
         # instance: the time from which they are removed, and the revision at
         # which the row was missing.
@@ -183,6 +185,7 @@
         try:
             routing = self._schema.decode_routing(value)
         except ValueError as error:
+            self._count("unreadable_rows.configuration")
             _log.error(
                 "stored configuration is unreadable",
                 error=str(error),
@@ -429,9 +432,14 @@
                 self._expire_server(row.key, row.revision, now)
                 continue
             server = self._server_rows.get(row.key)
-            if server is not None:
+            if server is None:
+                # Unlike a missing row, one that cannot be read is no sign of an
+                # outage of the store.
                 self._expired.pop(row.key, None)
-                self._view.apply_server(server)
+                self._view.remove_server(row.key, row.revision)
+                continue
+            self._expired.pop(row.key, None)
+            self._view.apply_server(server)
         self._view.expire_reports()
         for instance, (until, revision) in list(self._expired.items()):
             if now >= until:
--- a/tests/unit/test_gateway.py
+++ b/tests/unit/test_gateway.py
@@ -13,6 +13,7 @@
 from tests.support import cases
 from tests.support import deployments
 from tests.support import gateways
+from tests.support import odd_values
 from tests.support import servers as servers_module
 
 
@@ -666,3 +667,48 @@
         assert states["y"] == {}
         assert states["x"]["limit_per_s"] == 2.0
         assert states["x"]["source"].startswith("front-1#")
+
+
+@cases.run_on_virtual_clock
+async def test_odd_rows_of_entries_and_the_lease_end_no_entry():
+    """Guards against one row that ends all entries, or placement for good."""
+    entry_row = {
+        "clock_s": 1.0,
+        "address": "10.1.0.9:82",
+        "zone": "a",
+        "capacity": 1.0,
+    }
+    lease = {"holder": "front-9#1", "until_s": 1e9}
+    async with deployments.open_deployment(2) as deployment:
+        await trio.sleep(3)
+        values = odd_values.DOCUMENTS + tuple(
+            odd_values.list_variants(entry_row)
+        )
+        for number, value in enumerate(values):
+            deployment.rows.put("peridotyard", f"entry/odd-{number}", value)
+        for value in (*odd_values.DOCUMENTS, json.dumps(lease).encode()):
+            deployment.rows.put("peridotyard", "lease/placement", value)
+            await trio.sleep(6)
+            assert b" 200 " in await deployment.call(2)
+        assert deployment.find_holder()
+        metrics = await deployment.call(1, target="/metrics", port=83)
+        assert b'unreadable_rows_total{kind="entry"}' in metrics
+
+
+@cases.run_on_virtual_clock
+async def test_many_odd_rows_of_entries_do_not_keep_the_lease_from_all():
+    """Guards against a write of more rows than the store accepts."""
+    async with deployments.open_deployment(2) as deployment:
+        sizes = []
+        commit = deployment.rows._commit
+
+        def record(call):
+            sizes.append(sum(map(len, call.values())))
+            return commit(call)
+
+        deployment.rows._commit = record
+        for number in range(300):
+            deployment.rows.put("peridotyard", f"entry/odd-{number}", b"[")
+        await trio.sleep(10)
+        assert deployment.find_holder()
+        assert max(sizes) <= 100
--- a/tests/unit/test_leases.py
+++ b/tests/unit/test_leases.py
@@ -4,8 +4,10 @@
 from hypothesis import stateful
 from hypothesis import strategies
 from peridotyard_core import leases
+import pytest
 
 from tests.support import cases
+from tests.support import odd_values
 
 DURATION_S = 6.0
 NAMES = ("first", "second", "third")
@@ -91,3 +93,22 @@
     lease.record_granted(0.5)
     assert not lease.is_held(1.0)
     assert lease.plan_claim(None, 4, 101.0) is None
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        *odd_values.DOCUMENTS,
+        *odd_values.list_variants({"holder": "first", "until_s": 5.0}),
+    ],
+)
+def test_odd_row_never_keeps_the_lease_from_all(value):
+    """Guards against one row that ends the process or placement for good."""
+    record = leases.Record.from_json(value)
+    if record is not None:
+        assert 0 <= record.until_s <= leases.MAX_CLOCK_S
+        claims = [
+            leases.Lease("second", 6.0).plan_claim(record, 7, clock_s)
+            for clock_s in (100.0, 170.0)
+        ]
+        assert any(claims)
--- a/tests/unit/test_platform_store.py
+++ b/tests/unit/test_platform_store.py
@@ -11,6 +11,7 @@
 
 from tests.support import cases
 from tests.support import memory
+from tests.support import odd_values
 from tests.support import platform_store
 from tests.support import virtual_clock
 
@@ -233,3 +234,51 @@
         assert stores.get_era(known) == 3
         stand_in._make_headers = lambda: [(b"Store-Era", value)]
         assert (await client.scan("t")).unwrap().revision == known
+
+
+@pytest.mark.parametrize(
+    "field", [{"value": "x"}, {"value": 7}, {"value": [1]}, {"key": "\ud800"}]
+)
+@cases.run_on_virtual_clock
+async def test_odd_row_leaves_the_others(field, monkeypatch):
+    """Guards against one row that keeps an entry from reading the table."""
+    async with open_store() as (stand_in, client):
+        for key in ("a", "b", "c"):
+            stand_in.put("t", key, b"x")
+        render = platform_store._render
+        monkeypatch.setattr(
+            platform_store,
+            "_render",
+            lambda table, key, *rest: render(table, key, *rest)
+            | (field if key == "b" else {}),
+        )
+        listing = (await client.scan("t")).unwrap()
+        readable = [row.key for row in listing.rows if row.value == b"x"]
+        assert readable == ["a", "c"]
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        *odd_values.DOCUMENTS,
+        *odd_values.list_variants({"rows": [{"key": "a"}], "ver": 3}),
+        *odd_values.list_variants(
+            {
+                "rows": [{"key": "a", "value": "", "ver": 3}],
+                "nowMs": 5,
+                "ver": 3,
+            }
+        ),
+    ],
+)
+@cases.run_on_virtual_clock
+async def test_odd_response_is_a_failure_or_a_listing(body):
+    """Guards against a response that ends the process."""
+    async with open_store() as (stand_in, client):
+
+        async def respond(_method, _target, _headers, _body, responder):
+            await responder.send_complete(200, [], body)
+
+        stand_in._handle = respond
+        await client.watch("t", 1, 0.1)
+        await client.commit((), (write("a"),))
--- a/tests/unit/test_synchronization.py
+++ b/tests/unit/test_synchronization.py
@@ -1,5 +1,6 @@
 """Tests of peridotyard_daemon.process.synchronization."""
 
+import collections
 import contextlib
 import json
 import random
@@ -16,6 +17,7 @@
 
 from tests.support import cases
 from tests.support import memory
+from tests.support import odd_values
 from tests.support import platform_store
 from tests.support import virtual_clock
 
@@ -41,7 +43,7 @@
 
 
 @contextlib.asynccontextmanager
-async def open_synchronizer():
+async def open_synchronizer(count=lambda _: None):
     network = memory.MemoryNetwork()
     stand_in = platform_store.StandIn()
     view = views.View("a")
@@ -49,7 +51,7 @@
         platform_store.ADDRESS, network.join("entry").dial
     )
     synchronizer = synchronization.Synchronizer(
-        view, client, schema.Schema(2.5), random.Random(0)
+        view, client, schema.Schema(2.5), random.Random(0), count
     )
     async with trio.open_nursery() as nursery:
         stand_in.join(network, nursery)
@@ -119,6 +121,67 @@
         assert list(view.servers) == ["s1"]
 
 
+@cases.run_on_virtual_clock
+async def test_odd_rows_leave_the_other_servers():
+    """Guards against an entry that ends with all its requests.
+
+    It read the row again after each start, so that it ended without end.
+    """
+    async with open_view() as (stand_in, view):
+        stand_in.put("servers", "s1", encode_server())
+        for number, value in enumerate(odd_values.DOCUMENTS):
+            stand_in.put("servers", f"bad{number}", value)
+            stand_in.put("op", "config", value)
+        stand_in.put("servers", "a\r\nb", encode_server(address="10.0.0.8:80"))
+        stand_in.put("servers", "far", encode_server(address="10.0.0.8:65536"))
+        await trio.sleep(2)
+        assert list(view.servers) == ["s1"]
+        stand_in.put("op", "config", encode_routing(5))
+        stand_in.put("servers", "s2", encode_server(address="10.0.0.7:80"))
+        await trio.sleep(2)
+        assert set(view.servers) == {"s1", "s2"}
+        assert view.routing.version == 5
+
+
+@cases.run_on_virtual_clock
+async def test_row_that_has_become_unreadable_names_no_server():
+    """Guards against requests to a server whose row names none any more."""
+    async with open_view() as (stand_in, view):
+        stand_in.put("servers", "s1", encode_server())
+        stand_in.put("servers", "s2", encode_server(address="10.0.0.8:80"))
+        await trio.sleep(2)
+        stand_in.put("servers", "s1", b"[" * 4000)
+        await trio.sleep(1)
+        assert list(view.servers) == ["s2"]
+        stand_in.put("servers", "s1", encode_server(sequence=2))
+        await trio.sleep(1)
+        assert set(view.servers) == {"s1", "s2"}
+
+
+@cases.run_on_virtual_clock
+async def test_unreadable_rows_are_counted_and_forwarded_once():
+    """Guards against traffic and logs that grow with another writer's rows."""
+    counted = collections.Counter()
+    async with open_synchronizer(lambda name: counted.update([name])) as (
+        stand_in,
+        _,
+        synchronizer,
+    ):
+        forwarded = []
+        synchronizer.publish = lambda *arguments: forwarded.extend(
+            arguments[2].rows
+        )
+        await trio.sleep(1)
+        for _ in range(5):
+            stand_in.put("servers", "bad", b"[" * 4000)
+            await trio.sleep(1)
+        assert counted["unreadable_rows.server"] == 5
+        assert len(forwarded) == 1
+        stand_in.put("servers", "bad", None)
+        await trio.sleep(1)
+        assert len(forwarded) == 2
+
+
 @cases.run_on_virtual_clock
 async def test_last_known_state_is_used_during_an_outage():
     async with open_view() as (stand_in, view):
