Layers beyond the model do not end the placement of layers

A server that states layers which the configured model does not have (another model, or another writer's row) raised IndexError in _choose_copy_range when a spare server was planned, which ended the process. A negative range counted the last layers of the model, and one after the model's end made layers missing that do not exist.

repair_group, list_uncovered_ranges and the choice of a copy now use the part of each range that lies in the model; a server whose layers are all beyond it holds none and is ordered to load some. The search of paths was looked at: it only compares, and needs no change.

Conclusion: stated layers are limited to those of the model before they are used.

--- a/packages/peridotyard-core/src/peridotyard_core/layouts.py
+++ b/packages/peridotyard-core/src/peridotyard_core/layouts.py
@@ -52,7 +52,7 @@
     """
     missing = []
     layer = 0
-    for layer_range in sorted(layer_ranges):
+    for layer_range in sorted(_clip_ranges(layer_ranges, layers)):
         if layer_range.first > layer:
             missing.append(fleet.LayerRange(layer, layer_range.first))
         layer = max(layer, layer_range.end)
@@ -61,6 +61,25 @@
     return missing
 
 
+def _clip_ranges(
+    layer_ranges: collections.abc.Iterable[fleet.LayerRange], layers: int
+) -> list[fleet.LayerRange]:
+    """Returns the parts of ranges that are layers of the model.
+
+    Reports and rows are written by others: their layers may be those of another
+    model.
+
+    Args:
+        layer_ranges: Ranges of layers that servers state.
+        layers: Number of layers of the model.
+    """
+    clipped = (
+        fleet.LayerRange(max(r.first, 0), min(r.end, layers))
+        for r in layer_ranges
+    )
+    return [layer_range for layer_range in clipped if layer_range.size > 0]
+
+
 def group_zones(servers: Servers, engine: fleet.Engine) -> list[list]:
     """Groups servers such that each group can hold all layers, if possible.
 
@@ -188,11 +207,14 @@
         New layer ranges by instance; empty if no change is needed.
     """
     stream_capacity = find_stream_capacity(servers, engine)
-    held = {
-        s.instance: layer_ranges[s.instance]
-        for s in servers
-        if s.instance in layer_ranges
-    }
+    held = {}
+    for server in servers:
+        if server.instance in layer_ranges:
+            # A server whose layers are all beyond the model holds none.
+            for layer_range in _clip_ranges(
+                [layer_ranges[server.instance]], engine.layers
+            ):
+                held[server.instance] = layer_range
     streams = stream_capacity
     while True:
         current = dict(held)
@@ -403,7 +425,7 @@
     """
     holders = [0] * layers
     largest = [0] * layers
-    for layer_range in layer_ranges.values():
+    for layer_range in _clip_ranges(layer_ranges.values(), layers):
         for layer in range(layer_range.first, layer_range.end):
             holders[layer] += 1
             largest[layer] = max(largest[layer], layer_range.size)
--- a/tests/unit/test_layouts.py
+++ b/tests/unit/test_layouts.py
@@ -207,3 +207,37 @@
     layer_ranges = layouts.plan_group(servers, engine)
     held = sum(layer_range.size for layer_range in layer_ranges.values())
     assert held >= engine.layers + max(r.size for r in layer_ranges.values())
+
+
+STATED = strategies.builds(
+    fleet.LayerRange,
+    strategies.integers(-200, 200),
+    strategies.integers(-200, 200),
+)
+
+
+@hypothesis.settings(**cases.DERANDOMIZED)
+@hypothesis.given(
+    stated=strategies.dictionaries(strategies.integers(0, 9), STATED)
+)
+def test_layers_beyond_the_model_do_not_end_the_placement(stated):
+    """Guards against placement that fails in each round.
+
+    A server that runs another model, or another writer's row, states layers
+    that the configured model does not have.
+    """
+    engine = fleets.make_engine()
+    servers = fleets.make_zone("a", 4, 3, 3)
+    names = [server.instance for server in servers]
+    layer_ranges = {names[index]: held for index, held in stated.items()}
+    changes = layouts.repair_group(servers, layer_ranges, engine)
+    check_memory(servers, changes, engine)
+    held = layer_ranges | changes
+    assert not layouts.list_uncovered_ranges(held.values(), engine.layers)
+
+
+def test_no_layers_beyond_the_model_are_missing():
+    ranges = [fleet.LayerRange(-5, 3), fleet.LayerRange(90, 95)]
+    assert layouts.list_uncovered_ranges(ranges, 20) == [
+        fleet.LayerRange(3, 20)
+    ]
