requests: what no server received in time is refused as not run

Seen by callers: a request whose time limit passed before any server had received it (the connection hung, the server's limit made it wait) ended with 504, may-have-run. A caller whose request may not be repeated then must not send it again, although it never ran.

Cause: `Forwarder.handle` counted every time-out as a possible run, sent or not, so that its case for unsent requests was never reached. `Stream.run` reported each time-out before the first event as one that may have run.

Ruled out: a wrong `TimedOut.sent`; it is set only after the connection is open. A stream counts as sent from then on as well, also if it is cancelled while a lost connection is being classified.

Why the fix works: plain requests count a run only if `sent`; a stream records it when its run on a path ends, in whichever way.

Conclusion: 504 is left to requests that a server may have received.

--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/forwards.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/forwards.py
@@ -145,7 +145,7 @@
             tried.add(server.instance)
             if not isinstance(last, Refused) or last.sent:
                 sends += 1
-            if not isinstance(last, Refused):
+            if _may_have_run(last):
                 possible_runs += 1
             if not self._may_retry(request, last, possible_runs):
                 break
@@ -370,6 +370,15 @@
     return Responded(head, body)
 
 
+def _may_have_run(outcome: Outcome) -> bool:
+    match outcome:
+        case Refused():
+            return False
+        case TimedOut(sent=sent):
+            return sent
+    return True
+
+
 def _describe(outcome: Outcome) -> str:
     match outcome:
         case Responded(head=head):
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/relays.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/relays.py
@@ -78,9 +78,15 @@
         if self._responder.started:
             self._context.record_end(self._request, "cut (time limit)")
             return
-        failure = verdicts.make_may_have_run_failure(
-            "backend-timeout", "The stream had no event within the time limit."
-        )
+        if self._may_have_run:
+            failure = verdicts.make_may_have_run_failure(
+                "backend-timeout",
+                "The stream had no event within the time limit.",
+            )
+        else:
+            failure = verdicts.make_not_run_failure(
+                "deadline-exceeded", "No server could be reached in time."
+            )
         await self._context.fail(self._request, self._responder, failure)
 
     def has_later_stage(self, instance: str) -> bool:
@@ -225,14 +231,15 @@
             self._nursery.cancel_scope.cancel()
         finally:
             self._runs.remove(run)
-        outcome = outcome or run.describe_cancelled()
+            # Also if the run was cancelled, by a time limit for example.
+            outcome = outcome or run.describe_cancelled()
+            self._may_have_run |= isinstance(outcome, runs.Broken)
         match outcome:
             case runs.Completed() | runs.Passed():
                 self._take_lead(run)
             case runs.Refused(avoid=avoid):
                 self._avoid |= avoid
             case runs.Broken(avoid=avoid, ended=ended):
-                self._may_have_run = True
                 self._avoid |= avoid
                 self._possible_runs += not ended
         if outcome is not None and not self._is_done:
--- a/tests/unit/test_forwards.py
+++ b/tests/unit/test_forwards.py
@@ -72,6 +72,22 @@
     assert float(dict(recorder.headers)[b"retry-after"]) > 0
 
 
+@pytest.mark.parametrize(
+    "retry_policy", [fleet.RetryPolicy.ONCE, fleet.RetryPolicy.SAFE]
+)
+@cases.run_on_virtual_clock
+async def test_call_that_was_not_sent_in_time_is_refused_as_not_run(
+    retry_policy,
+):
+    """Guards against a caller that must not retry what no server received."""
+    async with gateways.open_harness(gateways.make_plain_servers(1)) as harness:
+        harness.partition("p1")
+        recorder = await forward(harness, retry_policy, time_limit_ms=600)
+        assert harness.servers["p1"].requests == []
+        assert recorder.status == 503
+        assert b"not-run" in recorder.body
+
+
 @pytest.mark.parametrize("kind", ["crash", "cut", "error", "unsigned", "hang"])
 def test_safe_call_is_retried_up_to_the_limit_of_servers(kind):
     recorder, runs = run_with(
--- a/tests/unit/test_relays.py
+++ b/tests/unit/test_relays.py
@@ -930,3 +930,21 @@
         harness.context.make_budget = lambda: budgets.WindowBudget(0, 0, 10.0)
         harness.servers["a0"].faults = [servers_module.Fault("pause", 4)]
         check_complete(await relay(harness))
+
+
+@pytest.mark.parametrize("sent", [False, True])
+@cases.run_on_virtual_clock
+async def test_stream_that_was_not_sent_in_time_is_refused_as_not_run(sent):
+    """Guards against a caller that must not retry what no server received."""
+    async with gateways.open_harness(
+        gateways.make_servers([("x", "a", (0, 20))])
+    ) as harness:
+        server = harness.servers["x"]
+        if sent:
+            server.faults = [servers_module.Fault("stall", 0)]
+        else:
+            harness.partition("x")
+        recorder = await relay(harness, time_limit_ms=600)
+        assert len(server.requests) == sent
+        assert recorder.status == (504 if sent else 503)
+        assert (b"may-have-run" if sent else b"not-run") in recorder.body
