entry: requests in progress are answered at the end of the grace

Seen by callers: in a planned stop of an entry, requests whose server was still at work when the entry ended were cut without an answer, among them requests that may not be repeated. With a grace of 2 s this came at 1.4 s, before the last sixth of the grace. The time limit handed to servers reached up to the caller's limit, far beyond the end of the process.

Cause: `Gateway._drain` waited until 0.6 s before the end of the grace and then cancelled the nursery with all connections in it. The requests knew only their own deadline.

Ruled out: requests taken after 2.3 s (refused, see the tests of the drain); kept connections (closed with each response while stopping); a stream with its final chunk (a cancelled one lacked it before, too).

Why the fix works: `lifecycle.AnswerLimit` holds the time until which the entry can answer. It is infinite until SIGTERM, and then also applies to the waits that are in progress (reservation, connection, response, path, retry). At that time a request ends as at its own deadline, so that it is known whether a server received it: 503 with Retry-After if not, else 504; a stream that has begun ends without its final chunk. `Request.get_remaining_s`, and with it the time limit of each dispatch, ends there too. An idempotent request still waits for half of its own time for the first server, not half of the grace. The time is 0.8 s before the end of the grace, or an eighth of a grace below 6.4 s, inside the last sixth; a quarter of that is for sending the answers. A second stop ends the requests at once in the same way. The outcome of a stream is sent outside of its time limit, which could cut it off.

--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/gateway.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/gateway.py
@@ -42,9 +42,15 @@
 from peridotyard_daemon.request import forwards
 from peridotyard_daemon.request import relays
 
-# Time reserved for sending the last bytes before the platform kills a stopping
-# process.
-STOP_RESERVE_S = 0.6
+# Time before the platform kills a stopping process at which the process ends
+# the requests in progress, each with its final answer. At most this fraction of
+# the grace, since servers are expected to get most of it.
+STOP_RESERVE_S = 0.8
+STOP_RESERVE_FRACTION = 0.125
+# Part of that time in which these answers are sent; then the process ends.
+ANSWER_FRACTION = 0.25
+# Time between two checks whether they have been sent.
+ANSWER_POLL_S = 0.01
 # Time for which a stopping entry accepts new connections: the platform's load
 # balancer removes it after two failed readiness checks, one per second.
 BALANCER_REMOVAL_S = 2.3
@@ -65,9 +71,6 @@
 FLEET_TARGET = "/admin/v1/fleet"
 # Innermost frames of the traceback of an internal error that are logged.
 TRACEBACK_FRAMES = 4
-# Retry-After of requests that a stopping entry refuses. It is short, since
-# other entries can serve them.
-RETRY_AFTER_STOP_S = 0.1
 
 _log = logs.Logger("entry")
 
@@ -342,24 +345,38 @@
         """Waits for a stop, then for the requests in progress to end."""
         await self._lifecycle.draining.wait()
         began = trio.current_time()
+        grace_s = self._settings.grace_s
+        reserve_s = min(STOP_RESERVE_S, STOP_RESERVE_FRACTION * grace_s)
+        answer_limit = self.context.answer_limit
+        answer_limit.set(began + grace_s - reserve_s)
         _log.info("entry stopping", connections=len(self._connections))
         # In a task of its own, since a slow store must not delay the refusals.
         self._nursery.start_soon(self._presence.release_lease)
-        await trio.sleep(min(BALANCER_REMOVAL_S, self._settings.grace_s / 2))
+        await trio.sleep(min(BALANCER_REMOVAL_S, grace_s / 2))
         self._is_refusing = True
         for connection in list(self._connections):
             connection.close_when_idle()
-        remaining_s = self._settings.grace_s - (trio.current_time() - began)
         drained = await self._lifecycle.wait_drained(
-            lambda: not any(c.busy for c in self._connections),
-            max(0.0, remaining_s - STOP_RESERVE_S),
+            lambda: not self._count_busy(),
+            max(0.0, answer_limit.until - trio.current_time()),
         )
+        ended = 0 if drained else self._count_busy()
+        # Earlier than the limit if a second stop was requested.
+        answer_limit.set(trio.current_time())
+        with trio.move_on_after(ANSWER_FRACTION * reserve_s):
+            while self._count_busy():
+                await trio.sleep(ANSWER_POLL_S)
         _log.info(
             "entry stopped",
             drained=drained,
-            cut=sum(c.busy for c in self._connections),
+            ended=ended,
+            cut=self._count_busy(),
         )
 
+    def _count_busy(self) -> int:
+        """Returns the number of connections with a request in progress."""
+        return sum(connection.busy for connection in self._connections)
+
     async def _serve_caller(self, stream: trio.abc.Stream) -> None:
         await self._run_connection(stream, self._handle, self._connections)
 
@@ -486,9 +503,7 @@
         if self._is_refusing:
             # A request that starts now could be interrupted by the end of the
             # process.
-            return verdicts.make_not_run_failure(
-                "draining", "This entry is stopping.", RETRY_AFTER_STOP_S
-            )
+            return contexts.make_stopping_failure()
         routing = self.view.routing
         if routing is None:
             return verdicts.make_not_run_failure(
@@ -528,4 +543,5 @@
             version=routing.version,
             arrived_at=arrived_at,
             deadline=arrived_at + limit_s,
+            answer_limit=self.context.answer_limit,
         )
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/lifecycle.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/lifecycle.py
@@ -1,10 +1,50 @@
 """Stop signals and the drain of a process."""
 
+import collections.abc
+import contextlib
 import signal
 
 import trio
 
 
+class AnswerLimit:
+    """Time until which a process can answer requests, owned by the process.
+
+    Attributes:
+        until: The time; infinite until the process stops.
+    """
+
+    def __init__(self):
+        self.until = float("inf")
+        self._scopes: set[trio.CancelScope] = set()
+
+    @property
+    def is_set(self) -> bool:
+        """Whether the process stops."""
+        return self.until < float("inf")
+
+    def set(self, until: float) -> None:
+        """Sets the time, also for the work in progress; it only decreases."""
+        self.until = min(self.until, until)
+        for scope in self._scopes:
+            scope.deadline = min(scope.deadline, self.until)
+
+    @contextlib.contextmanager
+    def move_on_at(
+        self, deadline: float
+    ) -> collections.abc.Iterator[trio.CancelScope]:
+        """Cancels the body at a deadline, or at the limit if that is earlier.
+
+        Unlike with `trio.move_on_at`, the limit may be set later.
+        """
+        with trio.CancelScope(deadline=min(deadline, self.until)) as scope:
+            self._scopes.add(scope)
+            try:
+                yield scope
+            finally:
+                self._scopes.discard(scope)
+
+
 class Lifecycle:
     """State of the shutdown of one process, owned by the process.
 
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/contexts.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/contexts.py
@@ -18,6 +18,7 @@
 from peridotyard_daemon.connection import callers
 from peridotyard_daemon.connection import http
 from peridotyard_daemon.connection import upstreams
+from peridotyard_daemon.process import lifecycle
 from peridotyard_daemon.process import logs
 from peridotyard_daemon.process import metrics as metrics_module
 from peridotyard_daemon.process import prompts as prompts_module
@@ -34,6 +35,9 @@
 # Upper limit of that value. Callers wait for at most a third of their time
 # limit (6.6 of 20 s).
 RETRY_AFTER_MAX_S = 5.0
+# Value for requests that a stopping entry refuses. It is short, since other
+# entries can serve them.
+RETRY_AFTER_STOP_S = 0.1
 # Callers that are refused at the same moment return over a time of this share
 # of the value, so that they do not fill the servers at once again.
 RETRY_AFTER_SPREAD = 0.3
@@ -67,6 +71,7 @@
         version: Version of the configuration that route and service are from.
         arrived_at: Time of arrival.
         deadline: Time at which the complete response is due.
+        answer_limit: Time until which this entry can answer.
     """
 
     head: exchanges.RequestHead
@@ -77,10 +82,14 @@
     version: int
     arrived_at: float
     deadline: float
+    answer_limit: lifecycle.AnswerLimit = dataclasses.field(
+        default_factory=lifecycle.AnswerLimit
+    )
 
     def get_remaining_s(self) -> float:
-        """Returns the seconds until the deadline."""
-        return self.deadline - trio.current_time()
+        """Returns the seconds for which an answer can be awaited."""
+        until = min(self.deadline, self.answer_limit.until)
+        return until - trio.current_time()
 
     @property
     def workspace_name(self) -> str:
@@ -147,6 +156,7 @@
         make_budget: Returns a new retry budget for a service.
         statements: What the servers state about themselves.
         reservations: Reservations of requests to limited servers.
+        answer_limit: Time until which this entry can answer requests.
         quarantine: Requests that crash servers.
         parts: Parts of prompts that crash servers.
         streams: Streams in progress, each a `relays.Stream`.
@@ -164,6 +174,9 @@
     make_budget: collections.abc.Callable[[], budgets.WindowBudget]
     statements: statements_module.Statements
     reservations: reservations_module.Reservations
+    answer_limit: lifecycle.AnswerLimit = dataclasses.field(
+        default_factory=lifecycle.AnswerLimit
+    )
     quarantine: quarantines.Quarantine = dataclasses.field(
         default_factory=quarantines.Quarantine
     )
@@ -249,6 +262,16 @@
             choose_exhausted: The same if all choices are exhausted.
             get_server: Returns the server of a choice that gets the request.
         """
+        with request.answer_limit.move_on_at(request.deadline):
+            return await self._reserve(
+                request, choose, choose_exhausted, get_server
+            )
+        return None
+
+    async def _reserve(
+        self, request: Request, choose, choose_exhausted, get_server
+    ) -> typing.Any:
+        """Does the work of `reserve`, without its time limit."""
         denied = self.list_exhausted(request.service.name)
         while (choice := choose(denied)) is not None:
             server = get_server(choice)
@@ -367,11 +390,21 @@
             quarantines.RETENTION_S,
         )
 
+    def refuse_unsent(self, request: Request) -> verdicts.Failure:
+        """Returns the failure of a request that no server received in time."""
+        if request.answer_limit.until < request.deadline:
+            return make_stopping_failure()
+        return verdicts.make_not_run_failure(
+            "deadline-exceeded", "No server could be reached in time."
+        )
+
     def refuse_unavailable(
         self, request: Request, reason: str
     ) -> verdicts.Failure:
         """Returns the failure of a request that no server accepted."""
         request.log(_log, "no server accepted the request", reason=reason)
+        if request.answer_limit.until <= trio.current_time():
+            return make_stopping_failure()
         wait_s = RETRY_AFTER_BUSY_S
         if request.service.engine:
             # A service that has had no path for some time is likely to have
@@ -429,6 +462,13 @@
         )
 
 
+def make_stopping_failure() -> verdicts.Failure:
+    """Returns the failure of a request that a stopping entry refuses."""
+    return verdicts.make_not_run_failure(
+        "draining", "This entry is stopping.", RETRY_AFTER_STOP_S
+    )
+
+
 async def send_failure(
     responder: callers.Responder, failure: verdicts.Failure, request_id: str
 ) -> None:
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/forwards.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/forwards.py
@@ -225,7 +225,7 @@
         tried: set[str],
     ) -> Outcome:
         context = self._context
-        limit_s = request.get_remaining_s()
+        limit_s = request.deadline - trio.current_time()
         alternative = self._choose_server(
             request.service.name, tried | {server.instance}
         )
@@ -293,7 +293,7 @@
         connection = None
         outcome: Outcome = TimedOut(sent=False)
         keep_alive_s = None
-        with trio.move_on_after(limit_s):
+        with request.answer_limit.move_on_at(trio.current_time() + limit_s):
             try:
                 connection = await context.pool.acquire(server.address)
                 dispatch = request.make_dispatch(server, ())
@@ -344,9 +344,7 @@
             case Refused(reason=reason) if not possible_runs:
                 failure = self._context.refuse_unavailable(request, reason)
             case TimedOut(sent=False) if not possible_runs:
-                failure = verdicts.make_not_run_failure(
-                    "deadline-exceeded", "No server could be reached in time."
-                )
+                failure = self._context.refuse_unsent(request)
             case TimedOut():
                 failure = verdicts.make_may_have_run_failure(
                     "backend-timeout", "The server did not respond in time."
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/relays.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/relays.py
@@ -69,11 +69,15 @@
         """Relays the stream, and resumes it on other paths after failures."""
         self._context.streams.add(self)
         try:
-            with trio.move_on_at(self._request.deadline) as scope:
-                await self._run_paths()
+            with self._request.answer_limit.move_on_at(
+                self._request.deadline
+            ) as scope:
+                outcome = await self._run_paths()
         finally:
             self._context.streams.discard(self)
         if not scope.cancelled_caught:
+            # Outside of the time limit, which could cut off the answer.
+            await self._finish_response(outcome)
             return
         if self._responder.started:
             self._context.record_end(self._request, "cut (time limit)")
@@ -84,9 +88,7 @@
                 "The stream had no event within the time limit.",
             )
         else:
-            failure = verdicts.make_not_run_failure(
-                "deadline-exceeded", "No server could be reached in time."
-            )
+            failure = self._context.refuse_unsent(self._request)
         await self._context.fail(self._request, self._responder, failure)
 
     def has_later_stage(self, instance: str) -> bool:
@@ -117,7 +119,8 @@
             for run in self._runs:
                 run.scope.cancel()
 
-    async def _run_paths(self) -> None:
+    async def _run_paths(self) -> runs.Outcome:
+        """Returns the outcome of the last path."""
         request, context = self._request, self._context
         while True:
             path = await self._find_path(self._outcome)
@@ -149,8 +152,7 @@
             if self._sends >= SEND_LIMIT:
                 self._log_given_up("sends")
                 break
-        outcome = self._outcome or runs.Refused("no path", frozenset())
-        await self._finish_response(outcome)
+        return self._outcome or runs.Refused("no path", frozenset())
 
     def _log_given_up(self, reason: str) -> None:
         """Logs why a stream is not sent again.
--- a/tests/support/deployments.py
+++ b/tests/support/deployments.py
@@ -40,12 +40,17 @@
     )
 
 
-def encode_routing(version, key="key-1", **changes):
-    """Returns a configuration with one route as the store holds it.
+def encode_routing(
+    version, key="key-1", kind="streaming", objective_s=0.5, **changes
+):
+    """Returns a configuration as the store holds it.
 
     Args:
         version: Its version.
         key: API key of the only tenant.
+        kind: Kind of the route to the plain servers; there is none if it is
+            "streaming".
+        objective_s: Latency objective of that route, seconds.
         **changes: Fields that are added or replaced.
     """
     value = {
@@ -69,6 +74,20 @@
         ],
         "tenants": [{"name": "north", "apiKeys": [key]}],
     }
+    if kind != "streaming":
+        value["routes"].append(
+            {
+                "name": "ledger",
+                "host": "api.example",
+                "prefix": "/ledger/",
+                "kind": kind,
+                "timeoutMs": 20000,
+                "targetLatencyMs": round(1000 * objective_s),
+                "service": gateways.PLAIN_SERVICE,
+                "maxAttempts": 2,
+            }
+        )
+        value["services"].append({"name": gateways.PLAIN_SERVICE})
     return json.dumps(value | changes).encode()
 
 
@@ -160,18 +179,20 @@
 
 
 @contextlib.asynccontextmanager
-async def open_deployment(entries=1, server_layers=None):
+async def open_deployment(entries=1, server_layers=None, plain_servers=0):
     """Runs entries and stand-ins, and yields a `Deployment`.
 
     Args:
         entries: Number of entries.
         server_layers: Name, zone and layer range of each server.
+        plain_servers: Number of servers of the plain service.
     """
     network = memory.MemoryNetwork()
     rows = platform_store.StandIn()
     servers = gateways.make_servers(
         server_layers or [("x", "a", (0, 10)), ("y", "a", (10, 20))]
     )
+    servers += gateways.make_plain_servers(plain_servers)
     async with trio.open_nursery() as nursery:
         rows.join(network, nursery)
         rows.put("op", "config", encode_routing(3))
--- a/tests/support/gateways.py
+++ b/tests/support/gateways.py
@@ -147,6 +147,7 @@
             version=1,
             arrived_at=now,
             deadline=now + (head.time_limit_s or 20.0),
+            answer_limit=self.context.answer_limit,
         )
 
     def kill(self, instance: str) -> None:
--- a/tests/support/servers.py
+++ b/tests/support/servers.py
@@ -68,6 +68,7 @@
         fatal_part: Part of a prompt that ends the server before it has sent an
             event of the answer; empty for none.
         peers: Stand-ins for all servers, by address.
+        work_s: Time until the answer of a plain server, seconds.
     """
 
     def __init__(self, server: fleet.Server, events: int = 10):
@@ -101,6 +102,7 @@
     async def wait_responsive(self) -> None:
         """Waits until the process runs."""
         await self._responsive.wait()
+        self.work_s = 0.02
 
     def join(self, network, nursery) -> None:
         """Starts to serve on an in-memory network."""
@@ -217,7 +219,7 @@
         self.runs.append(request_id)
         if fault.kind == "hang":
             await trio.sleep_forever()
-        await trio.sleep(0.02)
+        await trio.sleep(self.work_s)
         if fault.kind == "end":
             self._stop_serving()
         if fault.kind in ("crash", "end"):
--- a/tests/unit/test_forwards.py
+++ b/tests/unit/test_forwards.py
@@ -88,6 +88,36 @@
         assert b"not-run" in recorder.body
 
 
+@pytest.mark.parametrize(
+    "retry_policy", [fleet.RetryPolicy.ONCE, fleet.RetryPolicy.SAFE]
+)
+@cases.run_on_virtual_clock
+async def test_unsent_call_is_refused_at_the_answer_limit(retry_policy):
+    """Guards against a call that ends with its entry, without an answer.
+
+    The limit is set while the call waits for a connection.
+    """
+    async with gateways.open_harness(gateways.make_plain_servers(1)) as harness:
+        harness.partition("p1")
+        limit = harness.context.answer_limit
+        began = trio.current_time()
+        recorders = []
+
+        async def call():
+            recorders.append(await forward(harness, retry_policy))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(call)
+            await trio.sleep(0.1)
+            limit.set(began + 0.3)
+        assert trio.current_time() - began == pytest.approx(0.3)
+        (recorder,) = recorders
+        assert recorder.status == 503
+        assert b"draining" in recorder.body
+        assert b"not-run" in recorder.body
+        assert float(dict(recorder.headers)[b"retry-after"]) > 0
+
+
 @pytest.mark.parametrize("kind", ["crash", "cut", "error", "unsigned", "hang"])
 def test_safe_call_is_retried_up_to_the_limit_of_servers(kind):
     recorder, runs = run_with(
--- a/tests/unit/test_gateway.py
+++ b/tests/unit/test_gateway.py
@@ -182,6 +182,118 @@
         assert len(deployment.servers["x"].runs) == 1
 
 
+async def stop_with_requests(deployment, grace_s, targets, taken_s=0.5):
+    """Stops the entry, calls it, and returns the responses by target.
+
+    Args:
+        deployment: A deployment of one entry.
+        grace_s: Time from the request to stop to the end of the process.
+        targets: Targets of the requests.
+        taken_s: Time from the request to stop to the calls, negative for
+            calls that are in progress.
+
+    Returns:
+        For each target the response, and its time after the request to stop.
+    """
+    (entry,) = deployment.entries
+    entry._settings = dataclasses.replace(entry._settings, grace_s=grace_s)
+    responses = {}
+
+    async def call(target):
+        await trio.sleep(max(0.0, taken_s))
+        data = await deployment.call(target=target)
+        responses[target] = (data, trio.current_time() - stopped_at)
+
+    stopped_at = trio.current_time() + max(0.0, -taken_s)
+    async with trio.open_nursery() as nursery:
+        for target in targets:
+            nursery.start_soon(call, target)
+        await trio.sleep_until(stopped_at)
+        entry._lifecycle.request_stop()
+    return responses
+
+
+@pytest.mark.parametrize("taken_s", [-1, 0.5])
+@pytest.mark.parametrize("grace_s", [2, 4, 8, 30])
+@cases.run_on_virtual_clock
+async def test_requests_in_progress_are_answered_at_the_end_of_the_grace(
+    grace_s, taken_s
+):
+    """Guards against requests that are cut without an answer by a stop.
+
+    Their servers are still at work at the end of the grace.
+    """
+    async with deployments.open_deployment(
+        server_layers=[("x", "a", (0, 20))], plain_servers=1
+    ) as deployment:
+        routing = deployments.encode_routing(4, kind="unsafe")
+        deployment.rows.put("op", "config", routing)
+        await trio.sleep(1.5)
+        plain, model = deployment.servers["p1"], deployment.servers["x"]
+        plain.faults = [servers_module.Fault("hang")]
+        model.faults = [servers_module.Fault("stall", 0)]
+        targets = ["/ledger/x", "/chat/x"]
+        responses = await stop_with_requests(
+            deployment, grace_s, targets, taken_s
+        )
+        for data, after_s in responses.values():
+            assert b" 504 " in data[:15]
+            assert b"may-have-run" in data
+            # At the end of their own time limit, or within the last sixth of
+            # the grace.
+            assert after_s > min(20 + taken_s, grace_s * 5 / 6)
+            assert after_s < grace_s
+        assert plain.runs == ["r1"]
+        if taken_s > 0:
+            # The servers' time limits end before the process does.
+            for server in (plain, model):
+                (request,) = server.requests
+                limit_s = int(request["x-deadline-ms"]) / 1000
+                assert taken_s + limit_s < grace_s
+
+
+@pytest.mark.parametrize("grace_s", [2, 4, 8])
+@cases.run_on_virtual_clock
+async def test_stream_that_has_begun_ends_incomplete_at_the_end_of_the_grace(
+    grace_s,
+):
+    """Guards against a stream that looks complete, or that outlasts the grace.
+
+    It runs until the last sixth of the grace.
+    """
+    async with deployments.open_deployment(
+        server_layers=[("x", "a", (0, 20))]
+    ) as deployment:
+        deployment.servers["x"].events = 1000
+        responses = await stop_with_requests(deployment, grace_s, ["/chat/x"])
+        data, after_s = responses["/chat/x"]
+        assert b" 200 " in data[:15]
+        assert not data.endswith(b"0\r\n\r\n")
+        assert grace_s * 5 / 6 < after_s < grace_s
+        count = len(gateways.read_event_ids(data))
+        assert count > (after_s - 0.7) / servers_module.EVENT_GAP_S
+
+
+@cases.run_on_virtual_clock
+async def test_second_stop_answers_the_requests_in_progress():
+    """Guards against requests that a second signal cuts without an answer."""
+    async with deployments.open_deployment(
+        server_layers=[("x", "a", (0, 20))]
+    ) as deployment:
+        deployment.servers["x"].faults = [servers_module.Fault("stall", 0)]
+        (entry,) = deployment.entries
+
+        async def stop_again():
+            await trio.sleep(4)
+            entry._lifecycle.request_stop()
+
+        deployment.nursery.start_soon(stop_again)
+        responses = await stop_with_requests(deployment, 8, ["/chat/x"])
+        data, after_s = responses["/chat/x"]
+        assert b" 504 " in data[:15]
+        assert after_s < 4.1
+
+
 @cases.run_on_virtual_clock
 async def test_entry_without_the_store_gets_changes_from_the_others():
     # Guards against a removed API key that is still accepted by an entry that
--- a/tests/unit/test_relays.py
+++ b/tests/unit/test_relays.py
@@ -948,3 +948,22 @@
         assert len(server.requests) == sent
         assert recorder.status == (504 if sent else 503)
         assert (b"may-have-run" if sent else b"not-run") in recorder.body
+
+
+@cases.run_on_virtual_clock
+async def test_unsent_stream_is_refused_at_the_answer_limit():
+    """Guards against a stream that ends with its entry, without an answer."""
+    async with gateways.open_harness(
+        gateways.make_servers([("x", "a", (0, 20))])
+    ) as harness:
+        harness.partition("x")
+
+        async def stop():
+            await trio.sleep(0.1)
+            harness.context.answer_limit.set(trio.current_time() + 0.2)
+
+        recorder = await relay_while(harness, stop)
+        assert recorder.status == 503
+        assert b"draining" in recorder.body
+        assert b"not-run" in recorder.body
+        assert float(dict(recorder.headers)[b"retry-after"]) > 0
