Infer outages of the store from its own responses

One entry had been frozen or cut off from the store, and entries that nothing had disturbed kept the servers.

Cause: after any failed call, an entry kept servers without a row for two seconds and had all other entries do so. They were then removed with the next rows, up to 1.3 s later. Class: a failure of one entry is taken for one of the store, and two waits follow each other. Ruled out: stale forwarded reads (their age is bounded on the store's clock), and heartbeats that hide the removal.

Now an outage is a time of 2.5 s on the store's clock without a response to any connected entry, as each entry infers from its own reads and the forwarded ones. Undisturbed entries read by themselves 1.3 s after the last forwarded read, so they never see such a time while the store responds. A removed server has one deadline, at which a task removes it: two seconds after the first response that followed the outage, and if it left after that response, 1.5 s after the newest read that still had it. The claim that entries sent each other is dropped: an entry that knows of no response in that time infers the outage itself, and one that does would be told wrongly. The field `return_ms` stays in the message, unused.

Conclusion: only the store's own responses extend the use of a removed server, and one deadline bounds it.

--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/mesh.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/mesh.py
@@ -205,7 +205,6 @@
         table: str,
         after: int,
         listing: stores.Listing,
-        reregistration_s: float,
     ) -> None:
         """Forwards changes that this entry has read from the store.
 
@@ -213,8 +212,6 @@
             table: Name of the table.
             after: Revision after which the listing has all changes.
             listing: The changes, with the store's clock at its response.
-            reregistration_s: Time in which servers whose rows have expired may
-                register again.
         """
         frame = ttypes.TableRows(
             table=table,
@@ -222,7 +219,6 @@
             revision=listing.revision,
             rows=_encode_rows(listing.rows),
             clock_ms=round(1000 * listing.clock_s),
-            return_ms=int(1000 * reregistration_s),
             origin=str(self._address),
         )
         self.forward(ttypes.Frame(table_rows=frame))
@@ -572,7 +568,6 @@
             message.table,
             message.after,
             listing,
-            message.return_ms / 1000,
             may_skip_reads,
         )
         if is_newer:
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/synchronization.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/synchronization.py
@@ -4,6 +4,11 @@
 only the one with the lowest address therefore reads the tables. It forwards
 what it has read to the others, together with the store's clock. They read by
 themselves once the forwarded state is too old.
+
+Each entry infers outages of the store from the clocks of all responses that it
+knows of, its own and forwarded ones. A failed call of one entry does not show
+an outage, since the entry or its network may have failed, or the store may
+reject this entry alone.
 """
 
 import collections.abc
@@ -42,9 +47,16 @@
 # Pause after a failed call; it doubles with each failure up to the maximum.
 RETRY_MIN_S = 0.1
 RETRY_MAX_S = 0.5
+# Shortest time without a response to any connected entry that shows an outage
+# of the store. An entry reads by itself once forwarded reads are too old, so
+# the time is shorter while the store responds.
+OUTAGE_MIN_S = PEER_READ_MAX_AGE_S + WATCH_WAIT_S + 0.3
 # Rows of servers may expire during an outage of the store. Live servers
 # register again within this time after it, so servers are not removed before.
 REREGISTRATION_S = 2.0
+# Longest use of a server after the store has acknowledged, outside an outage,
+# that it left. Servers continue to serve for two seconds at least.
+REMOVAL_DELAY_MAX_S = 1.5
 
 _log = logs.Logger("store")
 
@@ -77,7 +89,7 @@
         """
 
 
-Publish = collections.abc.Callable[[str, int, stores.Listing, float], None]
+Publish = collections.abc.Callable[[str, int, stores.Listing], None]
 
 
 @dataclasses.dataclass
@@ -91,6 +103,7 @@
             them.
         pause_s: Shortest time between a read with changes and the next one.
         revision: Revision up to which the table is known; None if unknown.
+        known_at: Time at which the store held that revision; a lower bound.
         failing_since: Time of the first of the current consecutive failures,
             None while calls succeed.
         skip_reads_until: Time until which a read that another entry forwarded
@@ -103,6 +116,7 @@
     apply: collections.abc.Callable[[stores.Listing, bool, float], None]
     pause_s: float = 0.0
     revision: int | None = None
+    known_at: float = float("-inf")
     failing_since: float | None = None
     skip_reads_until: float = float("-inf")
     era: int | None = None
@@ -118,8 +132,7 @@
         notify_restored: Called when the store has been restored from a copy, so
             that rows of this entry may be lost.
         publish: Called after each read of changes, with the table, the
-            revision before the read, the changes, and the seconds in which
-            servers whose rows have expired may register again.
+            revision before the read, and the changes.
     """
 
     def __init__(
@@ -137,10 +150,14 @@
         self._server_rows = listings.ServerRows(schema.decode_server, count)
         self._count = count
         # Servers whose rows have expired but that may register again, by
-        # instance: the time from which they are removed, and the revision at
+        # instance: the time at which they are removed, and the revision at
         # which the row was missing.
         self._expired: dict[str, tuple[float, int]] = {}
-        self._reregistration_until = float("-inf")
+        self._expired_changed = trio.Event()
+        # End of the last outage of the store.
+        self._available_since = float("-inf")
+        # Era and store clock of the newest known response that states servers.
+        self._last_response: tuple[int, float] | None = None
         # Upper bound of the difference between the store's clock and the clock
         # of this process, and the time of its last update.
         self._clock_offset_s = float("inf")
@@ -168,6 +185,7 @@
         async with trio.open_nursery() as nursery:
             for feed in self._feeds.values():
                 nursery.start_soon(self._follow, feed)
+            nursery.start_soon(self._remove_expired_servers)
 
     def apply_routing_value(
         self, value: bytes, source: str, revision: int = 0
@@ -206,7 +224,6 @@
         table: str,
         after: int,
         listing: stores.Listing,
-        reregistration_s: float,
         may_skip_reads: bool,
     ) -> bool:
         """Applies changes that another entry has read and forwarded.
@@ -215,8 +232,6 @@
             table: Name of the table.
             after: Revision after which the listing has all changes.
             listing: The changes, with the store's clock at its response.
-            reregistration_s: Time in which servers whose rows have expired may
-                register again.
             may_skip_reads: Whether this entry may skip its own reads for some
                 time because of this one.
 
@@ -226,6 +241,7 @@
         feed = self._feeds.get(table)
         if feed is None or feed.revision is None:
             return False
+        self._record_response(feed, listing)
         if stores.get_era(listing.revision) > stores.get_era(feed.revision):
             # The changes do not connect to what is known, so this entry has to
             # read the whole table.
@@ -243,20 +259,14 @@
         ):
             return False
         now = trio.current_time()
-        # The other entry sends the remaining time, so that two entries that
-        # forward to each other do not extend it.
-        self._reregistration_until = max(
-            self._reregistration_until, now + reregistration_s
-        )
-        # The offset is an upper bound, so the read is never taken as newer than
-        # it is.
-        at = min(now, listing.clock_s - self._clock_offset_s)
+        at = self._estimate_time(listing.clock_s)
         if may_skip_reads and at + PEER_READ_MAX_AGE_S > now:
             self._record_success(feed, listing)
             feed.skip_reads_until = at + PEER_READ_MAX_AGE_S
         is_newer = listing.revision > feed.revision
         feed.apply(self._select_changes(feed, listing), False, at)
         feed.revision = listing.revision
+        feed.known_at = max(feed.known_at, at)
         return is_newer
 
     async def _follow(self, feed: _Feed) -> None:
@@ -283,6 +293,7 @@
                     if is_full_scan:
                         self._record_era(feed, listing)
                     self._update_clock_offset(listing.clock_s, sent_at)
+                    self._record_response(feed, listing)
                     self._record_success(feed, listing)
                     self._publish_and_apply(feed, listing, is_full_scan)
                     paused_s = feed.pause_s if listing.rows else 0.0
@@ -329,16 +340,15 @@
         now = trio.current_time()
         if is_full_scan:
             feed.apply(listing, True, now)
-            feed.revision = listing.revision
-            return
-        changes = self._select_changes(feed, listing)
-        # Published before this entry announces a newer version, so that the
-        # other entries do not request what is already being sent.
-        if listing.clock_s:
-            reregistration_s = max(0.0, self._reregistration_until - now)
-            self.publish(feed.table, after, changes, reregistration_s)
-        feed.apply(changes, False, now)
+        else:
+            changes = self._select_changes(feed, listing)
+            # Published before this entry announces a newer version, so that the
+            # other entries do not request what is already being sent.
+            if listing.clock_s:
+                self.publish(feed.table, after, changes)
+            feed.apply(changes, False, now)
         feed.revision = listing.revision
+        feed.known_at = self._estimate_time(listing.clock_s)
 
     def _record_era(self, feed: _Feed, listing: stores.Listing) -> None:
         """Records the store's era, and whether it was restored from a copy.
@@ -358,7 +368,7 @@
             revision=stores.format_revision(listing.revision),
         )
         self._clock_offset_s = float("inf")
-        self._reregistration_until = trio.current_time() + REREGISTRATION_S
+        self._available_since = trio.current_time()
         self.notify_restored()
 
     def _select_changes(
@@ -384,11 +394,37 @@
         self._clock_offset_s = min(sample_s, self._clock_offset_s + drift_s)
         self._clock_offset_at = sent_at
 
+    def _estimate_time(self, clock_s: float) -> float:
+        """Returns when the store's clock had a value.
+
+        The offset is an upper bound, so the time is never later than it was.
+        """
+        return min(trio.current_time(), clock_s - self._clock_offset_s)
+
+    def _record_response(self, feed: _Feed, listing: stores.Listing) -> None:
+        """Infers an outage from the time since the response before this one."""
+        if feed.table != self._schema.server_table or not listing.clock_s:
+            return
+        last = self._last_response
+        response = (stores.get_era(listing.revision), listing.clock_s)
+        if last is not None and response <= last:
+            return
+        self._last_response = response
+        if last is None or last[0] != response[0]:
+            return
+        outage_s = response[1] - last[1]
+        if outage_s >= OUTAGE_MIN_S:
+            self._available_since = self._estimate_time(listing.clock_s)
+            _log.info(
+                "servers may register again",
+                outage_ms=round(1000 * outage_s),
+                revision=stores.format_revision(listing.revision),
+            )
+
     def _record_success(self, feed: _Feed, listing: stores.Listing) -> None:
         if feed.failing_since is None:
             return
         now = trio.current_time()
-        self._reregistration_until = now + REREGISTRATION_S
         _log.info(
             "store available again",
             table=feed.table,
@@ -441,21 +477,38 @@
             self._expired.pop(row.key, None)
             self._view.apply_server(server)
         self._view.expire_reports()
-        for instance, (until, revision) in list(self._expired.items()):
-            if now >= until:
-                del self._expired[instance]
-                self._view.remove_server(instance, revision)
 
     def _expire_server(self, instance: str, revision: int, now: float) -> None:
-        """Removes a server without a row, at once or after a grace period.
+        """Removes a server without a row, at once or at a later time.
 
-        The grace period lasts while servers may register again after an outage
-        of the store.
+        It is kept while servers may register again after an outage of the
+        store. If it left after the outage, the time since then is limited.
         """
-        if now >= self._reregistration_until:
+        until = self._available_since + REREGISTRATION_S
+        known_at = self._feeds[self._schema.server_table].known_at
+        if known_at >= self._available_since:
+            until = min(until, known_at + REMOVAL_DELAY_MAX_S)
+        if instance in self._expired:
+            until = min(until, self._expired[instance][0])
+        if now >= until:
+            self._expired.pop(instance, None)
             self._view.remove_server(instance, revision)
         elif instance in self._view.servers:
-            until = self._expired.get(
-                instance, (self._reregistration_until, 0)
-            )[0]
             self._expired[instance] = (until, revision)
+            self._expired_changed.set()
+
+    async def _remove_expired_servers(self) -> None:
+        """Removes the expired servers that have not registered again."""
+        while True:
+            now = trio.current_time()
+            for instance, (until, revision) in list(self._expired.items()):
+                if now >= until:
+                    del self._expired[instance]
+                    self._view.remove_server(instance, revision)
+            self._expired_changed = trio.Event()
+            next_at = min(
+                (until for until, _ in self._expired.values()),
+                default=float("inf"),
+            )
+            with trio.move_on_at(next_at):
+                await self._expired_changed.wait()
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/wire/peridotyard.thrift
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/wire/peridotyard.thrift
@@ -358,7 +358,7 @@
   4: list<TableRow> rows = [],
   /** The store's steady clock when it answered, milliseconds. */
   5: i64 clock_ms = 0,
-  /** Time in which rows that lapsed in an outage may return, milliseconds. */
+  /** Not used; earlier versions kept lapsed rows for this time. */
   6: i64 return_ms = 0,
   /** Address of the entry that read them; empty: the sender. */
   7: string origin = "",
