Count an event of a stream only once it has been sent

Callers got streams that ended as complete and lacked events: one wrong digit in an event's id lost the sound events that had arrived in the same read (the stream was resumed after events that were never sent), or the whole beginning, if the first id was wrong.

Cause: `Sequence.accept_event` recorded events before their bytes were sent, accepted any id as the first one, and errors were raised past the sound events of the same read; the same held for `Splitter.feed`. A line `ie: 7` or a lost line end hid an id or joined two events, and an id of 5,000 digits raised ValueError.

Now the splitter and the sequence return the sound events and the error as one value (`events.Batch`). The entry sends the events, records them, and then acts on the error. A stream begins with the event that was asked for, else with 0 or 1, since the protocol does not fix the first id. If the second event does not tell which of the two is wrong, the stream ends visibly instead of being resumed.

The five tests of test_relays that cover it failed on the old code (test_event_with_a_wrong_id_costs_no_other_event three times, test_stream_whose_first_id_may_be_wrong_ends_visibly, and test_caller_gets_a_prefix_in_order_and_an_end_only_after_the_last_event with the new fault "wrong-id").

Conclusion: a wrong byte in a stream costs its own event at most; the caller sees all events in order or a visible end.

--- a/bench/entry.py
+++ b/bench/entry.py
@@ -60,9 +60,10 @@
     http.send(h11.Response(status_code=200, headers=[]))
     began = time.process_time()
     for number in range(1, EVENTS + 1):
-        for event in splitter.feed(EVENT % number):
-            sequence.accept_event(event)
+        batch = sequence.check(splitter.feed(EVENT % number))
+        for event in batch.events:
             http.send(h11.Data(data=event.data))
+        sequence.advance(batch)
     return (time.process_time() - began) / EVENTS
 
 
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/relays.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/relays.py
@@ -393,6 +393,8 @@
         route = self._request.route
         if not route.retry_policy.is_idempotent:
             return False
+        if not self._progress.sequence.is_certain:
+            return False
         return possible_runs < route.max_attempts
 
     async def _finish_response(self, outcome: runs.Outcome) -> None:
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/runs.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/runs.py
@@ -374,16 +374,28 @@
             if head.not_run and stage.server.address == head.failed_address:
                 statements.record_wait(stage.server, head.statement)
 
-    async def _forward_events(self, head, arrived: list[events.Event]) -> None:
-        if not arrived:
-            return
+    async def _forward_events(self, head, arrived: events.Batch) -> None:
+        """Sends the events that continue the stream to the caller.
+
+        Raises:
+            SequenceError: What follows them does not continue it.
+        """
         # Another run may have sent these events since they arrived here.
         await trio.lowlevel.checkpoint_if_cancelled()
+        batch = self._progress.sequence.check(arrived)
+        if batch.events:
+            await self._send_events(head, batch.events)
+        # An event counts as received only now: the stream is resumed after it.
+        self._progress.sequence.advance(batch)
+        if batch.error is not None:
+            raise batch.error
+
+    async def _send_events(
+        self, head, accepted: tuple[events.Event, ...]
+    ) -> None:
         begins = self.is_unanswered
-        for event in arrived:
-            self._progress.sequence.accept_event(event)
-        data = b"".join(event.data for event in arrived)
-        if all(event.number is None for event in arrived):
+        data = b"".join(event.data for event in accepted)
+        if all(event.number is None for event in accepted):
             # Comments show no progress, so they neither delay the next check
             # nor end another run, which must not send at the same time.
             if self._responder.started and self._is_alone():
--- a/tests/support/servers.py
+++ b/tests/support/servers.py
@@ -31,7 +31,9 @@
             "end" (resets all connections and accepts no more), "stall" (a
             stream pauses until an order resumes it), "partial-event" (resets
             the connection within an event), "skip" and "repeat" (one event has
-            the number of the next or previous one), "unsigned" (no signature
+            the number of the next or previous one), "wrong-id" (an event
+            arrives together with another one with a wrong id, and the stream
+            goes on), "unsigned" (no signature
             header), "hang" (no response), "error" (status 500), "cut" (resets
             the connection within the body), "pause" (a stream pauses for
             `PAUSE_S`), "drip" (a stream sends single bytes of an event without
@@ -300,10 +302,13 @@
                 await _send_without_end(responder, b"\xa7" * 4096)
             case "garbage":
                 await responder.send(b"\xa7\x00\n\n")
-            case "skip":
-                return number + 1
-            case "repeat":
-                return max(1, number - 1)
+            case "wrong-id":
+                wrong = encode_event(number + 1).replace(b"id: ", b"id: 7", 1)
+                await responder.send(encode_event(number) + wrong)
+                return number + 2
+            case "skip" | "repeat":
+                step = 1 if fault.kind == "skip" else -1
+                return max(1, number + step)
         return number
 
 
--- a/tests/unit/test_relays.py
+++ b/tests/unit/test_relays.py
@@ -214,6 +214,35 @@
     virtual_clock.run(run)
 
 
+@pytest.mark.parametrize(
+    ("kind", "after"), [("skip", 0), ("wrong-id", 0), ("wrong-id", 4)]
+)
+@cases.run_on_virtual_clock
+async def test_event_with_a_wrong_id_costs_no_other_event(kind, after):
+    """Guards against events that are missing in a stream that looks complete.
+
+    The wrong one is the first event, or arrives together with a sound one.
+    """
+    async with gateways.open_harness(
+        gateways.make_servers(LAYER_RANGES)
+    ) as harness:
+        harness.servers["a0"].faults = [servers_module.Fault(kind, after)]
+        check_complete(await relay(harness))
+
+
+@cases.run_on_virtual_clock
+async def test_stream_whose_first_id_may_be_wrong_ends_visibly():
+    """Guards against a stream that is resumed after a wrong first id."""
+    async with gateways.open_harness(
+        gateways.make_servers(LAYER_RANGES)
+    ) as harness:
+        harness.servers["a0"].faults = [servers_module.Fault("repeat", 1)]
+        recorder = await relay(harness)
+        assert gateways.read_event_ids(recorder.body) == [1]
+        assert not recorder.finished
+        assert harness.servers["b0"].runs == []
+
+
 @pytest.mark.parametrize("kind", ["crash", "refuse"])
 def test_stream_whose_caller_has_left_is_not_resent(kind):
     """Guards against work on a second path after the caller has left."""
@@ -375,6 +404,7 @@
                 "partial-event",
                 "skip",
                 "repeat",
+                "wrong-id",
                 "unsigned",
             ]
         ),
