An odd head of one caller or server ends that request alone

A header of 5,000 digits of one caller (X-Deadline-Ms, Last-Event-Id, X-Token-Usage) ended the entry with all its requests: int() raises ValueError beyond 4,300 digits, and Gateway._handle decoded outside of its try. A server could do the same with "Keep-Alive: timeout=" and a superscript digit, with a deeply nested report, or with a report of infinite counts. An error in a request for metrics or readiness ended the process as well.

Such a number counts as absent, as other malformed numbers in heads do (PROTOCOL.md states no response for it; X-Deadline-Ms is only what the caller will wait, and the route's limit applies without it). Decoding and admission are inside the part of _handle that contains errors, and an error in a connection ends that connection. Ruled out: Content-Length of 5,000 digits, which h11 0.16 rejects by itself (tried).

Failed before, on a copy of: the new tests of test_codec (8 cases), test_odd_head_of_a_caller_ends_no_entry, test_error_before_the_admission_ends_only_its_own_request. Now they pass.

Conclusion: heads and reports cannot raise anything but the documented error, and what still fails in a request ends that request alone.

--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/gateway.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/gateway.py
@@ -399,6 +399,14 @@
         open_connections.add(connection)
         try:
             await connection.run()
+        except Exception as error:
+            # An error in one connection must not end all others.
+            self.context.metrics.increment("internal_errors.connection")
+            _log.error(
+                "connection ended by an internal error",
+                error=repr(error),
+                traceback=traceback.format_exc(limit=-TRACEBACK_FRAMES),
+            )
         finally:
             open_connections.discard(connection)
 
@@ -440,6 +448,23 @@
         return described
 
     async def _handle(self, method, target, headers, body, responder) -> None:
+        try:
+            await self._handle_request(method, target, headers, body, responder)
+        except (trio.Cancelled, OSError, trio.BrokenResourceError):
+            raise
+        except Exception as error:
+            # An error in one request must not end the requests of all others.
+            self.context.metrics.increment("internal_errors.request")
+            _log.error(
+                "request ended by an internal error",
+                error=repr(error),
+                traceback=traceback.format_exc(limit=-TRACEBACK_FRAMES),
+            )
+            raise trio.BrokenResourceError from error
+
+    async def _handle_request(
+        self, method, target, headers, body, responder
+    ) -> None:
         arrived_at = trio.current_time()
         head = self.context.codec.decode_request(method, target, headers)
         await self._wait_initialized()
@@ -477,6 +502,7 @@
                 error=repr(error),
                 traceback=traceback.format_exc(limit=-TRACEBACK_FRAMES),
             )
+            self.context.metrics.increment("internal_errors.request")
             self.context.record_end(admitted, "internal-error")
             raise trio.BrokenResourceError from error
 
--- a/tests/unit/test_codec.py
+++ b/tests/unit/test_codec.py
@@ -1,7 +1,10 @@
 """Tests of peridotyard_platform.codec and peridotyard_platform.schema."""
 
+import contextlib
 import json
 
+import hypothesis
+from hypothesis import strategies
 from peridotyard_core import addresses
 from peridotyard_core import exchanges
 from peridotyard_core import fleet
@@ -10,7 +13,9 @@
 from peridotyard_platform import schema
 import pytest
 
+from tests.support import cases
 from tests.support import gateways
+from tests.support import odd_values
 
 WIRE = codec.Codec()
 
@@ -329,3 +334,113 @@
     """Guards against a malformed configuration that is partly applied."""
     with pytest.raises(ValueError, match="."):
         schema.Schema(2.5).decode_routing(value)
+
+
+REPORT = {
+    "busy": False,
+    "sequence": 3,
+    "layers": {"from": 2, "target": 9},
+    "running": 1,
+    "queued": 1,
+    "kvUsed": 10,
+    "kvTotal": 20,
+    "pace": 1.5,
+    "stalled": [{"id": "r1", "address": "10.0.0.1:80"}],
+}
+
+
+@pytest.mark.parametrize("value", odd_values.DOCUMENTS)
+def test_report_that_is_no_object_is_rejected(value):
+    """Guards against a report that ends the process."""
+    with pytest.raises(ValueError, match="."):
+        WIRE.decode_report(value)
+
+
+def test_report_with_an_odd_field_is_rejected_or_safe_to_use():
+    """Guards against a report whose values fail where they are used."""
+    assert WIRE.decode_report(json.dumps(REPORT).encode())
+    for value in odd_values.list_variants(REPORT):
+        with contextlib.suppress(ValueError):
+            report = WIRE.decode_report(value)
+            for number in (report.slowness, report.kv_used, report.kv_total):
+                assert 0 <= number < float("inf")
+            assert 0 <= report.order_count < 1 << 63
+            order = WIRE.encode_reroute_order("r1", ())
+            assert json.loads(order)
+            for request_id, address in report.stalled:
+                assert f"{request_id} {address}".encode()
+
+
+NUMBERS = (
+    b"9" * 5000,
+    b"-1",
+    b"1e400",
+    b"nan",
+    b"\xb2",
+    b"\xb2\xb3",
+    b"1_0",
+    b"",
+    b"\xff" * 100,
+)
+
+
+@pytest.mark.parametrize("value", NUMBERS)
+def test_odd_number_in_a_head_counts_as_absent(value):
+    """Guards against a header of one caller or server that ends the process."""
+    head = decode(
+        (b"X-Deadline-Ms", value),
+        (b"Last-Event-Id", value),
+        (b"X-Token-Usage", value + b"," + value),
+    )
+    assert head.time_limit_s is None
+    assert head.last_event_id is None
+    assert (head.prompt_tokens, head.response_tokens) == (0, 0)
+    answer = WIRE.decode_response(
+        503,
+        (
+            (b"Keep-Alive", b"timeout=" + value),
+            (b"At-Server", b"10.0.0.1:" + value),
+        ),
+    )
+    assert answer.keep_alive_s is None
+    assert answer.failed_address is None
+
+
+_header_values = strategies.sampled_from(NUMBERS) | strategies.binary(
+    max_size=30
+)
+
+
+@hypothesis.settings(**cases.DERANDOMIZED)
+@hypothesis.given(
+    values=strategies.dictionaries(
+        strategies.sampled_from(
+            [
+                codec.TIME_LIMIT_MS,
+                codec.LAST_EVENT,
+                codec.TOKEN_COUNTS,
+                codec.PROMPT_PARTS,
+                codec.FAILED_ADDRESS,
+                codec.LIMIT,
+                codec.LEAVING,
+                codec.WAIT,
+                b"keep-alive",
+                b"connection",
+                b"host",
+            ]
+        ),
+        _header_values,
+    ),
+    status=strategies.integers(200, 999),
+)
+def test_decoding_a_head_raises_nothing(values, status):
+    headers = tuple(values.items())
+    decode(*headers)
+    WIRE.decode_response(status, headers)
+
+
+@hypothesis.settings(**cases.DERANDOMIZED)
+@hypothesis.given(body=strategies.binary(max_size=60))
+def test_decoding_a_report_raises_only_the_documented_error(body):
+    with contextlib.suppress(ValueError):
+        WIRE.decode_report(body)
--- a/tests/unit/test_gateway.py
+++ b/tests/unit/test_gateway.py
@@ -7,6 +7,7 @@
 
 from peridotyard_core import prompts
 from peridotyard_daemon.process import gateway
+from peridotyard_platform import codec
 import pytest
 import trio
 
@@ -824,3 +825,36 @@
         await trio.sleep(10)
         assert deployment.find_holder()
         assert max(sizes) <= 100
+
+
+@cases.run_on_virtual_clock
+async def test_odd_head_of_a_caller_ends_no_entry():
+    """Guards against a header of 5,000 digits that ends the process."""
+    async with deployments.open_deployment() as deployment:
+        key = "key-1\r\nLast-Event-Id: " + "9" * 5000
+        assert b" 200 " in await deployment.call(key=key)
+        assert b" 200 " in await deployment.call()
+
+
+@cases.run_on_virtual_clock
+async def test_error_before_the_admission_ends_only_its_own_request(
+    monkeypatch,
+):
+    """Guards against an entry that ends when one head cannot be decoded."""
+    async with deployments.open_deployment() as deployment:
+
+        def fail(*_):
+            raise ValueError("reason")
+
+        with monkeypatch.context() as patch:
+            patch.setattr(codec.Codec, "decode_request", fail)
+            assert await deployment.call() == b""
+        with monkeypatch.context() as patch:
+            patch.setattr(deployment.entries[0].view, "describe", fail)
+            target = gateway.FLEET_TARGET
+            assert await deployment.call(target=target, port=83) == b""
+        assert b" 200 " in await deployment.call()
+        metrics = await deployment.call(target="/metrics", port=83)
+        for kind in ("request", "connection"):
+            name = f'internal_errors_total{{kind="{kind}"}} 1'
+            assert name.encode() in metrics
