Do not take a removed row for an unreadable one

A read with both a row and its later removal found no server for the row, and the server was removed at once as if the row were unreadable, although it might register again after an outage of the store (the entry then had no servers).

Conclusion: only a row that the table still has can be unreadable.

--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/listings.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/listings.py
@@ -71,6 +71,10 @@
         """Returns a listed server; None if its row cannot be read."""
         return self._servers.get(instance)
 
+    def has_row(self, instance: str) -> bool:
+        """Returns whether the table has a row of a server, readable or not."""
+        return instance in self._changed_at
+
     def update(self, rows: Rows) -> Rows:
         """Records rows; returns those that differ in more than a heartbeat."""
         return tuple(row for row in rows if self._record(row))
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/synchronization.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/synchronization.py
@@ -468,14 +468,14 @@
                 self._expire_server(row.key, row.revision, now)
                 continue
             server = self._server_rows.get(row.key)
-            if server is None:
+            if server is not None:
+                self._expired.pop(row.key, None)
+                self._view.apply_server(server)
+            elif self._server_rows.has_row(row.key):
                 # Unlike a missing row, one that cannot be read is no sign of an
                 # outage of the store.
                 self._expired.pop(row.key, None)
                 self._view.remove_server(row.key, row.revision)
-                continue
-            self._expired.pop(row.key, None)
-            self._view.apply_server(server)
         self._view.expire_reports()
 
     def _expire_server(self, instance: str, revision: int, now: float) -> None:
