A malformed frame of another entry ends its connection alone

A frame with a field missing that its handler needs (a ConfigDelta without records) raised TypeError in the task that reads the connection, which ended the entry with all requests of its callers; the frame could end the next entry in the same way. Values in range of their field did harm later: a negative number of requests in flight, a NaN as a limit, a succession of 2^31 crashes (2** in the duration of a quarantine, i32 exceeded when it is sent on), a wait below zero or of years, an address or name that fails in a row of the store.

An error in the tasks or handlers of a connection ends that connection, with a log line and the metric internal_errors. Frames that cannot be encoded raise FrameError as the oversized ones do. A hello with malformed texts or capacity is refused. Values of frames are limited where they are taken over; negative layers are ignored. Ruled out: deep nesting, for which the C codec of thrift raises by itself (tried up to 4,000,000 levels).

As errors are contained now, tests/support/deployments.py checks at the end of each deployment that none were, unless the test causes them.

Conclusion: what another entry sends can end its own connection only.

--- a/packages/peridotyard-core/src/peridotyard_core/prompts.py
+++ b/packages/peridotyard-core/src/peridotyard_core/prompts.py
@@ -18,6 +18,8 @@
 # Number of successive crashes after which a part is quarantined. Servers that
 # are lost together, as in a power failure, count as one.
 SUCCESSION_LIMIT = 3
+# Doublings of the duration of a quarantine, beyond which it is the longest.
+MAX_DOUBLINGS = 64
 # Number of crashes after which two in succession are enough.
 CRASHES_LIMIT = 5
 # Largest probability that a sound part is involved in that many successive
@@ -396,5 +398,5 @@
     Args:
         successive: Number of crashes that followed each other.
     """
-    doublings = max(0, successive - SUCCESSION_LIMIT)
+    doublings = min(max(0, successive - SUCCESSION_LIMIT), MAX_DOUBLINGS)
     return min(QUARANTINE_MIN_S * 2**doublings, QUARANTINE_MAX_S)
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/connection/frames.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/connection/frames.py
@@ -45,12 +45,16 @@
     """Returns an encoded frame with its length prefix.
 
     Raises:
-        FrameError: The frame is larger than `FRAME_LIMIT_BYTES`.
+        FrameError: The frame is larger than `FRAME_LIMIT_BYTES`, or a value
+            cannot be encoded in its field.
     """
     buffer = TTransport.TMemoryBuffer()
-    frame.write(
-        TCompactProtocol.TCompactProtocolAccelerated(buffer, fallback=False)
-    )
+    try:
+        frame.write(
+            TCompactProtocol.TCompactProtocolAccelerated(buffer, fallback=False)
+        )
+    except (TypeError, ValueError, OverflowError, AttributeError) as error:
+        raise FrameError(f"frame not encoded: {error}") from error
     payload = buffer.getvalue()
     if len(payload) > FRAME_LIMIT_BYTES:
         raise FrameError(
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/connection/peers.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/connection/peers.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import dataclasses
+import traceback
 import typing
 
 from peridotyard_core import addresses
@@ -31,6 +32,13 @@
 # yet, so a peer could otherwise open any number of them.
 HELLO_LIMIT = 1024
 
+# Characters of each text in a hello; the store takes keys of 200 bytes.
+HELLO_TEXT_LENGTH = 128
+# Largest processor capacity in a hello, in cores.
+MAX_CAPACITY = 1e6
+# Innermost frames of the traceback of an internal error that are logged.
+TRACEBACK_FRAMES = 4
+
 # Reason of the end of a connection whose peer has stayed silent.
 TIMEOUT_REASON = "nothing received within the heartbeat timeout"
 
@@ -114,13 +122,14 @@
             the connection.
     """
 
-    def __init__(self, stream, handler: Handler, timing: Timing, dialed):
+    def __init__(self, stream, handler: Handler, timing: Timing, dialed, count):
         self.peer: ttypes.Hello = ttypes.Hello()
         self.dialed: addresses.Address | None = dialed
         self._stream = stream
         self._reader = frames.FrameReader(stream, self._record_data)
         self._handler = handler
         self._timing = timing
+        self._count = count
         self._queue: list[bytes] = []
         self._queued_bytes = 0
         self._wakeup = trio.Event()
@@ -188,6 +197,19 @@
         self._closed.set()
         self._scope.cancel()
 
+    def end_by_error(self, error: Exception) -> None:
+        """Closes the connection after an error that its frames have caused."""
+        self._count("internal_errors.peer")
+        _log.error(
+            "peer connection ended by an internal error",
+            peer=self.peer.instance,
+            error=repr(error),
+            traceback="".join(
+                traceback.format_exception(error, limit=-TRACEBACK_FRAMES)
+            ),
+        )
+        self.close("internal error")
+
     async def wait_closed(self) -> None:
         """Waits until no more frames can be posted."""
         await self._closed.wait()
@@ -214,6 +236,7 @@
                 f"peer has protocol version {frame.hello.protocol}, not"
                 f" {PROTOCOL_VERSION}"
             )
+        _check_hello(frame.hello)
         self.peer = frame.hello
 
     async def run(self) -> str:
@@ -228,14 +251,20 @@
         if self.is_open:
             with self._scope:
                 async with trio.open_nursery() as nursery:
-                    nursery.start_soon(self._read)
-                    nursery.start_soon(self._write)
-                    nursery.start_soon(self._run_heartbeats)
+                    for run in (self._read, self._write, self._run_heartbeats):
+                        nursery.start_soon(self._run_contained, run)
         self._closed.set()
         with trio.CancelScope(shield=True):
             await trio.aclose_forcefully(self._stream)
         return self._reason or "cancelled"
 
+    async def _run_contained(self, run) -> None:
+        try:
+            await run()
+        except Exception as error:
+            # An error in one connection must not end all others.
+            self.end_by_error(error)
+
     async def _read(self) -> None:
         try:
             while True:
@@ -350,10 +379,12 @@
         network: network_module.Network,
         handler: Handler,
         timing: Timing,
+        count: collections.abc.Callable[[str], None] = lambda _: None,
     ):
         self._network = network
         self._handler = handler
         self._timing = timing
+        self._count = count
         self._connections: dict[str, Connection] = {}
         self._dials: dict[str, trio.Event] = {}
         self._reconnect_scopes: dict[str, trio.CancelScope] = {}
@@ -481,7 +512,7 @@
 
     async def _open(self, address) -> Connection:
         stream = await self._network.dial(address)
-        connection = Connection(stream, self._handler, self._timing, address)
+        connection = self._make_connection(stream, address)
         try:
             await connection.exchange_hello()
         except BaseException:
@@ -491,15 +522,23 @@
         self._add(connection, str(address))
         return connection
 
+    def _make_connection(self, stream, dialed) -> Connection:
+        return Connection(
+            stream, self._handler, self._timing, dialed, self._count
+        )
+
     def _add(self, connection: Connection, key: str) -> None:
         self._connections[key] = connection
-        self._handler.handle_connected(connection)
+        try:
+            self._handler.handle_connected(connection)
+        except Exception as error:
+            connection.end_by_error(error)
 
     async def _accept(self, stream) -> None:
         if self._pending_hellos >= HELLO_LIMIT:
             await trio.aclose_forcefully(stream)
             return
-        connection = Connection(stream, self._handler, self._timing, None)
+        connection = self._make_connection(stream, None)
         self._pending_hellos += 1
         try:
             with trio.fail_after(self._timing.dial_s):
@@ -531,3 +570,16 @@
                 reason=reason,
             )
             self._handler.handle_closed(connection, reason)
+
+
+def _check_hello(hello: ttypes.Hello) -> None:
+    """Checks the texts and numbers of a peer's hello.
+
+    Raises:
+        frames.FrameError: One of them is malformed.
+    """
+    for text in (hello.instance, hello.zone, hello.role, hello.address):
+        if not text.isprintable() or len(text) > HELLO_TEXT_LENGTH:
+            raise frames.FrameError("a text of the hello is malformed")
+    if not 0 <= hello.capacity <= MAX_CAPACITY:
+        raise frames.FrameError(f"capacity {hello.capacity} is out of range")
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/announcements.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/announcements.py
@@ -17,6 +17,8 @@
 
 # Inquiries without a reply that are kept.
 MAX_PENDING = 4096
+# Longest wait that a reply may state, milliseconds.
+MAX_WAIT_MS = 60000
 
 
 class Mesh(typing.Protocol):
@@ -110,7 +112,7 @@
         reply = self._pending.pop(message.id, None)
         if reply is None:
             return
-        wait_s = message.wait_ms / 1000
+        wait_s = min(max(0, message.wait_ms), MAX_WAIT_MS) / 1000
         reply(
             limits.Granted(wait_s)
             if message.is_granted
@@ -177,10 +179,13 @@
     statement: ttypes.ServerStatement, source: str
 ) -> statements_module.Record:
     now = trio.current_time()
+    limit_per_s = statement.limit_per_s
+    # A server's limit is only accepted if it is a number of at least 0.
+    is_limited = statement.is_limited and 0 <= limit_per_s < float("inf")
     return statements_module.Record(
         started_at_ms=statement.started_at_ms,
-        limit_per_s=statement.limit_per_s if statement.is_limited else None,
-        heard_at=now - statement.age_ms / 1000,
+        limit_per_s=limit_per_s if is_limited else None,
+        heard_at=now - max(0, statement.age_ms) / 1000,
         changed_at=now,
         source=source,
         is_leaving=statement.is_leaving,
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/gateway.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/gateway.py
@@ -208,6 +208,7 @@
             name,
             own,
             self._list_entries,
+            count,
         )
         self._placement = placement.Placement(
             self.view,
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/mesh.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/mesh.py
@@ -74,6 +74,10 @@
 # Time after its start from which a hub of a large fleet coordinates requests to
 # servers. The other hubs read the list of entries every few seconds.
 HUB_KNOWN_S = 6.0
+# Largest numbers of requests in flight of a server and of crashes in succession
+# that are accepted. Sums of them fit into the fields of messages.
+MAX_LOAD = 1 << 20
+MAX_SUCCESSION = 1 << 20
 TIMING = peers_module.Timing(
     heartbeat_s=0.5, misses=3, dial_s=1.0, idle_heartbeat_s=0.5
 )
@@ -103,6 +107,7 @@
         list_entries: collections.abc.Callable[
             [], collections.abc.Iterable[topologies.Entry]
         ],
+        count: collections.abc.Callable[[str], None] = lambda _: None,
     ):
         """Creates the mesh of one process.
 
@@ -120,6 +125,7 @@
             name: Name of this entry, unique for each process start.
             own: This entry as the others know it.
             list_entries: Returns the other entries.
+            count: Increases the counter of the given name.
         """
         self._view = view
         self._synchronizer = synchronizer
@@ -131,7 +137,7 @@
         self._own = own
         self._address = own.address
         self._list_entries = list_entries
-        self._peers = peers_module.Peers(network, self, TIMING)
+        self._peers = peers_module.Peers(network, self, TIMING, count)
         self._dialed: set[addresses.Address] = set()
         self._topology = topologies.Topology()
         self._hub_keys: frozenset[str] = frozenset()
@@ -396,6 +402,8 @@
                 )
 
     def _handle_layers(self, connection, message: ttypes.Offer) -> None:
+        if message.first_layer < 0:
+            return
         layer_range = fleet.LayerRange(message.first_layer, message.end_layer)
         is_new = self._view.apply_report(
             message.instance, layer_range if layer_range.size > 0 else None
@@ -404,7 +412,10 @@
             self.forward(ttypes.Frame(offer=message), connection)
 
     def _handle_loads(self, connection, message: ttypes.InFlight) -> None:
-        loads = dict(message.requests)
+        loads = {
+            instance: min(max(0, count), MAX_LOAD)
+            for instance, count in message.requests.items()
+        }
         if not message.total:
             self._reporting.add(connection.key)
             self._view.apply_peer_load(connection.key, loads)
@@ -530,9 +541,9 @@
                     prompts.Suspicion(
                         s.part,
                         s.crash,
-                        s.succession,
+                        min(max(0, s.succession), MAX_SUCCESSION),
                         s.depth,
-                        s.age_ms / 1000,
+                        max(0, s.age_ms) / 1000,
                     )
                     for s in message.suspicions
                 ),
--- a/tests/support/deployments.py
+++ b/tests/support/deployments.py
@@ -143,6 +143,11 @@
         self.entries.append(entry)
         self.nursery.start_soon(entry.run)
 
+    def check_errors(self) -> None:
+        """Checks that the entries have contained no internal errors."""
+        for entry in self.entries:
+            assert "internal_errors" not in entry.context.metrics.render()
+
     def find_holder(self) -> int:
         """Returns the number of the entry that holds the lease."""
         return next(
@@ -179,13 +184,22 @@
 
 
 @contextlib.asynccontextmanager
-async def open_deployment(entries=1, server_layers=None, plain_servers=0):
+async def open_deployment(
+    entries=1,
+    server_layers=None,
+    plain_servers=0,
+    expects_errors: bool = False,
+):
     """Runs entries and stand-ins, and yields a `Deployment`.
 
+    Entries contain internal errors, so it checks at the end that there were
+    none.
+
     Args:
         entries: Number of entries.
         server_layers: Name, zone and layer range of each server.
         plain_servers: Number of servers of the plain service.
+        expects_errors: Whether the test causes internal errors.
     """
     network = memory.MemoryNetwork()
     rows = platform_store.StandIn()
@@ -208,4 +222,6 @@
             deployment.start_entry(number)
         await trio.sleep(1)
         yield deployment
+        if not expects_errors:
+            deployment.check_errors()
         nursery.cancel_scope.cancel()
--- a/tests/unit/test_gateway.py
+++ b/tests/unit/test_gateway.py
@@ -757,7 +757,7 @@
 @cases.run_on_virtual_clock
 async def test_internal_error_ends_only_its_own_request(monkeypatch):
     """Guards against an entry that ends with all its streams."""
-    async with deployments.open_deployment() as deployment:
+    async with deployments.open_deployment(expects_errors=True) as deployment:
 
         def fail(*_):
             raise AttributeError("reason")
@@ -841,7 +841,7 @@
     monkeypatch,
 ):
     """Guards against an entry that ends when one head cannot be decoded."""
-    async with deployments.open_deployment() as deployment:
+    async with deployments.open_deployment(expects_errors=True) as deployment:
 
         def fail(*_):
             raise ValueError("reason")
--- a/tests/unit/test_mesh.py
+++ b/tests/unit/test_mesh.py
@@ -2,13 +2,23 @@
 
 import contextlib
 import dataclasses
-
+import math
+
+import hypothesis
+from hypothesis import strategies
+from peridotyard_core import addresses
+from peridotyard_daemon.connection import frames
+from peridotyard_daemon.connection import peers
+from peridotyard_daemon.process import mesh
 from peridotyard_daemon.process import views
+from peridotyard_daemon.wire.generated import ttypes
 import pytest
+from thrift import Thrift
 import trio
 
 from tests.support import cases
 from tests.support import deployments
+from tests.support import virtual_clock
 
 # Entries of one zone that form two groups with two hubs each.
 ENTRIES = 17
@@ -377,3 +387,208 @@
         await trio.sleep(4)
         orders = deployment.servers["y"].orders + deployment.servers["z"].orders
         assert any(order["from"] == 0 for order in orders)
+
+
+def make_hello(**changes) -> ttypes.Hello:
+    fields = {
+        "instance": "front-9#1",
+        "zone": "a",
+        "role": mesh.ROLE,
+        "address": "10.1.0.9:82",
+        "protocol": peers.PROTOCOL_VERSION,
+        "heartbeat_ms": 500,
+        "idle_heartbeat_ms": 500,
+    }
+    return ttypes.Hello(**fields | changes)
+
+
+async def send_frames(deployment, sent, hello=None) -> None:
+    """Sends frames to the first entry as another entry, then disconnects."""
+    host = deployment.network.join("10.1.0.9")
+    stream = await host.dial(addresses.Address("10.1.0.1", 82))
+    for frame in (ttypes.Frame(hello=hello or make_hello()), *sent):
+        data = frame if isinstance(frame, bytes) else frames.encode(frame)
+        with contextlib.suppress(trio.BrokenResourceError):
+            await stream.send_all(data)
+    await trio.sleep(0.2)
+    await trio.aclose_forcefully(stream)
+
+
+def frame_payload(payload: bytes) -> bytes:
+    return frames.HEADER.pack(len(payload)) + payload
+
+
+ODD_FRAMES = [
+    frame_payload(b""),
+    frame_payload(b"\xff" * 40),
+    frame_payload(b"\x1c" * 1000000),
+    b"\xff\xff\xff\xff",
+    ttypes.Frame(config_delta=ttypes.ConfigDelta(revision=9)),
+    ttypes.Frame(offer=ttypes.Offer("x", first_layer=-5, end_layer=2**31 - 1)),
+    ttypes.Frame(in_flight=ttypes.InFlight({"x": -(2**31), "y": 2**31 - 1})),
+    ttypes.Frame(
+        server_statements=ttypes.ServerStatements(
+            [ttypes.ServerStatement("x", 0, True, math.nan, -(2**63))]
+        )
+    ),
+    ttypes.Frame(server_statements=ttypes.ServerStatements()),
+    ttypes.Frame(
+        prompt_parts=ttypes.PromptParts(
+            [
+                ttypes.PromptSuspicion(5, crash, 2**31 - 1, 0, -(2**31))
+                for crash in range(3)
+            ],
+            confirmed=[5],
+        )
+    ),
+    ttypes.Frame(
+        reservation_request=ttypes.ReservationRequest(
+            1, ttypes.ServerStatement("x", 0, True, math.nan), -(2**31)
+        )
+    ),
+    ttypes.Frame(
+        table_rows=ttypes.TableRows("servers", rows=[ttypes.TableRow("\0")])
+    ),
+    ttypes.Frame(heartbeat=ttypes.Heartbeat(1, 2**62, -(2**63), True)),
+]
+
+
+@pytest.mark.parametrize("frame", ODD_FRAMES)
+@cases.run_on_virtual_clock
+async def test_odd_frame_ends_at_most_its_own_connection(frame):
+    """Guards against an entry that ends with the requests of all callers."""
+    async with deployments.open_deployment(
+        2, expects_errors=True
+    ) as deployment:
+        await send_frames(deployment, [frame])
+        assert deployment.entries[0]._mesh._peers.connections
+        assert b" 200 " in await deployment.call(1)
+        assert b" 200 " in await deployment.call(2)
+
+
+@pytest.mark.parametrize(
+    "hello",
+    [
+        make_hello(protocol=0),
+        make_hello(instance="a\nb"),
+        make_hello(instance="a" * 1000),
+        make_hello(capacity=math.nan),
+        make_hello(heartbeat_ms=-(2**31), idle_heartbeat_ms=2**31 - 1),
+        make_hello(address="x"),
+    ],
+)
+@cases.run_on_virtual_clock
+async def test_odd_hello_ends_at_most_its_own_connection(hello):
+    async with deployments.open_deployment(2) as deployment:
+        await send_frames(deployment, [], hello)
+        assert b" 200 " in await deployment.call(1)
+
+
+@cases.run_on_virtual_clock
+async def test_error_of_a_handler_ends_only_its_own_connection(monkeypatch):
+    """Guards against one message that ends an entry, and then the others."""
+    async with deployments.open_deployment(
+        2, expects_errors=True
+    ) as deployment:
+        entry = deployment.entries[0]
+
+        def fail(*_):
+            raise RuntimeError("reason")
+
+        frame = ttypes.Frame(suspects=ttypes.Suspects(instances=["x"]))
+        with monkeypatch.context() as patch:
+            patch.setattr(entry._mesh, "_find_servers", fail)
+            await send_frames(deployment, [frame])
+        assert len(entry._mesh._peers.connections) == 1
+        with monkeypatch.context() as patch:
+            patch.setattr(entry._mesh, "_fetch_if_newer", fail)
+            await send_frames(deployment, [])
+        metrics = await deployment.call(target="/metrics", port=83)
+        assert b'internal_errors_total{kind="peer"} 2' in metrics
+        assert b" 200 " in await deployment.call()
+
+
+def build_values(kind: int, arguments) -> strategies.SearchStrategy:
+    """Returns values of one field of a thrift struct, also extreme ones."""
+    types = Thrift.TType
+    integers = {types.I32: 31, types.I64: 63}
+    match kind:
+        case types.BOOL:
+            return strategies.booleans()
+        case types.DOUBLE:
+            return strategies.floats()
+        case types.STRING if arguments == "BINARY":
+            return strategies.binary(max_size=20)
+        case types.STRING:
+            names = strategies.sampled_from(["x", "y", "servers", "routing"])
+            return names | strategies.text(max_size=5)
+        case types.LIST:
+            return strategies.lists(build_values(*arguments[:2]), max_size=2)
+        case types.MAP:
+            return strategies.dictionaries(
+                build_values(*arguments[:2]),
+                build_values(*arguments[2:4]),
+                max_size=2,
+            )
+        case types.STRUCT:
+            return build_structs(arguments[0])
+    limit = 2 ** integers[kind]
+    extremes = strategies.sampled_from([-limit, -1, 0, 1, limit - 1])
+    return extremes | strategies.integers(-limit, limit - 1)
+
+
+def build_structs(struct: type) -> strategies.SearchStrategy:
+    fields = {
+        item[2]: strategies.one_of(
+            strategies.none(), build_values(item[1], item[3])
+        )
+        for item in struct.thrift_spec
+        if item is not None
+    }
+    return strategies.builds(struct, **fields)
+
+
+_frame_strategies = strategies.one_of(
+    [
+        strategies.builds(ttypes.Frame, **{item[2]: build_structs(item[3][0])})
+        for item in ttypes.Frame.thrift_spec
+        if item is not None
+        and item[2]
+        in (
+            "heartbeat",
+            "config_notice",
+            "config_fetch",
+            "config_delta",
+            "table_rows",
+            "offer",
+            "quarantine",
+            "prompt_parts",
+            "suspects",
+            "in_flight",
+            "server_statements",
+            "reservation_request",
+            "reservation_reply",
+        )
+    ]
+)
+
+
+@hypothesis.settings(**cases.DERANDOMIZED)
+@hypothesis.given(
+    sent=strategies.lists(_frame_strategies, min_size=1, max_size=8)
+)
+def test_no_frames_of_a_peer_end_the_entries(sent):
+    async def run():
+        async with deployments.open_deployment(
+            2, expects_errors=True
+        ) as deployment:
+            for frame in sent:
+                await send_frames(deployment, [frame])
+            # A reserved request waits for a limit that the frames may state.
+            await trio.sleep(5)
+            assert await deployment.call(2)
+            for entry in deployment.entries:
+                text = entry.context.metrics.render()
+                assert 'internal_errors_total{kind="request"}' not in text
+
+    virtual_clock.run(run)
