A part of the process that fails starts again and ends no request

An error in the placement, the prober, the synchronizer, the presence, the metrics, the measurement of delays, the mesh's dialling or loads, or in a stream that moves off a server, ended the entry with all its requests, since all of them ran directly in the nursery of Gateway.run.

Their state lies in objects that outlive the error. Ruled out: restarting the process, which cuts the requests in progress.

Failed before, on a copy of: all six cases of test_error_in_a_duty_ends_no_request_and_the_duty_goes_on.

Not contained one by one yet: a single probe, report or order. An error there restarts the duty that it belongs to.

Conclusion: an unforeseen error costs the work of one duty for a pause.

--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/gateway.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/gateway.py
@@ -8,6 +8,7 @@
 
 import collections.abc
 import dataclasses
+import functools
 import json
 import random as random_module
 import traceback
@@ -25,6 +26,7 @@
 from peridotyard_daemon.connection import http
 from peridotyard_daemon.connection import upstreams
 from peridotyard_daemon.process import delays
+from peridotyard_daemon.process import duties
 from peridotyard_daemon.process import lifecycle
 from peridotyard_daemon.process import logs
 from peridotyard_daemon.process import mesh
@@ -249,7 +251,12 @@
         """Starts to move this entry's streams from a server to others."""
         for stream in self.context.streams:
             if stream.has_later_stage(instance):
-                self._nursery.start_soon(stream.replace_server, instance)
+                self._nursery.start_soon(
+                    duties.run_once,
+                    "stream",
+                    functools.partial(stream.replace_server, instance),
+                    self.context.metrics.increment,
+                )
 
     def _stop_quarantined(self) -> None:
         """Ends streams without an answer whose prompt is quarantined now."""
@@ -294,12 +301,17 @@
                 if address is not None:
                     await nursery.start(self._network.serve, address, handler)
             await nursery.start(self._mesh.run)
-            nursery.start_soon(self._synchronizer.run)
-            nursery.start_soon(self._presence.run)
-            nursery.start_soon(self._placement.run)
-            nursery.start_soon(self._prober.run)
-            nursery.start_soon(self.context.metrics.run)
-            nursery.start_soon(delays.watch_delays, self.context.metrics)
+            for duty_name, duty in (
+                ("synchronizer", self._synchronizer.run),
+                ("presence", self._presence.run),
+                ("placement", self._placement.run),
+                ("prober", self._prober.run),
+                ("metrics", self.context.metrics.run),
+                ("delays", self._watch_delays),
+            ):
+                nursery.start_soon(
+                    duties.run, duty_name, duty, self.context.metrics.increment
+                )
             _log.info(
                 "entry started",
                 instance=self._settings.instance,
@@ -309,6 +321,9 @@
             await self._drain()
             nursery.cancel_scope.cancel()
 
+    async def _watch_delays(self) -> None:
+        await delays.watch_delays(self.context.metrics)
+
     def reload(self) -> None:
         """Reads the settings again and applies `RELOADABLE_SETTINGS`."""
         if self._read_settings is None:
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/mesh.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/mesh.py
@@ -22,6 +22,7 @@
 
 from peridotyard_daemon.connection import peers as peers_module
 from peridotyard_daemon.process import announcements
+from peridotyard_daemon.process import duties
 from peridotyard_daemon.process import logs
 from peridotyard_daemon.process import network as network_module
 from peridotyard_daemon.process import presence
@@ -137,6 +138,7 @@
         self._own = own
         self._address = own.address
         self._list_entries = list_entries
+        self._count = count
         self._peers = peers_module.Peers(network, self, TIMING, count)
         self._dialed: set[addresses.Address] = set()
         self._topology = topologies.Topology()
@@ -193,8 +195,11 @@
         async with trio.open_nursery() as nursery:
             await nursery.start(self._peers.run, self._address)
             task_status.started()
-            nursery.start_soon(self._dial_all)
-            nursery.start_soon(self._send_loads)
+            for name, duty in (
+                ("mesh-dials", self._dial_all),
+                ("mesh-loads", self._send_loads),
+            ):
+                nursery.start_soon(duties.run, name, duty, self._count)
 
     @property
     def is_member(self) -> bool:
--- a/tests/unit/test_gateway.py
+++ b/tests/unit/test_gateway.py
@@ -858,3 +858,40 @@
         for kind in ("request", "connection"):
             name = f'internal_errors_total{{kind="{kind}"}} 1'
             assert name.encode() in metrics
+
+
+@pytest.mark.parametrize(
+    ("part", "method"),
+    [
+        ("_synchronizer", "_wait_while_reads_skipped"),
+        ("_presence", "_refresh_rows"),
+        ("_placement", "_may_place"),
+        ("_prober", "_discard_unlisted"),
+        ("_mesh", "_update_topology"),
+        ("_mesh", "_post_loads"),
+    ],
+)
+@cases.run_on_virtual_clock
+async def test_error_in_a_duty_ends_no_request_and_the_duty_goes_on(
+    part, method, monkeypatch
+):
+    """Guards against an entry that ends, or continues without a part."""
+    async with deployments.open_deployment(expects_errors=True) as deployment:
+        entry = deployment.entries[0]
+        calls = []
+
+        def fail(*_):
+            calls.append(trio.current_time())
+            raise KeyError("reason")
+
+        with monkeypatch.context() as patch:
+            patch.setattr(getattr(entry, part), method, fail)
+            deployment.rows.put("op", "config", deployments.encode_routing(4))
+            await trio.sleep(10)
+            assert b" 200 " in await deployment.call()
+        assert 1 <= len(calls) < 50
+        deployment.rows.put("op", "config", deployments.encode_routing(5))
+        await trio.sleep(12)
+        assert entry.view.routing.version == 5
+        assert deployment.find_holder() == 1
+        assert b" 200 " in await deployment.call()
