entry: a stopping entry sends only what it can answer in time

Seen by callers: a request that a stopping entry took and passed on although its server needs longer than what is left of the grace (3 s of work, 1.6 s left) ended unanswered or with 504, may-have-run. If it may not be repeated, it was lost, while other entries could have served it. Late in the grace, retries and resumptions were begun too, and a server's run was given up at half of the time or for its silence in favour of an attempt that could not end.

Cause: no send considered the end of the grace.

Ruled out: a later admission; the requests came within the 2.3 s in which the load balancer still sends callers. The waits before a send (limits of servers, first configuration, budget) end at the answer limit, and the check is made again after the wait for a server's limit.

Why the fix works: `Context.reserve`, which all sends pass, offers no choice if the answer is not expected before the answer limit. The expectation is the mean duration of the route's successful requests, before the first one its latency objective; for a stream that may be resumed at most that objective, since its caller can resume it elsewhere after its first event. Requests whose own time limit ends earlier are sent in any case. The same check keeps the only attempt that can end in time.

Conclusion: work that cannot end before the entry does is left to others.

--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/contexts.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/contexts.py
@@ -47,6 +47,9 @@
 # the limit determines how many are served.
 QUEUE_OBJECTIVE_SHARE = 0.25
 
+# Weight of the newest duration in the mean duration of a route's requests.
+DURATION_SMOOTHING = 0.2
+
 # Time limit of the connection attempt that distinguishes a terminated server
 # from one that lost a response. A terminated server refuses the connection
 # within a round trip, 2 ms within a region.
@@ -189,6 +192,8 @@
     _budgets: dict[str, budgets.WindowBudget] = dataclasses.field(
         default_factory=dict
     )
+    # Means of the durations of successful requests, seconds, by route.
+    _mean_durations: dict[str, float] = dataclasses.field(default_factory=dict)
     # Checks in progress, by instance.
     _ended_checks: dict[str, trio.Event] = dataclasses.field(
         default_factory=dict
@@ -243,6 +248,27 @@
         """
         return self.view.entry_count if self.is_listed() else 0
 
+    def can_answer_in_time(
+        self, request: Request, after_s: float = 0.0
+    ) -> bool:
+        """Returns whether the answer to a request is expected in time.
+
+        That is before the entry stops. A stream that may be resumed needs only
+        its first event, since its caller can resume it at another entry.
+
+        Args:
+            request: The request.
+            after_s: Time until it is sent, seconds.
+        """
+        until = request.answer_limit.until
+        if request.deadline <= until:
+            return True
+        objective_s = request.route.latency_objective_s
+        expected_s = self._mean_durations.get(request.route.name, objective_s)
+        if request.route.retry_policy is fleet.RetryPolicy.STREAM:
+            expected_s = min(expected_s, objective_s)
+        return trio.current_time() + after_s + expected_s <= until
+
     async def reserve(
         self,
         request: Request,
@@ -253,7 +279,8 @@
         """Returns where a request is sent next, within the servers' limits.
 
         If the limits allow no choice, the request waits for a part of its
-        latency objective.
+        latency objective. There is no choice if the answer is not expected
+        before the entry stops.
 
         Args:
             request: The request.
@@ -262,10 +289,15 @@
             choose_exhausted: The same if all choices are exhausted.
             get_server: Returns the server of a choice that gets the request.
         """
+        if not self.can_answer_in_time(request):
+            return None
         with request.answer_limit.move_on_at(request.deadline):
-            return await self._reserve(
+            choice = await self._reserve(
                 request, choose, choose_exhausted, get_server
             )
+            # The entry may have begun to stop during the wait.
+            if self.can_answer_in_time(request):
+                return choice
         return None
 
     async def _reserve(
@@ -403,7 +435,7 @@
     ) -> verdicts.Failure:
         """Returns the failure of a request that no server accepted."""
         request.log(_log, "no server accepted the request", reason=reason)
-        if request.answer_limit.until <= trio.current_time():
+        if not self.can_answer_in_time(request):
             return make_stopping_failure()
         wait_s = RETRY_AFTER_BUSY_S
         if request.service.engine:
@@ -447,6 +479,11 @@
     def record_end(self, request: Request, outcome: str) -> None:
         """Records the outcome and duration of a request."""
         duration_s = trio.current_time() - request.arrived_at
+        if outcome.startswith("status 2"):
+            route = request.route.name
+            mean_s = self._mean_durations.setdefault(route, duration_s)
+            change_s = DURATION_SMOOTHING * (duration_s - mean_s)
+            self._mean_durations[route] = mean_s + change_s
         self.metrics.increment(f"outcome.{outcome.split(' ')[0]}")
         self.metrics.record(
             "response", request.workspace_name, request.route.name, duration_s
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/forwards.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/forwards.py
@@ -229,7 +229,13 @@
         alternative = self._choose_server(
             request.service.name, tried | {server.instance}
         )
-        if alternative and request.route.retry_policy.is_idempotent:
+        if (
+            alternative
+            and request.route.retry_policy.is_idempotent
+            and context.can_answer_in_time(
+                request, ATTEMPT_TIME_FRACTION * limit_s
+            )
+        ):
             limit_s *= ATTEMPT_TIME_FRACTION
         health = context.view.get_health(server)
         health.in_flight += 1
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/relays.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/relays.py
@@ -282,6 +282,8 @@
             return
         if not context.has_retry(self._request):
             return
+        if not context.can_answer_in_time(self._request):
+            return
 
         def choose_path(denied: frozenset[str]) -> paths.Path | None:
             # Orders name a run by its first server and the request, so both
@@ -321,7 +323,11 @@
             last: Outcome of the previous path, None for the first path.
         """
         path = await self._reserve_path(last)
-        if path is None and self._responder.started:
+        if (
+            path is None
+            and self._responder.started
+            and self._context.can_answer_in_time(self._request)
+        ):
             path = await self._wait_for_path(last)
         return path
 
--- a/tests/support/servers.py
+++ b/tests/support/servers.py
@@ -90,6 +90,7 @@
         self.stated: tuple[tuple[bytes, bytes], ...] = ()
         self.arrived_at: list[float] = []
         self.fatal_part = ""
+        self.work_s = 0.02
         self.peers: dict[str, StandIn] = {}
         self._paths: dict[str, str] = {}
         self._responsive = trio.Event()
@@ -104,7 +105,6 @@
     async def wait_responsive(self) -> None:
         """Waits until the process runs."""
         await self._responsive.wait()
-        self.work_s = 0.02
 
     def join(self, network, nursery) -> None:
         """Starts to serve on an in-memory network."""
--- a/tests/unit/test_forwards.py
+++ b/tests/unit/test_forwards.py
@@ -118,6 +118,45 @@
         assert float(dict(recorder.headers)[b"retry-after"]) > 0
 
 
+@pytest.mark.parametrize(
+    ("retry_policy", "kind", "status"),
+    [
+        (fleet.RetryPolicy.ONCE, "refuse", 503),
+        (fleet.RetryPolicy.SAFE, "refuse", 503),
+        (fleet.RetryPolicy.SAFE, "error", 500),
+        (fleet.RetryPolicy.SAFE, "crash", 502),
+    ],
+)
+@cases.run_on_virtual_clock
+async def test_call_is_not_resent_shortly_before_the_answer_limit(
+    retry_policy, kind, status
+):
+    """Guards against work at a second server that the entry cannot await."""
+    async with gateways.open_harness(gateways.make_plain_servers(2)) as harness:
+        for item in harness.servers.values():
+            item.faults = [servers_module.Fault(kind)]
+        limit = harness.context.answer_limit
+        # The first response takes more than a millisecond.
+        limit.set(trio.current_time() + gateways.ROUTE.latency_objective_s)
+        recorder = await forward(harness, retry_policy)
+        requests = [len(item.requests) for item in harness.servers.values()]
+        assert sum(requests) == 1
+        assert recorder.status == status
+
+
+@cases.run_on_virtual_clock
+async def test_call_has_one_long_attempt_if_a_second_one_cannot_end_in_time():
+    """Guards against an attempt that is ended for one that is never made."""
+    async with gateways.open_harness(gateways.make_plain_servers(2)) as harness:
+        for item in harness.servers.values():
+            item.work_s = 1.4
+        harness.context.answer_limit.set(trio.current_time() + 1.6)
+        recorder = await forward(
+            harness, fleet.RetryPolicy.SAFE, time_limit_ms=2400
+        )
+        assert recorder.status == 200
+
+
 @pytest.mark.parametrize("kind", ["crash", "cut", "error", "unsigned", "hang"])
 def test_safe_call_is_retried_up_to_the_limit_of_servers(kind):
     recorder, runs = run_with(
--- a/tests/unit/test_gateway.py
+++ b/tests/unit/test_gateway.py
@@ -275,6 +275,57 @@
         assert count > (after_s - 0.7) / servers_module.EVENT_GAP_S
 
 
+@pytest.mark.parametrize("kind", ["unsafe", "safe"])
+@pytest.mark.parametrize(
+    ("work_s", "taken_s", "status"),
+    [(3, 1.9, 503), (3, 0.3, 200), (1, 1.9, 200), (0.02, 1.9, 200)],
+)
+@cases.run_on_virtual_clock
+async def test_request_that_cannot_end_in_the_grace_is_refused_at_once(
+    kind, work_s, taken_s, status
+):
+    """Guards against a request that is passed on although it will be cut off.
+
+    One that can end in time is served. The grace is 4 s.
+    """
+    async with deployments.open_deployment(plain_servers=1) as deployment:
+        routing = deployments.encode_routing(4, kind=kind)
+        deployment.rows.put("op", "config", routing)
+        await trio.sleep(1.5)
+        server = deployment.servers["p1"]
+        server.work_s = work_s
+        assert b" 200 " in (await deployment.call(target="/ledger/x"))[:15]
+        responses = await stop_with_requests(
+            deployment, 4, ["/ledger/y"], taken_s
+        )
+        data, after_s = responses["/ledger/y"]
+        assert data.startswith(f"HTTP/1.1 {status}".encode())
+        if status == 503:
+            assert b"not-run" in data
+            assert b"retry-after" in data
+            assert after_s < taken_s + 0.1
+            assert len(server.runs) == 1
+
+
+@pytest.mark.parametrize(
+    ("objective_s", "status"), [(1.5, 200), (2.5, 503), (30, 503)]
+)
+@cases.run_on_virtual_clock
+async def test_first_request_of_a_route_is_expected_within_its_objective(
+    objective_s, status
+):
+    """Guards against an entry that stops before it knows any duration."""
+    async with deployments.open_deployment(plain_servers=1) as deployment:
+        routing = deployments.encode_routing(
+            4, kind="unsafe", objective_s=objective_s
+        )
+        deployment.rows.put("op", "config", routing)
+        await trio.sleep(1.5)
+        responses = await stop_with_requests(deployment, 4, ["/ledger/x"], 1.5)
+        data, _ = responses["/ledger/x"]
+        assert data.startswith(f"HTTP/1.1 {status}".encode())
+
+
 @cases.run_on_virtual_clock
 async def test_second_stop_answers_the_requests_in_progress():
     """Guards against requests that a second signal cuts without an answer."""
--- a/tests/unit/test_relays.py
+++ b/tests/unit/test_relays.py
@@ -997,3 +997,38 @@
         assert b"draining" in recorder.body
         assert b"not-run" in recorder.body
         assert float(dict(recorder.headers)[b"retry-after"]) > 0
+
+
+@cases.run_on_virtual_clock
+async def test_stream_is_not_resumed_shortly_before_the_answer_limit():
+    """Guards against a run that the entry cannot await to its first event.
+
+    The caller resumes the stream at another entry.
+    """
+    async with gateways.open_harness(
+        gateways.make_servers(LAYER_RANGES)
+    ) as harness:
+        harness.servers["a0"].faults = [servers_module.Fault("crash", 4)]
+        began = trio.current_time()
+        limit = harness.context.answer_limit
+        limit.set(began + gateways.ROUTE.latency_objective_s + 0.1)
+        recorder = await relay(harness)
+        assert gateways.read_event_ids(recorder.body) == [1, 2, 3, 4]
+        assert not recorder.finished
+        assert trio.current_time() - began < 0.4
+        assert harness.servers["b0"].requests == []
+
+
+@cases.run_on_virtual_clock
+async def test_silent_stream_is_kept_shortly_before_the_answer_limit():
+    """Guards against a run that is given up for one that is never begun."""
+    async with gateways.open_harness(
+        gateways.make_servers(LAYER_RANGES)
+    ) as harness:
+        harness.servers["a0"].faults = [servers_module.Fault("pause", 4)]
+        began = trio.current_time()
+        harness.context.answer_limit.set(began + 2)
+        recorder = await relay(harness)
+        assert not recorder.finished
+        assert trio.current_time() - began == pytest.approx(2)
+        assert harness.servers["b0"].requests == []
