callers: a stopping entry answers pipelined requests

Seen by callers: while an entry stops, of two requests that were sent at once on one connection only the first was answered. The second one had been read in whole and ended with the connection, without an answer.

Cause: each response of a stopping entry announced the end of the connection (`Connection: close`), also if the next request had been received.

Ruled out: requests that arrive after the head of the last response; they cross the close, and HTTP/1.1 gives them no response. Requests whose body arrives late (the first test below passed before): they are refused as not run.

Why the fix works: a connection stays open while bytes of the next request are buffered, in the drain and after `close_when_idle`; that request is served or refused as not run, and its response announces the end. The error response to a malformed request announces it in any case.

Tests: test_pipelined_requests_are_all_answered_when_stopping (3 cases, failed before: 1 response instead of 2), test_request_whose_body_arrives_late_is_refused_when_stopping (passed before), test_bad_requests_are_rejected_before_the_handler, which checks the header now. test_gateway.py and test_callers.py pass.

Conclusion: what a stopping entry has read in whole is answered.

--- a/packages/peridotyard-daemon/src/peridotyard_daemon/connection/callers.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/connection/callers.py
@@ -149,6 +149,7 @@
         self.method = ""
         self.busy = False
         self._closing = False
+        self._is_rejecting = False
         self._idle_scope = trio.CancelScope()
 
     @property
@@ -157,9 +158,20 @@
         return self._at_end or upstreams.is_closed_by_peer(self._stream)
 
     def make_closing_headers(self) -> list[tuple[bytes, bytes]]:
-        """Returns a "Connection: close" header if the connection will close."""
+        """Returns a "Connection: close" header if the connection will close.
+
+        It stays open for a pipelined request that has been received, which
+        would end without a response otherwise.
+        """
         closing = self._closing or self._is_draining()
-        return [(b"Connection", b"close")] if closing else []
+        if self._is_rejecting or (closing and not self._has_input):
+            return [(b"Connection", b"close")]
+        return []
+
+    @property
+    def _has_input(self) -> bool:
+        """Whether bytes of the next request have been received."""
+        return bool(self._pending or self.http.trailing_data[0])
 
     def close_when_idle(self) -> None:
         """Closes the connection after the request in progress, if any."""
@@ -174,7 +186,9 @@
             h11.SERVER, max_incomplete_event_size=limits.header_bytes
         )
         try:
-            while await self._serve_one() and not self._closing:
+            while await self._serve_one() and (
+                self._has_input or not self._closing
+            ):
                 self.http.start_next_cycle()
         except (OSError, trio.BrokenResourceError, trio.ClosedResourceError):
             # The caller has disconnected, so no error can be reported to it.
@@ -241,8 +255,7 @@
         request = None
         with trio.move_on_after(limits.idle_timeout_s) as self._idle_scope:
             # The connection counts as idle until the first byte of a request.
-            buffered = self._pending or self.http.trailing_data[0]
-            if not buffered and not await self._receive_pending():
+            if not self._has_input and not await self._receive_pending():
                 return None, b""
             self.busy = True
         if self._idle_scope.cancelled_caught:
@@ -330,7 +343,7 @@
             self.http.our_state is not h11.SEND_RESPONSE
         ):
             return
-        self._closing = True
+        self._is_rejecting = True
         body = json.dumps({"error": str(error)}).encode()
         headers = [(b"Content-Type", b"application/json")]
         await Responder(self).send_complete(error.status, headers, body)
--- a/tests/unit/test_callers.py
+++ b/tests/unit/test_callers.py
@@ -97,6 +97,12 @@
             + b"x" * 60,
             b"413",
         ),
+        (
+            b"POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 60\r\n\r\n"
+            + b"x" * 60
+            + GET,
+            b"413",
+        ),
         (
             b"POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n"
             b"Transfer-Encoding: gzip\r\n\r\nabcd",
@@ -113,6 +119,7 @@
             await stream.send_all(request_bytes)
             data = await receive(stream)
             assert data.startswith(b"HTTP/1.1 " + status)
+            assert b"connection: close" in data.lower()
 
     virtual_clock.run(run)
     assert entry.requests == []
--- a/tests/unit/test_gateway.py
+++ b/tests/unit/test_gateway.py
@@ -5,6 +5,7 @@
 import json
 import time
 
+from peridotyard_core import addresses
 from peridotyard_core import prompts
 from peridotyard_daemon.process import gateway
 from peridotyard_platform import codec
@@ -326,6 +327,86 @@
         assert data.startswith(f"HTTP/1.1 {status}".encode())
 
 
+@cases.run_on_virtual_clock
+async def test_request_whose_body_arrives_late_is_refused_when_stopping():
+    """Guards against a request that is passed on late in the grace.
+
+    It began before the signal, on a new connection or behind another request.
+    """
+    async with deployments.open_deployment(
+        server_layers=[("x", "a", (0, 20))]
+    ) as deployment:
+        (entry,) = deployment.entries
+        deployment.servers["x"].events = 20
+        received = []
+
+        async def call(begin):
+            stream = await deployment.network.join("caller").dial(
+                addresses.Address("10.1.0.1", 80)
+            )
+            await stream.send_all(begin)
+            await trio.sleep(1 + gateway.BALANCER_REMOVAL_S + 2)
+            await stream.send_all(b"{}")
+            data = b""
+            while chunk := await stream.receive_some():
+                data += chunk
+            received.append(data)
+
+        head = (
+            b"POST /chat/x HTTP/1.1\r\nHost: api.example\r\n"
+            b"X-Attempt-Id: r1\r\nApi-Key: key-1\r\n"
+            b"Content-Length: %d\r\n\r\n"
+        )
+        deployment.nursery.start_soon(call, head % 2)
+        deployment.nursery.start_soon(call, head % 0 + head % 2)
+        await trio.sleep(1)
+        entry._lifecycle.request_stop()
+        await trio.sleep(7)
+        assert len(deployment.servers["x"].requests) == 1
+        assert len(received) == 2
+        for data in received:
+            assert data.count(b" 503 ") == 1
+            assert b"draining" in data
+            assert data.rstrip().endswith(b"}")
+        assert sorted(data.count(b" 200 ") for data in received) == [0, 1]
+
+
+@pytest.mark.parametrize("sent_s", [0.1, 1, 2.2])
+@cases.run_on_virtual_clock
+async def test_pipelined_requests_are_all_answered_when_stopping(sent_s):
+    """Guards against a request that was read and ends without an answer.
+
+    It arrives while the one before it is served.
+    """
+    async with deployments.open_deployment(plain_servers=1) as deployment:
+        routing = deployments.encode_routing(4, kind="unsafe")
+        deployment.rows.put("op", "config", routing)
+        await trio.sleep(1.5)
+        server = deployment.servers["p1"]
+        server.work_s = 0.5
+        (entry,) = deployment.entries
+        entry._lifecycle.request_stop()
+        await trio.sleep(sent_s)
+        stream = await deployment.network.join("caller").dial(
+            addresses.Address("10.1.0.1", 80)
+        )
+        await stream.send_all(
+            b"".join(
+                b"POST /ledger/x HTTP/1.1\r\nHost: api.example\r\n"
+                b"X-Attempt-Id: r%d\r\nApi-Key: key-1\r\n"
+                b"Content-Length: 0\r\n\r\n" % number
+                for number in (1, 2)
+            )
+        )
+        data = b""
+        while chunk := await stream.receive_some():
+            data += chunk
+        assert data.count(b"HTTP/1.1 ") == 2
+        assert data.count(b" 200 ") == len(server.runs) >= 1
+        # Only the last response announces the end of the connection.
+        assert data.lower().count(b"connection: close") == 1
+
+
 @cases.run_on_virtual_clock
 async def test_second_stop_answers_the_requests_in_progress():
     """Guards against requests that a second signal cuts without an answer."""
