Decide from the facts what a crash says about a request

The other way round, one crash under identical `safe` requests quarantined all their copies, since each request drew an id of its own for it.

Cause: three places decided, each from a part of the facts, and the id of a crash was random.

`core.crashes` now decides from the servers of the path that ended and from how far the request had come. A crash has one id, from instance and start of its process. Crashes before an event on the path are strong evidence; others are weak and are reported when the stream ends without an answer, so that a lost server does not cost a message for each of its streams. A complete answer clears a request on all entries. The path of a quarantined request is not repaired. Parts of prompts are also suspected when a later server crashes.

Ruled out: one limit for all crashes, since streams in progress lose several servers in a mass failure; counting attempts of the caller, since copies of a popular request are attempts too.

Conclusion: a request that crashes servers is contained wherever on the path and after however many events it does so, and sound requests that share its servers are not refused for that.

--- a/packages/peridotyard-core/src/peridotyard_core/prompts.py
+++ b/packages/peridotyard-core/src/peridotyard_core/prompts.py
@@ -57,26 +57,8 @@
     Returns:
         A signed 64-bit integer.
     """
-    return _compute_hash(service, part)
-
-
-def compute_crash_id(instance: str, started_at_ms: int) -> int:
-    """Returns the identity of the crash of a server process.
-
-    It is the same for all entries and requests that are affected by the crash.
-
-    Args:
-        instance: The server's instance.
-        started_at_ms: Start of the process, Unix time in milliseconds.
-
-    Returns:
-        A signed 64-bit integer.
-    """
-    return _compute_hash(instance, str(started_at_ms))
-
-
-def _compute_hash(*texts: str) -> int:
-    digest = hashlib.blake2b("\0".join(texts).encode(), digest_size=8)
+    text = f"{service}\0{part}"
+    digest = hashlib.blake2b(text.encode(), digest_size=8)
     return int.from_bytes(digest.digest(), "big", signed=True)
 
 
@@ -86,7 +68,7 @@
 
     Attributes:
         part: Fingerprint of the part.
-        crash: Identity of the crash, see `compute_crash_id`.
+        crash: Identity of the crash, see `crashes.compute_id`.
         succession: Number of crashes that followed each other, this one
             included: one more than was known for the part when the request was
             sent. It is an order without clocks, as in Lamport timestamps.
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/gateway.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/gateway.py
@@ -226,6 +226,7 @@
         self._synchronizer.publish = self._mesh.announce_rows
         self.context.is_listed = self._presence.is_listed
         self.context.notify_crash = self._mesh.announce_crash
+        self.context.notify_answered = self._mesh.announce_answered
         self.context.parts.notify = self._mesh.announce_evidence
         self.context.parts.notify_quarantined = self._stop_quarantined
         self.view.notify_suspect = self._mesh.announce_suspect
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/mesh.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/mesh.py
@@ -13,6 +13,7 @@
 import contextlib
 
 from peridotyard_core import addresses
+from peridotyard_core import crashes
 from peridotyard_core import fleet
 from peridotyard_core import layouts
 from peridotyard_core import prompts
@@ -257,15 +258,24 @@
             suspects = ttypes.Suspects(cleared=[server.instance])
             self.forward(ttypes.Frame(suspects=suspects))
 
-    def announce_crash(self, fingerprint: int, crash: int) -> None:
+    def announce_crash(self, fingerprint: int, crash: crashes.Crash) -> None:
         """Announces that a server crashed while it ran a request.
 
         Args:
             fingerprint: Fingerprint of the request.
-            crash: Identity of the crash.
+            crash: The crash.
         """
-        crashes = ttypes.Quarantine(crashes={fingerprint: [crash]})
-        self.forward(ttypes.Frame(quarantine=crashes))
+        news = ttypes.Quarantine(crashes={fingerprint: [crash.encode()]})
+        self.forward(ttypes.Frame(quarantine=news))
+
+    def announce_answered(self, fingerprint: int) -> None:
+        """Announces that a server has answered a request.
+
+        Args:
+            fingerprint: Fingerprint of the request.
+        """
+        news = ttypes.Quarantine(crashes={fingerprint: []})
+        self.forward(ttypes.Frame(quarantine=news))
 
     def announce_evidence(self, evidence: prompts.Evidence) -> None:
         """Announces evidence on parts of prompts, see `process.prompts`."""
@@ -356,8 +366,12 @@
             loads = ttypes.InFlight(requests=self._sent_loads)
             connection.post(ttypes.Frame(in_flight=loads))
         if not self._quarantine.is_empty:
-            crashes = ttypes.Quarantine(self._quarantine.list_crashes())
-            connection.post(ttypes.Frame(quarantine=crashes))
+            recorded = self._quarantine.list_crashes().items()
+            known = {
+                fingerprint: [crash.encode() for crash in found]
+                for fingerprint, found in recorded
+            }
+            connection.post(ttypes.Frame(quarantine=ttypes.Quarantine(known)))
         evidence = self._parts.make_evidence()
         if not evidence.is_empty:
             connection.post(_make_prompt_parts(evidence))
@@ -523,18 +537,20 @@
 
     def _handle_crashes(self, connection, message: ttypes.Quarantine) -> None:
         now = trio.current_time()
-        for fingerprint, crashes in message.crashes.items():
-            before = known = self._quarantine.count_crashes(fingerprint)
-            for crash in crashes:
-                known = self._quarantine.record_crash(fingerprint, crash, now)
-            if known > before:
-                news = ttypes.Quarantine(crashes={fingerprint: crashes})
+        for fingerprint, codes in message.crashes.items():
+            # Without crashes, it reports that the request was answered.
+            is_new = not codes and self._quarantine.clear(fingerprint)
+            for code in codes:
+                crash = crashes.Crash.from_code(code)
+                is_new |= self._quarantine.record_crash(fingerprint, crash, now)
+            if is_new:
+                news = ttypes.Quarantine(crashes={fingerprint: codes})
                 self.forward(ttypes.Frame(quarantine=news), connection)
             _log.info(
                 "crashes reported by another entry",
                 entry=connection.peer.instance,
                 fingerprint=quarantines.format_fingerprint(fingerprint),
-                crashes=known,
+                crashes=self._quarantine.count_crashes(fingerprint),
             )
 
     def _handle_prompt_parts(
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/prompts.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/prompts.py
@@ -7,6 +7,7 @@
 import collections.abc
 import contextlib
 
+from peridotyard_core import crashes
 from peridotyard_core import fleet
 from peridotyard_core import prompts
 from peridotyard_core import quarantines
@@ -66,7 +67,7 @@
             server: The server.
             successions: Result of `get_successions` when the request was sent.
         """
-        crash = prompts.compute_crash_id(server.instance, server.started_at_ms)
+        crash = crashes.compute_id(server.instance, server.started_at_ms)
         suspicions = tuple(
             prompts.Suspicion(part, crash, succession + 1, depth)
             for depth, (part, succession) in enumerate(
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/contexts.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/contexts.py
@@ -7,6 +7,7 @@
 import typing
 
 from peridotyard_core import budgets
+from peridotyard_core import crashes
 from peridotyard_core import exchanges
 from peridotyard_core import fleet
 from peridotyard_core import paths
@@ -165,8 +166,10 @@
         streams: Streams in progress, each a `relays.Stream`.
         is_listed: Returns whether the other entries count this one as live, so
             that it may use its share of the retry budgets.
-        notify_crash: Called with the request's fingerprint and the random id
-            of each crash.
+        notify_crash: Called with the request's fingerprint and each crash that
+            the other entries have to know.
+        notify_answered: Called with the fingerprint of a request that a server
+            has answered, if the other entries know of a crash.
     """
 
     view: views.View
@@ -188,7 +191,10 @@
     )
     streams: set = dataclasses.field(default_factory=set)
     is_listed: collections.abc.Callable[[], bool] = lambda: True
-    notify_crash: collections.abc.Callable[[int, int], None] = lambda *_: None
+    notify_crash: collections.abc.Callable[[int, crashes.Crash], None] = (
+        lambda *_: None
+    )
+    notify_answered: collections.abc.Callable[[int], None] = lambda _: None
     _budgets: dict[str, budgets.WindowBudget] = dataclasses.field(
         default_factory=dict
     )
@@ -358,6 +364,10 @@
         """
         if self.parts.find_remaining_s(request.shared_parts):
             return True
+        return self.is_copy_quarantined(request)
+
+    def is_copy_quarantined(self, request: Request) -> bool:
+        """Returns whether copies of a request crashed too many servers."""
         return not self.quarantine.is_empty and self.quarantine.is_quarantined(
             request.fingerprint, trio.current_time()
         )
@@ -390,22 +400,64 @@
             self._ended_checks.pop(server.instance).set()
         return self.view.has_ended(server)
 
-    def record_crash(self, request: Request, server: fleet.Server) -> None:
-        """Records that a server terminated as it began to run a request."""
-        crash_id = self.random.getrandbits(63)
-        crash_count = self.quarantine.record_crash(
-            request.fingerprint, crash_id, trio.current_time()
+    def record_loss(
+        self,
+        request: Request,
+        servers: collections.abc.Sequence[fleet.Server],
+        progress: crashes.Progress,
+        successions: tuple[int, ...],
+    ) -> None:
+        """Records what the loss of servers says about a request.
+
+        Args:
+            request: The request.
+            servers: Servers of its path whose processes ended since the last
+                call, in the order of the path.
+            progress: How far it had come.
+            successions: Known crashes for the parts of its prompt when the
+                first of these servers received it.
+        """
+        finding = crashes.classify_loss(servers, progress)
+        if finding is None:
+            return
+        self.quarantine.record_crash(
+            request.fingerprint,
+            finding.crash,
+            trio.current_time(),
+            is_shared=False,
         )
         self.metrics.increment("crashes")
         request.log(
             _log,
-            "server terminated as it began to run the request",
-            instance=server.instance,
+            "server terminated while it ran the request",
+            instance=finding.server.instance,
+            progress=progress.name.lower(),
             fingerprint=quarantines.format_fingerprint(request.fingerprint),
-            crashes=crash_count,
+            crashes=self.quarantine.count_crashes(request.fingerprint),
             contained=self.is_quarantined(request),
         )
-        self.notify_crash(request.fingerprint, crash_id)
+        # Most requests that were in progress on a server that ended continue
+        # elsewhere and are answered.
+        if not finding.crash.is_weak:
+            self.announce_crashes(request)
+        if finding.blames_parts:
+            self.parts.record_crash(
+                request.shared_parts, finding.server, successions
+            )
+
+    def announce_crashes(self, request: Request) -> None:
+        """Announces the crashes under a request that were not announced yet."""
+        if self.quarantine.is_empty:
+            return
+        for crash in self.quarantine.share(request.fingerprint):
+            self.notify_crash(request.fingerprint, crash)
+
+    def record_answer(self, request: Request) -> None:
+        """Records that a server has answered a request completely."""
+        if self.quarantine.is_empty:
+            return
+        if self.quarantine.clear(request.fingerprint):
+            self.notify_answered(request.fingerprint)
 
     def refuse_quarantined(self, request: Request) -> verdicts.Failure:
         """Returns the failure of a request that is in quarantine."""
@@ -463,6 +515,8 @@
         body: bytes,
     ) -> None:
         """Sends a server's complete response to the caller."""
+        if 200 <= head.status < 300:
+            self.record_answer(request)
         self.record_end(request, f"status {head.status}")
         await responder.send_complete(head.status, head.headers, body)
 
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/forwards.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/forwards.py
@@ -4,6 +4,7 @@
 import dataclasses
 
 import h11
+from peridotyard_core import crashes
 from peridotyard_core import exchanges
 from peridotyard_core import fleet
 from peridotyard_core import verdicts
@@ -256,10 +257,8 @@
         duration_s = trio.current_time() - started
         self._update_health(server, outcome, duration_s)
         if isinstance(outcome, Lost) and await context.check_ended(server):
-            context.record_crash(request, server)
-            context.parts.record_crash(
-                request.shared_parts, server, successions
-            )
+            progress = crashes.Progress.NOT_ANSWERED
+            context.record_loss(request, [server], progress, successions)
         if isinstance(outcome, Responded):
             context.parts.record_answer(request.shared_parts)
         request.log(
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/relays.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/relays.py
@@ -75,6 +75,7 @@
                 outcome = await self._run_paths()
         finally:
             self._context.streams.discard(self)
+            self._context.announce_crashes(self._request)
         if not scope.cancelled_caught:
             # Outside of the time limit, which could cut off the answer.
             await self._finish_response(outcome)
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/runs.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/runs.py
@@ -10,6 +10,7 @@
 import typing
 
 import h11
+from peridotyard_core import crashes
 from peridotyard_core import events
 from peridotyard_core import exchanges
 from peridotyard_core import fleet
@@ -106,6 +107,8 @@
         mean_gap_s: Moving average of the gaps between events, seconds; None
             before the second event.
         longest_gap_s: Longest gap between two events, seconds.
+        recorded_ends: Processes of servers whose end has been recorded, by
+            instance and start.
     """
 
     def __init__(self, last_event_id: int | None):
@@ -113,6 +116,7 @@
         self.last_event_at = trio.current_time()
         self.mean_gap_s: float | None = None
         self.longest_gap_s = 0.0
+        self.recorded_ends: set[tuple[str, int]] = set()
 
 
 class Run:
@@ -161,6 +165,8 @@
         self.scope = trio.CancelScope()
         # Whether a server may have received the request.
         self._is_sent = False
+        # Known crashes for the parts of the prompt when the path was set.
+        self._successions: tuple[int, ...] = ()
         # Number of the last event before this run.
         self._start_event = progress.sequence.last
         # Times of the last event and of the next check of a silent path.
@@ -256,6 +262,7 @@
         async with self._path_lock:
             if not self.has_later_stage(instance):
                 return
+            self._record_ends(self._successions)
             path = self._plan_replacement(frozenset([instance]))
             if path is None:
                 return
@@ -283,7 +290,7 @@
     ) -> Broken:
         """Returns the outcome of a lost connection to the first server.
 
-        Records a crash if the server terminated before it sent an event.
+        Records the crash of any server of the path.
 
         Args:
             server: The server.
@@ -293,18 +300,41 @@
         """
         ended = await self._context.check_ended(server)
         if not ended:
-            await self._prober.find_unresponsive([server])
+            # The first server cuts a stream off if a later one has ended.
+            await self._prober.find_unresponsive(
+                stage.server for stage in self._path
+            )
             ended = self._context.view.has_ended(server)
-        avoid = frozenset([server.instance])
-        if ended and self.is_unanswered:
-            self._context.record_crash(self._request, server)
-            if self._progress.sequence.last is None:
-                # A request with an answer, even from another server, has no
-                # part that crashes servers.
-                self._context.parts.record_crash(
-                    self._request.shared_parts, server, successions
-                )
-        return Broken(reason, avoid, ended)
+        self._record_ends(successions)
+        return Broken(reason, frozenset([server.instance]), ended)
+
+    def _record_ends(
+        self, successions: tuple[int, ...], is_refused: bool = False
+    ) -> None:
+        """Records the servers of the path that are known to have ended.
+
+        Args:
+            successions: Known crashes for the parts of the prompt when these
+                servers received the request.
+            is_refused: Whether the path refused the request.
+        """
+        recorded = self._progress.recorded_ends
+        ended = [
+            stage.server
+            for stage in self._path
+            if self._context.view.has_ended(stage.server)
+            and _identify(stage.server) not in recorded
+        ]
+        recorded.update(map(_identify, ended))
+        if is_refused:
+            progress = crashes.Progress.REFUSED
+        elif not self.is_unanswered:
+            progress = crashes.Progress.STREAMING
+        elif self._progress.sequence.last is not None:
+            progress = crashes.Progress.RESUMED
+        else:
+            progress = crashes.Progress.NOT_ANSWERED
+        self._context.record_loss(self._request, ended, progress, successions)
 
     def _set_path(self, path: paths.Path) -> None:
         """Sets the path; moves the in-flight count from old to new servers."""
@@ -313,6 +343,9 @@
         for stage in path:
             self._context.view.get_health(stage.server).in_flight += 1
         self._path = path
+        self._successions = self._context.parts.get_successions(
+            self._request.shared_parts
+        )
 
     async def _relay(self, connection: upstreams.Connection) -> Outcome:
         """Relays the response of the path's first server."""
@@ -360,6 +393,7 @@
         if not self._responder.started:
             await self._responder.start(head.status, head.headers, b"")
         await self._responder.finish()
+        context.record_answer(request)
         return Completed()
 
     def _record_statement(self, head: exchanges.ResponseHead) -> None:
@@ -503,6 +537,15 @@
         server without a response to probes may only be silent for a time.
         """
         first = self._path[0].server
+        self._record_ends(self._successions)
+        if self._context.is_copy_quarantined(self._request):
+            # A replacement would be the next server to crash.
+            if any(
+                self._context.view.has_ended(stage.server)
+                for stage in self._path
+            ):
+                return Broken("quarantined", failed, False)
+            return None
         if first.instance in failed:
             reason = "first server failed"
             if self._context.view.has_ended(first):
@@ -608,10 +651,15 @@
             self._context.view.record_refusal(server)
         # The server at fault may have failed instead of refusing work.
         await self._prober.find_unresponsive(at_fault)
+        self._record_ends(self._successions, is_refused=True)
         avoid = frozenset(server.instance for server in at_fault)
         return Refused(f"status {head.status} at {head.failed_address}", avoid)
 
 
+def _identify(server: fleet.Server) -> tuple[str, int]:
+    return server.instance, server.started_at_ms
+
+
 def describe_path(path: paths.Path) -> str:
     """Formats a path for the log."""
     return ",".join(
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/wire/peridotyard.thrift
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/wire/peridotyard.thrift
@@ -245,7 +245,7 @@
 
 /**
  * Crashes of backend servers under requests: by fingerprint of the request, the
- * random identities of the crashes.
+ * codes of the crashes, see `core.crashes`; none if a server has answered it.
  */
 struct Quarantine {
   2: map<i64, list<i64>> crashes = {},
--- a/tests/unit/test_forwards.py
+++ b/tests/unit/test_forwards.py
@@ -309,6 +309,28 @@
         )
 
 
+@cases.run_on_virtual_clock
+async def test_one_crash_under_many_copies_counts_once():
+    """Guards against popular requests that one crash bars on all entries."""
+    async with gateways.open_harness(gateways.make_plain_servers(2)) as harness:
+        first, second = harness.servers.values()
+        first.faults = [servers_module.Fault("hang")] * 12
+        second.faults = [servers_module.Fault("refuse")] * 48
+        async with trio.open_nursery() as nursery:
+            for _ in range(12):
+                nursery.start_soon(forward, harness, fleet.RetryPolicy.SAFE)
+            await trio.sleep(0.2)
+            assert len(first.runs) > 3
+            harness.kill("p1")
+        request = harness.make_request(fleet.RetryPolicy.SAFE)
+        quarantine = harness.context.quarantine
+        assert quarantine.count_crashes(request.fingerprint) == 1
+        assert not harness.context.is_quarantined(request)
+        second.faults = []
+        assert (await forward(harness, fleet.RetryPolicy.SAFE)).status == 200
+        assert quarantine.count_crashes(request.fingerprint) == 0
+
+
 @cases.run_on_virtual_clock
 async def test_lost_response_of_a_live_server_is_not_a_crash():
     async with gateways.open_harness(gateways.make_plain_servers(4)) as harness:
--- a/tests/unit/test_relays.py
+++ b/tests/unit/test_relays.py
@@ -1,5 +1,7 @@
 """Tests of peridotyard_daemon.request.relays."""
 
+import collections
+import contextlib
 import dataclasses
 import functools
 
@@ -585,6 +587,120 @@
         assert harness.context.quarantine.is_empty
 
 
+@cases.run_on_virtual_clock
+async def test_stream_that_crashes_servers_after_events_is_quarantined():
+    """Guards against a request that is not contained once it has answers.
+
+    Each server that begins to run it ends after its first event.
+    """
+    layer_ranges = [(f"s{n}", "a", (0, 20)) for n in range(20)]
+    async with gateways.open_harness(
+        gateways.make_servers(layer_ranges)
+    ) as harness:
+        notified = []
+        harness.context.notify_crash = lambda *crash: notified.append(crash)
+        for server in harness.servers.values():
+            server.faults = [servers_module.Fault("end", 1)]
+        request = harness.make_request()
+        attempts = 0
+        while not harness.context.is_quarantined(request):
+            recorder = await relay(harness)
+            assert not recorder.finished
+            attempts += 1
+            assert attempts <= 3
+        crashed = [s for s in harness.servers.values() if s.requests]
+        assert len(crashed) <= 6
+        # The other entries are told by the end of the stream.
+        assert len({crash.id for _, crash in notified}) == len(crashed)
+
+
+@contextlib.asynccontextmanager
+async def open_harness_with_fatal_requests(after):
+    """Opens a harness in which some requests end a later server of the path.
+
+    Requests whose ids begin with "f" end the server that runs the last layers,
+    and each one that replaces it.
+
+    Args:
+        after: Number of events that they are sent.
+
+    Yields:
+        The harness, and the list of the servers that have ended.
+    """
+    layer_ranges = [("first", "a", (0, 10))]
+    layer_ranges += [(f"s{n}", "a", (10, 20)) for n in range(20)]
+    async with gateways.open_harness(
+        gateways.make_servers(layer_ranges)
+    ) as harness:
+        first = harness.servers["first"]
+        ended = []
+        sent = collections.Counter()
+
+        async def stall(request_id):
+            sent[request_id] += 1
+            while request_id.startswith("f") and sent[request_id] > after:
+                first.stalled[request_id] = trio.Event()
+                await first.stalled[request_id].wait()
+
+        first._wait_before_event = stall
+
+        async def end_servers():
+            while True:
+                await trio.sleep(0.01)
+                for stream in harness.context.streams:
+                    for run in stream._runs:
+                        later = run._path[1].server if run._path else None
+                        if first.stalled and later and later not in ended:
+                            ended.append(later)
+                            harness.kill(later.instance)
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(end_servers)
+            yield harness, ended
+            nursery.cancel_scope.cancel()
+
+
+@pytest.mark.parametrize("after", [0, 1])
+@cases.run_on_virtual_clock
+async def test_request_that_crashes_later_servers_is_quarantined(after):
+    """Guards against crashes that the loss of the first server only reveals.
+
+    The later server of the path ends, and so do those that replace it.
+    """
+    async with open_harness_with_fatal_requests(after) as (harness, ended):
+        fatal = {"request_id": "f1", "prompt": "a:40,b:20,c:9"}
+        recorder = await relay(harness, **fatal)
+        assert not (recorder.finished and recorder.status == 200)
+        assert harness.context.is_quarantined(harness.make_request(**fatal))
+        assert len(ended) <= 6
+        suspicions = harness.context.parts.make_evidence().suspicions
+        assert bool(suspicions) == (after == 0)
+
+
+@cases.run_on_virtual_clock
+async def test_part_of_prompts_that_crashes_later_servers_is_quarantined():
+    """Guards against parts that only the first server of a path can convict."""
+    async with open_harness_with_fatal_requests(0) as (harness, ended):
+        for number in range(6):
+            fatal = {
+                "request_id": f"f{number}",
+                "prompt": f"a:40,bad:20,f{number}:9",
+                "body": b"fatal %d" % number,
+            }
+            if not harness.context.is_quarantined(
+                harness.make_request(**fatal)
+            ):
+                await relay(harness, **fatal)
+            check_complete(
+                await relay(harness, prompt=f"a:40,g:20,s{number}:9")
+            )
+        assert len(ended) <= 5
+        parts = harness.context.parts.list_quarantined()
+        assert len(parts) == 1
+        quarantined = harness.make_request(prompt="a:40,bad:20,x:9")
+        assert harness.context.is_quarantined(quarantined)
+
+
 @cases.run_on_virtual_clock
 async def test_stream_moves_off_a_server_that_releases_its_layers():
     # Guards against six seconds without a path, as in one run: a server that
