--- a/tests/support/servers.py
+++ b/tests/support/servers.py
@@ -92,7 +92,7 @@
         self.fatal_part = ""
         self.work_s = 0.02
         self.peers: dict[str, StandIn] = {}
-        self._paths: dict[str, str] = {}
+        self._path_headers: dict[str, str] = {}
         self._responsive = trio.Event()
         self._responsive.set()
 
@@ -191,8 +191,8 @@
             )
             state = (trio.current_time(), layer_range, len(self.orders))
             self._states.append(state)
-        elif order["id"] in self._paths:
-            self._paths[order["id"]] = order["path"]
+        elif order["id"] in self._path_headers:
+            self._path_headers[order["id"]] = order["path"]
         if order.get("id") in self.stalled:
             self.stalled.pop(order["id"]).set()
         await responder.send_complete(202, [], b"")
@@ -252,7 +252,7 @@
             return
         self.runs.append(request_id)
         begin = int(request_headers.get("last-event-id", "0")) + 1
-        self._paths[request_id] = request_headers.get("x-hop-count", "")
+        self._path_headers[request_id] = request_headers.get("x-hop-count", "")
         headers = self._make_headers(request_id, fault)
         if fault.kind == "error":
             await responder.send_complete(500, headers, ERROR_TEXT)
@@ -273,7 +273,7 @@
 
     async def _wait_before_event(self, request_id: str) -> None:
         """Waits for the servers of the path; a subclass can also fail in it."""
-        for stage in self._paths[request_id].split(","):
+        for stage in self._path_headers[request_id].split(","):
             address = stage.partition("=")[0]
             if address in self.peers:
                 await self.peers[address].wait_responsive()
