Order servers at one address by the store's revisions

Callers got 503 although servers were alive: a row with a later `born` hid a live server at its address, and when that row was gone the server stayed unused, since its rows differed in the heartbeat only.

Ruled out: the forwarding between entries.

The view now keeps all listed servers and uses, at each address, the one whose process was listed last by the store's revision, then by id. `born` tells processes with one id apart and orders nothing. When the used one goes, the next is used again. A row of a service that is not configured hides no server. After a restore, a row of another process is ignored until it is written after the first whole list of the era. Rows need `version`, `slots`, `sequence` and `born`.

Conclusion: the store's order decides who is used at an address, and no server stays unused once the row that hid it is gone.

--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/listings.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/listings.py
@@ -31,9 +31,11 @@
     """The list of servers as last read, owned by the synchronizer.
 
     After the store was restored from a copy, its rows may be older than the
-    known ones, although their revisions are of a newer era. Then, the server's
-    own count of heartbeats orders its rows, and a server that was removed
-    stays so until it writes its row again.
+    known ones, although their revisions are of a newer era. In the first whole
+    list of the era, the server's own count of heartbeats orders the rows of one
+    process. The start times of two processes do not order them, since the clock
+    of a machine may be set back. A row that is not shown to be newer is ignored
+    until the server writes it again, so a server that was removed stays so.
 
     A row that cannot be read names no server. Whatever was known under its key
     is no longer listed, as after the removal of the row: the platform's rules
@@ -65,6 +67,9 @@
         self._removed: collections.OrderedDict[
             str, tuple[fleet.Server, int]
         ] = collections.OrderedDict()
+        # Revision of the first whole list of the newest era. Rows of this era
+        # with a greater revision were not in the copy.
+        self._restored_at = 0
         self._rejections = rejections.Rejections("server", count)
 
     def get(self, instance: str) -> fleet.Server | None:
@@ -89,6 +94,8 @@
         Returns:
             The changed rows, and the instances that are no longer listed.
         """
+        if stores.get_era(revision) > stores.get_era(self._restored_at):
+            self._restored_at = revision
         missing = set(self._changed_at) - {row.key for row in rows}
         for instance in missing:
             self._record_removal(instance, revision)
@@ -150,9 +157,13 @@
             return False
         if stores.get_era(server.revision) <= stores.get_era(known_at):
             return False
-        age = (server.started_at_ms, server.heartbeats)
-        known_age = (known.started_at_ms, known.heartbeats)
-        return age < known_age or (is_removed and age == known_age)
+        if server.revision > self._restored_at:
+            return False
+        if server.started_at_ms != known.started_at_ms:
+            return True
+        if is_removed:
+            return server.heartbeats <= known.heartbeats
+        return server.heartbeats < known.heartbeats
 
     def _record_removal(self, instance: str, revision: int) -> None:
         self._withdraw(instance, revision)
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/synchronization.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/synchronization.py
@@ -493,7 +493,7 @@
         if now >= until:
             self._expired.pop(instance, None)
             self._view.remove_server(instance, revision)
-        elif instance in self._view.servers:
+        elif self._view.is_listed(instance):
             self._expired[instance] = (until, revision)
             self._expired_changed.set()
 
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/views.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/views.py
@@ -91,15 +91,36 @@
     slow_until: float = 0.0
 
 
+@dataclasses.dataclass(frozen=True)
+class _Listed:
+    """A server of the platform's list.
+
+    Attributes:
+        server: The server as listed, without its reports.
+        since: Revision at which this process of the server was first listed at
+            its address.
+    """
+
+    server: fleet.Server
+    since: int
+
+
 class View:
     """The fleet as known to one entry, owned by the process.
 
+    Of several listed servers with one address, only the one whose process was
+    listed last is used: a crashed server may stay listed for seconds after
+    another one has started at its address, and both would appear to be alive.
+    The store's revisions order the rows, since clocks of machines may differ.
+    A row of a service that is not configured names no server to use, so it
+    takes the address from no other one.
+
     Attributes:
         zone: Zone of this entry.
         routing: Configuration in effect; None before the first.
         routing_at: Time at which the configuration was last confirmed by the
             store, or received as a new or equal one from another entry.
-        servers: Servers of the platform's list, by instance.
+        servers: Servers of the platform's list that may be used, by instance.
         servers_at: Time at which the store last confirmed the list.
         notify_suspect: Called with each server that this entry suspects, also
             when it has been suspected for `SUSPICION_ANNOUNCE_S` more.
@@ -139,8 +160,8 @@
         self._health: dict[str, Health] = collections.defaultdict(Health)
         self._peer_loads: dict[str, dict[str, int]] = {}
         self._reports: dict[str, tuple[fleet.LayerRange | None, float]] = {}
-        # Layers of the servers as listed, without reports.
-        self._listed_layers: dict[str, fleet.LayerRange | None] = {}
+        # All listed servers by instance, used or not.
+        self._listed: dict[str, _Listed] = {}
 
     def get_store_age_s(self) -> float:
         """Returns the age in seconds of the newest response of the store."""
@@ -177,6 +198,7 @@
         if current == routing.version and not replaces_equal:
             return False
         self.routing = routing
+        self._update_shared_addresses()
         self._signal_changed()
         _log.info(
             "configuration applied",
@@ -189,12 +211,68 @@
 
     def apply_server(self, server: fleet.Server) -> None:
         """Adds or updates a server of the platform's list."""
-        old = self.servers.get(server.instance)
-        if old is not None and server.revision < old.revision:
-            return
-        if not self._remove_superseded(server):
+        known = self._listed.get(server.instance)
+        if known is None:
+            self._listed[server.instance] = _Listed(server, server.revision)
+        else:
+            if server.revision < known.server.revision:
+                return
+            is_same = (known.server.started_at_ms, known.server.address) == (
+                server.started_at_ms,
+                server.address,
+            )
+            since = known.since if is_same else server.revision
+            self._listed[server.instance] = _Listed(server, since)
+            if known.server.address != server.address:
+                self._choose_server(known.server.address)
+        self._choose_server(server.address)
+
+    def is_listed(self, instance: str) -> bool:
+        """Returns whether a server is in the platform's list."""
+        return instance in self._listed
+
+    def _choose_server(self, address: addresses.Address) -> None:
+        """Uses one of the listed servers at an address."""
+        listed = [
+            item
+            for item in self._listed.values()
+            if item.server.address == address
+        ]
+        if not listed:
             return
-        self._listed_layers[server.instance] = server.layer_range
+        chosen = max(listed, key=self._get_precedence).server
+        for item in listed:
+            instance = item.server.instance
+            if instance != chosen.instance and instance in self.servers:
+                del self.servers[instance]
+                self._signal_changed(instance)
+                _log.info(
+                    "server not used, as another one has its address",
+                    instance=instance,
+                    address=address,
+                    other=chosen.instance,
+                )
+        self._use(chosen)
+
+    def _get_precedence(self, item: _Listed) -> tuple[bool, int, str]:
+        """Returns the sort key of servers with one address."""
+        is_configured = (
+            self.routing is None or item.server.service in self.routing.services
+        )
+        return is_configured, item.since, item.server.instance
+
+    def _update_shared_addresses(self) -> None:
+        """Chooses again among servers with one address."""
+        counts = collections.Counter(
+            item.server.address for item in self._listed.values()
+        )
+        for address, count in counts.items():
+            if count > 1:
+                self._choose_server(address)
+
+    def _use(self, server: fleet.Server) -> None:
+        """Adds or updates a server that may be used."""
+        old = self.servers.get(server.instance)
         server = self._retain_reported_layers(old, server)
         if server.ready and self.is_stated_leaving(server):
             server = dataclasses.replace(server, ready=False)
@@ -233,26 +311,6 @@
             address=server.address,
         )
 
-    def _remove_superseded(self, server: fleet.Server) -> bool:
-        """Removes older servers at the address of a server.
-
-        A crashed server may stay listed for seconds after another one has
-        started at its address. Both would then appear to be alive, since the
-        new one responds at the address of both.
-
-        Returns:
-            False if the given server itself is the older one.
-        """
-        for other in list(self.servers.values()):
-            same = other.address == server.address
-            if not same or other.instance == server.instance:
-                continue
-            if other.started_at_ms > server.started_at_ms:
-                return False
-            if other.started_at_ms < server.started_at_ms:
-                self.remove_server(other.instance, other.revision)
-        return True
-
     def apply_report(
         self, instance: str, layer_range: fleet.LayerRange | None
     ) -> bool:
@@ -283,8 +341,9 @@
                 continue
             del self._reports[instance]
             server = self.servers.get(instance)
-            if server is not None and instance in self._listed_layers:
-                self._change_layers(server, self._listed_layers[instance])
+            if server is not None and instance in self._listed:
+                listed = self._listed[instance].server
+                self._change_layers(server, listed.layer_range)
 
     def _change_layers(
         self, server: fleet.Server, layer_range: fleet.LayerRange | None
@@ -332,19 +391,20 @@
             instance: The server's instance.
             revision: Store revision of the removal; an older one is ignored.
         """
-        server = self.servers.get(instance)
-        if server is None or revision < server.revision:
+        known = self._listed.get(instance)
+        if known is None or revision < known.server.revision:
             return
-        del self.servers[instance]
-        self._signal_changed(instance)
+        del self._listed[instance]
+        if self.servers.pop(instance, None) is not None:
+            self._signal_changed(instance)
         self._health.pop(instance, None)
         self._reports.pop(instance, None)
-        self._listed_layers.pop(instance, None)
         _log.info(
             "server removed",
             instance=instance,
             revision=stores.format_revision(revision),
         )
+        self._choose_server(known.server.address)
 
     def get_health(self, server: fleet.Server) -> Health:
         """Returns the observed state of a server."""
--- a/tests/support/rows.py
+++ b/tests/support/rows.py
@@ -31,6 +31,7 @@
         "service": server.service,
         "address": str(server.address),
         "zone": server.zone,
+        "version": "v1",
         "slots": server.slots,
         "state": "ready" if server.ready else "draining",
         "kind": server.accelerator_type,
--- a/tests/unit/test_codec.py
+++ b/tests/unit/test_codec.py
@@ -14,8 +14,10 @@
 import pytest
 
 from tests.support import cases
+from tests.support import fleets
 from tests.support import gateways
 from tests.support import odd_values
+from tests.support import rows
 
 WIRE = codec.Codec()
 
@@ -329,6 +331,21 @@
         schema.Schema(2.5).decode_routing(make_config(tenants=None))
 
 
+# Guards against use of a server that a row of another writer names.
+@pytest.mark.parametrize("name", ["version", "slots", "sequence", "born"])
+@pytest.mark.parametrize("is_null", [False, True])
+def test_row_without_a_field_that_servers_write_is_an_error(name, is_null):
+    fields = json.loads(rows.encode_server(fleets.make_server("x")))
+    decode = schema.Schema(2.5).decode_server
+    assert decode("x", json.dumps(fields).encode(), 3).instance == "x"
+    if is_null:
+        fields[name] = None
+    else:
+        del fields[name]
+    with pytest.raises(ValueError, match=name):
+        decode("x", json.dumps(fields).encode(), 3)
+
+
 @pytest.mark.parametrize("value", [b"", b"[]", b"{}", make_config(routes=[{}])])
 def test_malformed_configuration_is_an_error(value):
     """Guards against a malformed configuration that is partly applied."""
--- a/tests/unit/test_views.py
+++ b/tests/unit/test_views.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+import hypothesis
+from hypothesis import strategies
 from peridotyard_core import addresses
 from peridotyard_core import fleet
 from peridotyard_daemon.process import views
@@ -10,6 +12,7 @@
 
 from tests.support import cases
 from tests.support import fleets
+from tests.support import virtual_clock
 
 SERVICE = fleet.Service("model", 100, fleets.make_engine(layers=20))
 
@@ -96,6 +99,92 @@
     assert "y" in view.servers
 
 
+_row_steps = strategies.lists(
+    strategies.one_of(
+        strategies.tuples(
+            strategies.sampled_from(["list", "restart"]),
+            strategies.sampled_from("abcd"),
+            strategies.integers(1, 2),
+        ),
+        strategies.tuples(
+            strategies.just("remove"), strategies.sampled_from("abcd")
+        ),
+    ),
+    max_size=20,
+)
+
+
+@hypothesis.settings(**cases.DERANDOMIZED)
+@hypothesis.given(steps=_row_steps, clocks=strategies.permutations(range(20)))
+def test_order_of_the_store_decides_who_is_used_at_an_address(steps, clocks):
+    """Guards against a live server that a clock of another machine hides.
+
+    Times of the starts of servers tell their processes apart and no more.
+    """
+
+    async def run():
+        view = views.View("a")
+        # Address, start and the revision of the first row with these.
+        listed = {}
+        for number, step in enumerate(steps):
+            revision = number + 1
+            match step:
+                case (kind, name, host):
+                    address = addresses.Address(f"10.0.1.{host}", 80)
+                    known = listed.get(name)
+                    started_at_ms = clocks[number]
+                    if known is not None and kind == "list":
+                        started_at_ms = known[1]
+                    if known is None or known[:2] != (address, started_at_ms):
+                        listed[name] = (address, started_at_ms, revision)
+                    view.apply_server(
+                        fleets.make_server(
+                            name,
+                            address=address,
+                            started_at_ms=started_at_ms,
+                            revision=revision,
+                        )
+                    )
+                case ("remove", name):
+                    listed.pop(name, None)
+                    view.remove_server(name, revision)
+            newest = {}
+            for name, (address, _, since) in listed.items():
+                newest[address] = max(
+                    newest.get(address, (0, "")), (since, name)
+                )
+            used = {name for _, name in newest.values()}
+            assert set(view.servers) == used
+            for name in used:
+                assert view.servers[name].address == listed[name][0]
+
+    virtual_clock.run(run)
+
+
+@cases.run_on_virtual_clock
+async def test_configuration_decides_which_services_name_a_server():
+    """Guards against a server that stays unused after its service is added."""
+    view = views.View("a")
+    for number, (name, service) in enumerate((("x", "model"), ("y", "other"))):
+        address = addresses.Address("10.0.0.1", 80)
+        server = fleets.make_server(
+            name, service=service, address=address, revision=number + 1
+        )
+        view.apply_server(server)
+    assert list(view.servers) == ["y"]
+    other = fleet.Service("other", 100)
+    for version, services, used in (
+        (1, (SERVICE,), "x"),
+        (2, (SERVICE, other), "y"),
+        (3, (other,), "y"),
+    ):
+        routing = fleet.Routing(
+            version, (), services, None, fleet.CallerLimits()
+        )
+        view.apply_routing(routing, "test")
+        assert list(view.servers) == [used]
+
+
 @cases.run_on_virtual_clock
 async def test_suspected_server_is_avoided_until_it_responds():
     view = make_view()
