A silent run of a stream may end while another one waits for its path

What callers would have seen: a stream ended in the middle by an internal error (IndexError), although other paths were free.

Cause: the second run's choice of a path asked the silent run for its first server each time. If that run had ended meanwhile, by a reset for example, it had no path. The choice is repeated after each wait for a reservation, thus only beside servers with limits.

Ruled out: the choice before the first wait, which the silent run makes itself.

The first server is now read when the second run is started. test_silent_run_may_end_while_another_waits_for_its_path failed before with the IndexError and passes now, with the other tests of test_runs.py.

Conclusion: a second run depends on the first one only until it is started.

--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/relays.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/relays.py
@@ -285,11 +285,13 @@
             return
         if not context.can_answer_in_time(self._request):
             return
+        # The silent run may end while the other one waits for its path.
+        first_instance = silent.first_instance
 
         def choose_path(denied: frozenset[str]) -> paths.Path | None:
             # Orders name a run by its first server and the request, so both
             # runs must not begin at the same server.
-            not_first = denied | {silent.first_instance}
+            not_first = denied | {first_instance}
             return context.view.choose_path(
                 service, self._avoid | failed, not_first
             )
--- a/tests/unit/test_runs.py
+++ b/tests/unit/test_runs.py
@@ -174,3 +174,29 @@
         )
         check_complete(recorder)
         assert sum(len(s.runs) for s in harness.servers.values()) == 1
+
+
+@cases.run_on_virtual_clock
+async def test_silent_run_may_end_while_another_waits_for_its_path():
+    """Guards against an error that ends a stream whose first run has ended."""
+    async with gateways.open_harness(
+        gateways.make_servers(LAYER_RANGES), EVENTS
+    ) as harness:
+        reserve = harness.context.reservations.reserve
+        first = harness.servers["a0"]
+        address = str(first.server.address)
+
+        async def deny_at_first(server, max_wait_s=0.0):
+            if server.instance == "a0" or trio.current_time() > began + 0.5:
+                return await reserve(server, max_wait_s)
+            await trio.sleep(0.2)
+            return False
+
+        async def interfere(nursery):
+            nursery.start_soon(first.fall_silent, 1.0)
+            await trio.sleep(0.3)
+            harness.network.reset(address)
+
+        began = trio.current_time()
+        harness.context.reservations.reserve = deny_at_first
+        check_complete(await relay_beside(harness, interfere))
