Wait for a silent server that has left the list

What callers would have seen: a stream cut, or run again elsewhere, although its server was alive: a server that leaves by plan loses its row and completes its streams; if it fell silent for a second meanwhile, its run was ended at once.

Cause: a suspected server without a row counts as ended. That is sound for a server that has missed its heartbeats, whose row goes 3.6 s after the last one, not for one that leaves by plan.

Ruled out: View.has_ended itself, which also tells crashes after a lost connection. Only the decision to end a silent run changes: without a row, it takes a refused connection or a silence of two seconds. A second run is tried beside it meanwhile, as for other silent servers.

test_silent_server_that_left_the_list_is_waited_for failed before (cut); it and test_runs.py and test_relays.py pass now.

Conclusion: a missing row alone no longer ends a run that is silent briefly.

--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/runs.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/runs.py
@@ -43,6 +43,9 @@
 # Silence after which a stream is moved to another path although all its servers
 # respond. Callers give up on a stream without events for two seconds.
 STREAM_SILENCE_LIMIT_S = 1.5
+# Silence after which a server that has left the list counts as ended. A server
+# that leaves by plan completes its streams, and may be silent for a second.
+UNLISTED_SILENCE_LIMIT_S = 2.0
 # Slowness (1 is normal) from which a server of a stream without events is
 # replaced. Rerunning the prefix on another server costs about three slow steps.
 SLOWNESS_LIMIT = 3.0
@@ -548,7 +551,7 @@
             return None
         if first.instance in failed:
             reason = "first server failed"
-            if self._context.view.has_ended(first):
+            if self._has_ended(first, silent_s):
                 return Broken(reason, failed, True)
             self._notify_silent(self, reason, failed)
             return None
@@ -569,6 +572,17 @@
             self._notify_silent(self, "path repair not accepted", failed)
         return None
 
+    def _has_ended(self, first: fleet.Server, silent_s: float) -> bool:
+        """Returns whether the run ends since its first server has ended."""
+        view = self._context.view
+        if not view.has_ended(first):
+            return False
+        return (
+            first.instance in view.servers
+            or view.get_health(first).ended
+            or silent_s >= UNLISTED_SILENCE_LIMIT_S
+        )
+
     def _plan_replacement(self, excluded: frozenset[str]) -> paths.Path | None:
         """Returns the path with the excluded servers replaced, or None."""
         view, service = self._context.view, self._request.service
--- a/tests/unit/test_runs.py
+++ b/tests/unit/test_runs.py
@@ -200,3 +200,22 @@
         began = trio.current_time()
         harness.context.reservations.reserve = deny_at_first
         check_complete(await relay_beside(harness, interfere))
+
+
+@cases.run_on_virtual_clock
+async def test_silent_server_that_left_the_list_is_waited_for():
+    """Guards against a live run given up because its server's row is gone."""
+    async with gateways.open_harness(
+        gateways.make_servers(LAYER_RANGES), EVENTS
+    ) as harness:
+        for other in ("b0", "c0"):
+            refusal = servers_module.Fault("refuse")
+            harness.servers[other].faults = [refusal] * 20
+
+        async def interfere(nursery):
+            await trio.sleep(0.2)
+            view = harness.context.view
+            view.remove_server("a0", view.servers["a0"].revision + 1)
+            await harness.servers["a0"].fall_silent(1.2)
+
+        check_complete(await relay_beside(harness, interfere))
