The error of one server ends no run of a stream on another

What callers would have seen: status 500 of a second server, while the first one, silent for a second, would have answered.

Cause: any complete response that is not a stream ended the other run, which was in progress before the first event.

A status of 5xx beside another run now counts as a lost run, as it does for a stream that has begun; the run still counts as an attempt. Ruled out for 4xx: it is about the request, so other servers would respond the same.

test_failure_of_a_second_server_ends_no_run_in_progress failed before (500); it, test_runs.py and test_relays.py pass now.

Conclusion: only a successful or final response ends the other run.

--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/runs.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/runs.py
@@ -368,13 +368,15 @@
             raise upstreams.LostError("response lacks a signature or id")
         if head.status != 200:
             body = await forwards.read_body(connection)
-            if not self._responder.started:
+            # Another run in progress may still succeed.
+            is_final = head.status < 500 or self._is_alone()
+            if not self._responder.started and is_final:
                 return Passed(head, body)
-            # The caller has the head and some events of another server.
+            # The caller has or awaits the head and events of another server.
             server = self._path[0].server
             self._context.view.record_outcome(server, False, None)
             return Broken(
-                f"status {head.status} for a stream that has begun",
+                f"status {head.status} for a stream with another run",
                 frozenset([server.instance]),
                 False,
             )
--- a/tests/unit/test_runs.py
+++ b/tests/unit/test_runs.py
@@ -219,3 +219,15 @@
             await harness.servers["a0"].fall_silent(1.2)
 
         check_complete(await relay_beside(harness, interfere))
+
+
+@cases.run_on_virtual_clock
+async def test_failure_of_a_second_server_ends_no_run_in_progress():
+    """Guards against an error of one server while another one would answer."""
+    async with gateways.open_harness(
+        gateways.make_servers(LAYER_RANGES), EVENTS
+    ) as harness:
+        for other in ("b0", "c0"):
+            harness.servers[other].faults = [servers_module.Fault("error")]
+        interfere = make_silence(harness, [("a0", 0.01, 1.0)])
+        check_complete(await relay_beside(harness, interfere))
