Only one of two runs of a stream sends the end of the response

What callers would have seen: a stream with all of its events and without its end, or an internal error, if two runs of it end in the same step of the event loop (after a busy moment of the entry, for example).

Cause: a run that another one had cancelled was stopped at its next checkpoint only; between the arrival of its last bytes and the end of the response there is none, so each run cancelled the other. Events have such a check, the end had none. Ruled out: two runs that send events at once (checked in _forward_events).

test_two_runs_that_end_at_once_end_the_response_once holds back both ends until they can be handled together; it failed before (the response was not finished) and passes now, with test_runs.py and test_relays.py.

Conclusion: each write to the caller follows a check that the run still leads.

--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/runs.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/runs.py
@@ -394,6 +394,8 @@
             # Without length and chunks, only the events show that the stream
             # was not broken off.
             raise upstreams.LostError("connection ended before an event")
+        # Another run may have sent the end since it arrived here.
+        await trio.lowlevel.checkpoint_if_cancelled()
         self._take_lead(self)
         if not self._responder.started:
             await self._responder.start(head.status, head.headers, b"")
--- a/tests/unit/test_runs.py
+++ b/tests/unit/test_runs.py
@@ -1,5 +1,6 @@
 """Tests of peridotyard_daemon.request.runs."""
 
+import h11
 import hypothesis
 from hypothesis import strategies
 from peridotyard_core import fleet
@@ -231,3 +232,54 @@
             harness.servers[other].faults = [servers_module.Fault("error")]
         interfere = make_silence(harness, [("a0", 0.01, 1.0)])
         check_complete(await relay_beside(harness, interfere))
+
+
+@cases.run_on_virtual_clock
+async def test_two_runs_that_end_at_once_end_the_response_once():
+    """Guards against two ends, or none, if both runs end in the same step."""
+    async with gateways.open_harness(
+        gateways.make_servers(LAYER_RANGES), EVENTS
+    ) as harness:
+        end_at = trio.current_time() + 3.0
+        acquire = harness.context.pool.acquire
+        ended = []
+        both_ended = trio.Event()
+
+        async def send_events(headers, fault, responder):
+            del fault
+            name = headers["x-attempt-id"].encode()
+            signed = [(b"X-Attempt-Id", name), (b"X-Server-Signature", b"s")]
+            await responder.start(200, signed, b"")
+            begin = int(headers.get("last-event-id", "0")) + 1
+            for number in range(begin, EVENTS + 1):
+                await responder.send(servers_module.encode_event(number))
+            await trio.sleep_until(end_at)
+            await responder.finish()
+
+        async def acquire_recorded(address, *options):
+            connection = await acquire(address, *options)
+            receive = connection.receive
+            heads = []
+
+            async def receive_together():
+                event = await receive()
+                if isinstance(event, h11.Response):
+                    heads.append(dict(event.headers.raw_items()))
+                elif isinstance(event, h11.EndOfMessage) and not any(
+                    b"Content-Length" in head for head in heads
+                ):
+                    ended.append(address)
+                    if len(ended) == 2:
+                        both_ended.set()
+                    await both_ended.wait()
+                return event
+
+            connection.receive = receive_together
+            return connection
+
+        for server in harness.servers.values():
+            server._send_events = send_events
+        harness.context.pool.acquire = acquire_recorded
+        recorder = await relay_beside(harness, make_silence(harness, []))
+        assert len(ended) == 2
+        check_complete(recorder)
