Give the last possible attempt of a call all of its time

What callers would have seen: 504 at half or three quarters of the time limit of an idempotent call, although its server would have answered in time.

Cause: whenever another server existed, an attempt was ended after half of the time that remained, also if no further attempt was allowed (attempts of the route, sends, or an empty retry budget).

Ruled out: non-idempotent calls, which had all of their time before. What remains: the budget can become empty between the start of an attempt and half of its time.

test_last_attempt_of_a_call_has_all_of_its_time and test_call_that_cannot_be_retried_has_all_of_its_time failed before (504) and pass now, with the other tests of test_forwards.py.

Conclusion: an attempt is cut short only if another one is allowed.

--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/forwards.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/forwards.py
@@ -142,7 +142,10 @@
                     break
                 if not self._context.spend_retry(request):
                     break
-            last = await self._attempt(request, server, tried)
+            may_repeat = sends + 1 < SEND_LIMIT and self._may_retry(
+                request, TimedOut(sent=True), possible_runs + 1
+            )
+            last = await self._attempt(request, server, tried, may_repeat)
             tried.add(server.instance)
             if not isinstance(last, Refused) or last.sent:
                 sends += 1
@@ -224,7 +227,16 @@
         request: contexts.Request,
         server: fleet.Server,
         tried: set[str],
+        may_repeat: bool,
     ) -> Outcome:
+        """Sends a request to a server and records the outcome.
+
+        Args:
+            request: The request.
+            server: The server.
+            tried: Instances that have been tried before.
+            may_repeat: Whether another server may be tried after a time-out.
+        """
         context = self._context
         limit_s = request.deadline - trio.current_time()
         alternative = self._choose_server(
@@ -232,7 +244,8 @@
         )
         if (
             alternative
-            and request.route.retry_policy.is_idempotent
+            and may_repeat
+            and context.has_retry(request)
             and context.can_answer_in_time(
                 request, ATTEMPT_TIME_FRACTION * limit_s
             )
--- a/tests/unit/test_forwards.py
+++ b/tests/unit/test_forwards.py
@@ -157,6 +157,39 @@
         assert recorder.status == 200
 
 
+@cases.run_on_virtual_clock
+async def test_last_attempt_of_a_call_has_all_of_its_time():
+    """Guards against a live attempt ended for one beyond the attempts."""
+    async with gateways.open_harness(gateways.make_plain_servers(3)) as harness:
+        for item in harness.servers.values():
+            item.work_s = 0.4
+            # The first server has the lowest load, so it is tried first.
+            harness.context.view.get_health(item.server).in_flight += 1
+        first = harness.servers["p1"]
+        harness.context.view.get_health(first.server).in_flight -= 1
+        first.faults = [servers_module.Fault("hang")]
+        recorder = await forward(
+            harness, fleet.RetryPolicy.SAFE, time_limit_ms=1000
+        )
+        assert recorder.status == 200
+        assert len(list_runs(harness)) == gateways.ROUTE.max_attempts
+
+
+@cases.run_on_virtual_clock
+async def test_call_that_cannot_be_retried_has_all_of_its_time():
+    """Guards against a live attempt ended without a retry in the budget."""
+    async with gateways.open_harness(gateways.make_plain_servers(2)) as harness:
+        for item in harness.servers.values():
+            item.work_s = 0.8
+        budget = harness.context.find_budget(gateways.PLAIN_SERVICE)
+        while budget.try_spend(trio.current_time(), 1):
+            pass
+        recorder = await forward(
+            harness, fleet.RetryPolicy.SAFE, time_limit_ms=1000
+        )
+        assert recorder.status == 200
+
+
 @pytest.mark.parametrize("kind", ["crash", "cut", "error", "unsigned", "hang"])
 def test_safe_call_is_retried_up_to_the_limit_of_servers(kind):
     recorder, runs = run_with(
