Count a run at the same server states at its begin and its end

What operators would have seen: a negative number of requests in progress at a server whose row came back (after trouble of the store, for example), which then got more requests than its share.

Cause: the state of a server is dropped with its row; a run looked it up again when it ended, and subtracted from a new state. Plain requests keep the state. Found by review; not seen in a run.

test_server_that_is_listed_again_has_no_negative_load failed before (-1); it, test_runs.py and test_relays.py pass now.

Conclusion: each run subtracts where it has added.

--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/runs.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/runs.py
@@ -22,6 +22,7 @@
 from peridotyard_daemon.connection import upstreams
 from peridotyard_daemon.process import logs
 from peridotyard_daemon.process import probes
+from peridotyard_daemon.process import views
 from peridotyard_daemon.request import contexts
 from peridotyard_daemon.request import forwards
 
@@ -162,6 +163,9 @@
         self._notify_silent = notify_silent
         # The path while the run is in progress, else empty.
         self._path: paths.Path = ()
+        # States of its servers in which it is counted. A server that leaves the
+        # list and returns has a new one.
+        self._counted_at: list[views.Health] = []
         # Serializes changes of the path, since each order has a complete path.
         self._path_lock = trio.Lock()
         # Ends the run.
@@ -341,10 +345,12 @@
 
     def _set_path(self, path: paths.Path) -> None:
         """Sets the path; moves the in-flight count from old to new servers."""
-        for stage in self._path:
-            self._context.view.get_health(stage.server).in_flight -= 1
-        for stage in path:
-            self._context.view.get_health(stage.server).in_flight += 1
+        for health in self._counted_at:
+            health.in_flight -= 1
+        view = self._context.view
+        self._counted_at = [view.get_health(stage.server) for stage in path]
+        for health in self._counted_at:
+            health.in_flight += 1
         self._path = path
         self._successions = self._context.parts.get_successions(
             self._request.shared_parts
--- a/tests/unit/test_runs.py
+++ b/tests/unit/test_runs.py
@@ -1,5 +1,7 @@
 """Tests of peridotyard_daemon.request.runs."""
 
+import dataclasses
+
 import h11
 import hypothesis
 from hypothesis import strategies
@@ -283,3 +285,26 @@
         recorder = await relay_beside(harness, make_silence(harness, []))
         assert len(ended) == 2
         check_complete(recorder)
+
+
+@cases.run_on_virtual_clock
+async def test_server_that_is_listed_again_has_no_negative_load():
+    """Guards against too many requests for a server whose row came back."""
+    async with gateways.open_harness(
+        gateways.make_servers(LAYER_RANGES), EVENTS
+    ) as harness:
+
+        async def interfere(nursery):
+            del nursery
+            await trio.sleep(0.3)
+            view = harness.context.view
+            server = view.servers["a0"]
+            view.remove_server("a0", server.revision + 1)
+            await trio.sleep(0.3)
+            view.apply_server(
+                dataclasses.replace(server, revision=server.revision + 2)
+            )
+
+        check_complete(await relay_beside(harness, interfere))
+        loads = harness.context.view.count_in_flight()
+        assert not any(loads.values()), loads
