Keep a chain without a replacement while it still sends tokens

What callers would have seen: a streamed response of the sidecars ended with no-capacity, although its tokens still arrived: the entry had lost its connection to one stage, not to the last one, and no other server had its layers.

Cause: the wait for a replacement ended stall_s after the failure, whatever the chain did meanwhile.

The wait now ends stall_s after the last token. Ruled out: a stage that has really failed, since no tokens come then.

test_chain_that_still_sends_tokens_is_not_given_up failed before (14 of 20 tokens) and passes now, with the other tests of test_chains.py.

Conclusion: the end of the wait counts from the last sign of the chain's life.

--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/chains.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/chains.py
@@ -291,8 +291,12 @@
             self._record_latency(len(ready))
             self._ready_tokens += ready
             self._tokens_arrived.set()
-            if not self._failed_stages:
-                self._set_timeout(self._context.timing.stall_s)
+            stall_s = self._context.timing.stall_s
+            if self._failed_stages:
+                # The chain still runs, so it is not given up yet.
+                self._capacity_deadline = trio.current_time() + stall_s
+            else:
+                self._set_timeout(stall_s)
         if self.state.finish:
             self._finish(None)
         elif self.state.has_gap:
--- a/tests/unit/test_chains.py
+++ b/tests/unit/test_chains.py
@@ -153,6 +153,22 @@
     check_complete(caller)
 
 
+@entries.with_cluster((0, 2), (2, 4), stall_s=1.0)
+async def test_chain_that_still_sends_tokens_is_not_given_up(cluster):
+    """Guards against a live stream ended since a stage has no replacement.
+
+    Only the connection from the entry to the first stage is lost.
+    """
+    caller, first, _ = await start(cluster)
+    for item in cluster.sidecars:
+        item.step_s = 0.2
+    address = str(cluster.settings.peer_address)
+    cluster.network.partition(address, str(first.address))
+    await trio.sleep(5.0)
+    check_complete(caller)
+    assert ("open", 2) not in first.log
+
+
 @entries.with_cluster(*RANGES, stall_s=5.0)
 async def test_silent_connection_to_the_last_stage_is_resumed(cluster):
     """Guards against a new generation, or lost tokens, for a lost link."""
