Keep the count of requests at a server that restarts under its name

A restart replaced the server's observed state by a new one with the same count of requests in progress, while the requests kept the old one and subtracted there. The count stayed too high until the server left, so that it got less work than its share. Plain requests had this before; runs of streams would have had it since they keep the state that they are counted in.

The state is now reset in place. test_server_that_restarts_under_its_name_is_ left_without_load failed before (count 1 after the end) and passes now.

Conclusion: one object counts the requests of a server from begin to end.

--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/views.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/views.py
@@ -770,8 +770,11 @@
 
     def _reset(self, instance: str, reason: str) -> None:
         """Discards the observed state of a server except `in_flight`."""
-        in_flight = self._health[instance].in_flight
-        self._health[instance] = Health(in_flight=in_flight)
+        # Requests in progress keep the object that they are counted in.
+        health = self._health[instance]
+        for field in dataclasses.fields(Health):
+            if field.name != "in_flight":
+                setattr(health, field.name, field.default)
         _log.info("server restarted", instance=instance, reason=reason)
 
 
--- a/tests/unit/test_runs.py
+++ b/tests/unit/test_runs.py
@@ -308,3 +308,28 @@
         check_complete(await relay_beside(harness, interfere))
         loads = harness.context.view.count_in_flight()
         assert not any(loads.values()), loads
+
+
+@cases.run_on_virtual_clock
+async def test_server_that_restarts_under_its_name_is_left_without_load():
+    """Guards against requests that count forever at a restarted server."""
+    async with gateways.open_harness(
+        gateways.make_servers(LAYER_RANGES), EVENTS
+    ) as harness:
+
+        async def interfere(nursery):
+            del nursery
+            await trio.sleep(0.3)
+            view = harness.context.view
+            server = view.servers["a0"]
+            assert view.count_in_flight().get("a0") == 1
+            view.apply_server(
+                dataclasses.replace(
+                    server,
+                    revision=server.revision + 1,
+                    started_at_ms=server.started_at_ms + 1,
+                )
+            )
+
+        check_complete(await relay_beside(harness, interfere))
+        assert not harness.context.view.count_in_flight()
