End a run whose servers stay silent, and probe only the newest run

Streams on servers that were gone for good, and did not refuse connections, waited for their callers to give up, and their paths were probed and repaired beside the second run.

A server without a response to probes for two seconds now counts as lost. If its path cannot be repaired, the run ends, so that a caller can resume elsewhere. A stream that must not run twice still waits. A run with a newer one beside it is not probed. Attempts are checked whenever a server may have run the request, not only if the last run was lost (found by review).

Conclusion: silence of a second is waited for, the loss of a server is not.

--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/relays.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/relays.py
@@ -144,12 +144,11 @@
                         self._log_given_up("no path")
                         break
             await self._try_path(path)
-            match self._outcome:
-                case runs.Completed() | runs.Passed():
-                    break
-                case runs.Broken() if not self._may_resume(self._possible_runs):
-                    self._log_given_up("attempts")
-                    break
+            if self._is_done:
+                break
+            if self._may_have_run and not self._may_resume(self._possible_runs):
+                self._log_given_up("attempts")
+                break
             if self._sends >= SEND_LIMIT:
                 self._log_given_up("sends")
                 break
@@ -203,6 +202,7 @@
             self._progress,
             self._take_lead,
             lambda: len(self._runs) == 1,
+            lambda run: self._runs[-1] is run,
             self._start_second_run,
         )
         self._runs.append(run)
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/runs.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/runs.py
@@ -44,9 +44,9 @@
 # Silence after which a stream is moved to another path although all its servers
 # respond. Callers give up on a stream without events for two seconds.
 STREAM_SILENCE_LIMIT_S = 1.5
-# Silence after which a server that has left the list counts as ended. A server
-# that leaves by plan completes its streams, and may be silent for a second.
-UNLISTED_SILENCE_LIMIT_S = 2.0
+# Time without a response to probes after which a server counts as lost: sound
+# ones may be silent for a second, and callers give up after two at least.
+UNRESPONSIVE_LIMIT_S = 2.0
 # Slowness (1 is normal) from which a server of a stream without events is
 # replaced. Rerunning the prefix on another server costs about three slow steps.
 SLOWNESS_LIMIT = 3.0
@@ -135,6 +135,7 @@
         progress: Progress,
         take_lead: collections.abc.Callable[["Run"], None],
         is_alone: collections.abc.Callable[[], bool],
+        is_newest: collections.abc.Callable[["Run"], bool],
         notify_silent: collections.abc.Callable[
             ["Run", str, frozenset[str]], None
         ],
@@ -150,6 +151,7 @@
             take_lead: Called with this run before it sends an event to the
                 caller; ends the other runs.
             is_alone: Returns whether the stream has no other run.
+            is_newest: Returns whether the stream has no newer run than this.
             notify_silent: Called with this run, a reason and the instances
                 to avoid, if its path has no events and cannot be repaired.
         """
@@ -160,6 +162,7 @@
         self._progress = progress
         self._take_lead = take_lead
         self._is_alone = is_alone
+        self._is_newest = is_newest
         self._notify_silent = notify_silent
         # The path while the run is in progress, else empty.
         self._path: paths.Path = ()
@@ -180,6 +183,10 @@
         self._last_activity_at = progress.last_event_at
         self._check_at = self._last_activity_at
         self._check_interval_s = 0.0
+        # Time of the last check, or of the last event if that is later.
+        self._checked_at = self._last_activity_at
+        # Times since when servers of the path do not respond to probes.
+        self._unresponsive_since: dict[str, float] = {}
 
     @property
     def is_unanswered(self) -> bool:
@@ -497,6 +504,8 @@
     def _record_activity(self) -> None:
         """Records an event or the start of a path."""
         self._last_activity_at = trio.current_time()
+        self._checked_at = self._last_activity_at
+        self._unresponsive_since.clear()
         self._check_interval_s = self._compute_silence_limit()
         self._check_at = self._last_activity_at + self._check_interval_s
 
@@ -517,6 +526,9 @@
 
     async def _handle_silence(self) -> Broken | None:
         """Probes and repairs a silent path; returns `Broken` if it is lost."""
+        if not self._is_newest(self):
+            # The newer run decides how the stream goes on.
+            return None
         silent_s = trio.current_time() - self._last_activity_at
         servers = [stage.server for stage in self._path]
         failed = await self._prober.find_unresponsive(servers)
@@ -532,6 +544,7 @@
         async with self._path_lock:
             # The failed servers may have been replaced during the probes.
             failed &= paths.list_instances(self._path)
+            self._update_unresponsive(failed)
             if failed:
                 return await self._repair_path(failed, silent_s)
             if await self._replace_slow_servers(silent_s):
@@ -561,15 +574,13 @@
             return None
         if first.instance in failed:
             reason = "first server failed"
-            if self._has_ended(first, silent_s):
+            if self._has_ended(first):
                 return Broken(reason, failed, True)
-            self._notify_silent(self, reason, failed)
-            return None
+            return self._wait_or_abandon(reason, failed)
         path = self._plan_replacement(failed)
         if path is None:
             reason = f"no replacement for {','.join(sorted(failed))}"
-            self._notify_silent(self, reason, failed)
-            return None
+            return self._wait_or_abandon(reason, failed)
         accepted = await self._change_path(path)
         self._request.log(
             _log,
@@ -579,18 +590,53 @@
             silent_ms=round(1000 * silent_s),
         )
         if not accepted:
-            self._notify_silent(self, "path repair not accepted", failed)
+            return self._wait_or_abandon("path repair not accepted", failed)
+        return None
+
+    def _update_unresponsive(self, failed: frozenset[str]) -> None:
+        """Records which servers of the path did not respond to probes."""
+        self._unresponsive_since = {
+            instance: self._unresponsive_since.get(instance, self._checked_at)
+            for instance in failed
+        }
+        self._checked_at = trio.current_time()
+
+    def _has_lost_server(self) -> bool:
+        """Returns whether a server did not respond for too long."""
+        limit = trio.current_time() - UNRESPONSIVE_LIMIT_S
+        return any(at <= limit for at in self._unresponsive_since.values())
+
+    def _wait_or_abandon(
+        self, reason: str, failed: frozenset[str]
+    ) -> Broken | None:
+        """Returns `Broken` for a path that cannot be repaired and is lost.
+
+        Else another run is tried beside this one. A stream that must not run
+        again has nothing to gain from the end of its only run.
+
+        Args:
+            reason: Why the path does not continue.
+            failed: Instances that failed.
+        """
+        policy = self._request.route.retry_policy
+        if policy.is_idempotent and self._has_lost_server():
+            return Broken(reason, failed, False)
+        self._notify_silent(self, reason, failed)
         return None
 
-    def _has_ended(self, first: fleet.Server, silent_s: float) -> bool:
-        """Returns whether the run ends since its first server has ended."""
+    def _has_ended(self, first: fleet.Server) -> bool:
+        """Returns whether the run ends since its first server has ended.
+
+        A server that leaves by plan has no row while it completes its streams,
+        and may be silent for a second.
+        """
         view = self._context.view
         if not view.has_ended(first):
             return False
         return (
             first.instance in view.servers
             or view.get_health(first).ended
-            or silent_s >= UNLISTED_SILENCE_LIMIT_S
+            or self._has_lost_server()
         )
 
     def _plan_replacement(self, excluded: frozenset[str]) -> paths.Path | None:
--- a/tests/unit/test_runs.py
+++ b/tests/unit/test_runs.py
@@ -5,7 +5,10 @@
 import h11
 import hypothesis
 from hypothesis import strategies
+from peridotyard_core import crashes
 from peridotyard_core import fleet
+from peridotyard_core import quarantines
+from peridotyard_daemon.connection import upstreams
 from peridotyard_daemon.request import relays
 import pytest
 import trio
@@ -333,3 +336,93 @@
 
         check_complete(await relay_beside(harness, interfere))
         assert not harness.context.view.count_in_flight()
+
+
+@cases.run_on_virtual_clock
+async def test_stream_whose_server_is_lost_ends_visibly_in_time():
+    """Guards against a stream that is held for a server that never responds.
+
+    A caller whose stream has ended resumes it at another entry.
+    """
+    async with gateways.open_harness(
+        gateways.make_servers(LAYER_RANGES), EVENTS
+    ) as harness:
+        for other in ("b0", "c0"):
+            refusal = servers_module.Fault("refuse")
+            harness.servers[other].faults = [refusal] * 20
+        interfere = make_silence(harness, [("a0", 0.3, 60.0)])
+        began = trio.current_time()
+        recorder = await relay_beside(harness, interfere)
+        assert recorder.started
+        assert not recorder.finished
+        assert 2.0 < trio.current_time() - began < 3.3
+
+
+@cases.run_on_virtual_clock
+async def test_silent_path_is_not_probed_beside_a_newer_run():
+    """Guards against probes and repairs of a path that another one replaces."""
+    async with gateways.open_harness(
+        gateways.make_servers(LAYER_RANGES), EVENTS
+    ) as harness:
+        probe = harness.prober.find_unresponsive
+        probed = []
+
+        async def record(servers):
+            servers = list(servers)
+            probed.append({server.instance for server in servers})
+            return await probe(servers)
+
+        harness.prober.find_unresponsive = record
+        silences = [("a0", 0.3, 1.6), ("b0", 0.2, 1.6), ("c0", 0.2, 1.6)]
+        check_complete(
+            await relay_beside(harness, make_silence(harness, silences))
+        )
+        assert probed.count({"a0", "a1"}) == 1
+
+
+@cases.run_on_virtual_clock
+async def test_quarantine_ends_no_stream_whose_server_is_silent():
+    """Guards against a path given up for another one that is not allowed."""
+    async with gateways.open_harness(
+        gateways.make_servers(LAYER_RANGES), EVENTS
+    ) as harness:
+        request = harness.make_request()
+
+        async def interfere(nursery):
+            await trio.sleep(0.3)
+            nursery.start_soon(harness.servers["a0"].fall_silent, 1.2)
+            for number in range(quarantines.EXPLAINED_CRASH_LIMIT):
+                harness.context.quarantine.record_crash(
+                    request.fingerprint,
+                    crashes.Crash(2 * number),
+                    trio.current_time(),
+                )
+            assert harness.context.is_quarantined(request)
+
+        check_complete(await relay_beside(harness, interfere))
+
+
+@cases.run_on_virtual_clock
+async def test_lost_second_send_ends_no_stream_whose_server_is_silent():
+    """Guards against attempts used up by a send that reached no server."""
+    async with gateways.open_harness(
+        gateways.make_servers(LAYER_RANGES), EVENTS
+    ) as harness:
+        acquire = harness.context.pool.acquire
+        first = harness.servers["a0"].server.address
+
+        async def acquire_broken(address, *args, **options):
+            connection = await acquire(address, *args, **options)
+            send = connection.send
+
+            async def lose_requests(method, *rest):
+                if method == "POST" and address != first:
+                    raise upstreams.LostError("reset before the request")
+                await send(method, *rest)
+
+            connection.send = lose_requests
+            return connection
+
+        harness.context.pool.acquire = acquire_broken
+        interfere = make_silence(harness, [("a0", 0.3, 1.2)])
+        check_complete(await relay_beside(harness, interfere))
