Leave an overloaded path for another one, and try the next path at once

If the second path refuses, the next one is tried at once, as for other refusals, and not at the next check of the silent path.

Conclusion: two runs at once are for silent servers only.

--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/relays.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/relays.py
@@ -203,6 +203,7 @@
             self._take_lead,
             lambda: len(self._runs) == 1,
             lambda run: self._runs[-1] is run,
+            self._may_move,
             self._start_second_run,
         )
         self._runs.append(run)
@@ -214,12 +215,15 @@
         find_path: collections.abc.Callable[
             [], collections.abc.Awaitable[paths.Path | None]
         ],
-    ) -> None:
+    ) -> runs.Outcome | None:
         """Executes a run and records its outcome.
 
         Args:
             run: The run.
             find_path: Returns its path, None if there is none.
+
+        Returns:
+            The outcome; None if the request was not sent.
         """
         outcome = None
         try:
@@ -247,6 +251,7 @@
                 self._possible_runs += not ended
         if outcome is not None and not self._is_done:
             self._outcome = outcome
+        return outcome
 
     @property
     def _is_done(self) -> bool:
@@ -259,6 +264,33 @@
             if other is not run:
                 other.scope.cancel()
 
+    def _may_move(self, run: runs.Run, failed: frozenset[str]) -> bool:
+        """Returns whether the stream can be sent on another path now.
+
+        Args:
+            run: The only run in progress, which counts as an attempt.
+            failed: Instances that the other path must not use.
+        """
+        context, request = self._context, self._request
+        # One send is left for the case that the other path refuses.
+        if len(self._runs) > 1 or self._sends + 1 >= SEND_LIMIT:
+            return False
+        return (
+            self._may_resume(self._possible_runs + 1)
+            and not context.is_quarantined(request)
+            and context.has_retry(request)
+            and context.can_answer_in_time(request)
+            and context.view.choose_path(
+                request.service,
+                self._avoid | failed,
+                # Orders name a run by its first server and the request, so two
+                # runs must not begin at the same server.
+                context.list_exhausted(request.service.name)
+                | {run.first_instance},
+            )
+            is not None
+        )
+
     def _start_second_run(
         self, silent: runs.Run, reason: str, failed: frozenset[str]
     ) -> None:
@@ -273,37 +305,24 @@
             reason: Why it does not continue, for the log.
             failed: Instances that the other path must not use.
         """
-        # One send is left for the case that the silent path is lost.
-        if len(self._runs) > 1 or self._sends + 1 >= SEND_LIMIT:
-            return
-        if not self._may_resume(self._possible_runs + len(self._runs)):
-            return
-        context, service = self._context, self._request.service
-        if context.is_quarantined(self._request):
-            return
-        if not context.has_retry(self._request):
-            return
-        if not context.can_answer_in_time(self._request):
-            return
-        # The silent run may end while the other one waits for its path.
-        first_instance = silent.first_instance
-
-        def choose_path(denied: frozenset[str]) -> paths.Path | None:
-            # Orders name a run by its first server and the request, so both
-            # runs must not begin at the same server.
-            not_first = denied | {first_instance}
-            return context.view.choose_path(
-                service, self._avoid | failed, not_first
-            )
-
-        if choose_path(context.list_exhausted(service.name)) is None:
+        if not self._may_move(silent, failed):
             return
+        context = self._context
         self._request.log(
             _log,
             "second path tried beside a silent one",
             reason=reason,
             last_event=self._progress.sequence.last,
         )
+        # The silent run may end while the other one waits for its path.
+        first_instance = silent.first_instance
+
+        def choose_path(denied: frozenset[str]) -> paths.Path | None:
+            return context.view.choose_path(
+                self._request.service,
+                self._avoid | failed,
+                denied | {first_instance},
+            )
 
         async def find_path() -> paths.Path | None:
             path = await context.reserve(
@@ -317,7 +336,13 @@
                 return None
             return path
 
-        self._nursery.start_soon(self._execute, self._make_run(), find_path)
+        async def execute() -> None:
+            outcome = await self._execute(run, find_path)
+            if isinstance(outcome, runs.Refused) and silent in self._runs:
+                self._start_second_run(silent, reason, failed)
+
+        run = self._make_run()
+        self._nursery.start_soon(execute)
 
     async def _find_path(self, last: runs.Outcome | None) -> paths.Path | None:
         """Returns the next path; a stream that has begun waits for one.
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/runs.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/runs.py
@@ -136,6 +136,7 @@
         take_lead: collections.abc.Callable[["Run"], None],
         is_alone: collections.abc.Callable[[], bool],
         is_newest: collections.abc.Callable[["Run"], bool],
+        may_move: collections.abc.Callable[["Run", frozenset[str]], bool],
         notify_silent: collections.abc.Callable[
             ["Run", str, frozenset[str]], None
         ],
@@ -152,6 +153,8 @@
                 caller; ends the other runs.
             is_alone: Returns whether the stream has no other run.
             is_newest: Returns whether the stream has no newer run than this.
+            may_move: Returns whether the stream can be sent now on a path
+                without the given instances instead of that of this run.
             notify_silent: Called with this run, a reason and the instances
                 to avoid, if its path has no events and cannot be repaired.
         """
@@ -163,6 +166,7 @@
         self._take_lead = take_lead
         self._is_alone = is_alone
         self._is_newest = is_newest
+        self._may_move = may_move
         self._notify_silent = notify_silent
         # The path while the run is in progress, else empty.
         self._path: paths.Path = ()
@@ -549,10 +553,14 @@
                 return await self._repair_path(failed, silent_s)
             if await self._replace_slow_servers(silent_s):
                 return None
-        if silent_s >= STREAM_SILENCE_LIMIT_S:
-            instances = paths.list_instances(self._path)
-            self._notify_silent(self, "no event", instances)
-        return None
+        # All servers respond, so the path is overloaded. A second run beside
+        # this one would add to that.
+        instances = paths.list_instances(self._path)
+        if silent_s < STREAM_SILENCE_LIMIT_S or not self._may_move(
+            self, instances
+        ):
+            return None
+        return Broken(f"path silent for {silent_s:.1f} s", instances, False)
 
     async def _repair_path(
         self, failed: frozenset[str], silent_s: float
