Share the set-up of the tests of runs

The harness and the refusals of other servers stood in each test.

Conclusion: one function for each.

--- a/tests/unit/test_runs.py
+++ b/tests/unit/test_runs.py
@@ -29,6 +29,17 @@
 EVENTS = 30
 
 
+def open_harness():
+    return gateways.open_harness(gateways.make_servers(LAYER_RANGES), EVENTS)
+
+
+def refuse_at(harness, *instances):
+    """Lets servers refuse all requests of a test."""
+    for instance in instances:
+        refusal = servers_module.Fault("refuse")
+        harness.servers[instance].faults = [refusal] * 20
+
+
 async def relay_beside(harness, interfere, **changes):
     """Returns the response to a stream beside which `interfere` runs."""
     recorder = gateways.ResponseRecorder()
@@ -84,12 +95,8 @@
     A path with a silent server was given up for others that refused, and the
     server would have continued within a second.
     """
-    async with gateways.open_harness(
-        gateways.make_servers(LAYER_RANGES), EVENTS
-    ) as harness:
-        for other in ("b0", "c0"):
-            refusal = servers_module.Fault("refuse")
-            harness.servers[other].faults = [refusal] * 20
+    async with open_harness() as harness:
+        refuse_at(harness, "b0", "c0")
         interfere = make_silence(harness, [(silent, 0.3, 1.5)])
         check_complete(await relay_beside(harness, interfere))
 
@@ -97,9 +104,7 @@
 @cases.run_on_virtual_clock
 async def test_stream_continues_on_the_path_that_responds_first():
     """Guards against repeated events, and a second run that goes on unread."""
-    async with gateways.open_harness(
-        gateways.make_servers(LAYER_RANGES), EVENTS
-    ) as harness:
+    async with open_harness() as harness:
         interfere = make_silence(
             harness, [("a0", 0.3, 0.6), ("b0", 0.2, 1.5), ("c0", 0.2, 1.5)]
         )
@@ -115,9 +120,7 @@
 @cases.run_on_virtual_clock
 async def test_silent_server_is_replaced_by_one_that_responds():
     """Guards against a stream that waits although another path responds."""
-    async with gateways.open_harness(
-        gateways.make_servers(LAYER_RANGES), EVENTS
-    ) as harness:
+    async with open_harness() as harness:
         interfere = make_silence(harness, [("a0", 0.3, 6.0)])
         began = trio.current_time()
         check_complete(await relay_beside(harness, interfere))
@@ -147,12 +150,8 @@
     """Guards against a stream that is cut while a server may still run it."""
 
     async def play():
-        async with gateways.open_harness(
-            gateways.make_servers(LAYER_RANGES), EVENTS
-        ) as harness:
-            for name in refusing:
-                refusal = servers_module.Fault("refuse")
-                harness.servers[name].faults = [refusal] * 20
+        async with open_harness() as harness:
+            refuse_at(harness, *refusing)
             recorder = await relay_beside(
                 harness, make_silence(harness, silences)
             )
@@ -171,9 +170,7 @@
 @cases.run_on_virtual_clock
 async def test_stream_that_must_run_once_has_no_second_run():
     """Guards against a non-idempotent stream that runs on two servers."""
-    async with gateways.open_harness(
-        gateways.make_servers(LAYER_RANGES), EVENTS
-    ) as harness:
+    async with open_harness() as harness:
         interfere = make_silence(harness, [("a0", 0.3, 1.5)])
         recorder = await relay_beside(
             harness, interfere, retry_policy=fleet.RetryPolicy.STREAM_ONCE
@@ -185,9 +182,7 @@
 @cases.run_on_virtual_clock
 async def test_silent_run_may_end_while_another_waits_for_its_path():
     """Guards against an error that ends a stream whose first run has ended."""
-    async with gateways.open_harness(
-        gateways.make_servers(LAYER_RANGES), EVENTS
-    ) as harness:
+    async with open_harness() as harness:
         reserve = harness.context.reservations.reserve
         first = harness.servers["a0"]
         address = str(first.server.address)
@@ -211,12 +206,8 @@
 @cases.run_on_virtual_clock
 async def test_silent_server_that_left_the_list_is_waited_for():
     """Guards against a live run given up because its server's row is gone."""
-    async with gateways.open_harness(
-        gateways.make_servers(LAYER_RANGES), EVENTS
-    ) as harness:
-        for other in ("b0", "c0"):
-            refusal = servers_module.Fault("refuse")
-            harness.servers[other].faults = [refusal] * 20
+    async with open_harness() as harness:
+        refuse_at(harness, "b0", "c0")
 
         async def interfere(nursery):
             await trio.sleep(0.2)
@@ -230,9 +221,7 @@
 @cases.run_on_virtual_clock
 async def test_failure_of_a_second_server_ends_no_run_in_progress():
     """Guards against an error of one server while another one would answer."""
-    async with gateways.open_harness(
-        gateways.make_servers(LAYER_RANGES), EVENTS
-    ) as harness:
+    async with open_harness() as harness:
         for other in ("b0", "c0"):
             harness.servers[other].faults = [servers_module.Fault("error")]
         interfere = make_silence(harness, [("a0", 0.01, 1.0)])
@@ -242,9 +231,7 @@
 @cases.run_on_virtual_clock
 async def test_two_runs_that_end_at_once_end_the_response_once():
     """Guards against two ends, or none, if both runs end in the same step."""
-    async with gateways.open_harness(
-        gateways.make_servers(LAYER_RANGES), EVENTS
-    ) as harness:
+    async with open_harness() as harness:
         end_at = trio.current_time() + 3.0
         acquire = harness.context.pool.acquire
         ended = []
@@ -295,9 +282,7 @@
 @cases.run_on_virtual_clock
 async def test_server_that_is_listed_again_has_no_negative_load():
     """Guards against too many requests for a server whose row came back."""
-    async with gateways.open_harness(
-        gateways.make_servers(LAYER_RANGES), EVENTS
-    ) as harness:
+    async with open_harness() as harness:
 
         async def interfere(nursery):
             del nursery
@@ -318,9 +303,7 @@
 @cases.run_on_virtual_clock
 async def test_server_that_restarts_under_its_name_is_left_without_load():
     """Guards against requests that count forever at a restarted server."""
-    async with gateways.open_harness(
-        gateways.make_servers(LAYER_RANGES), EVENTS
-    ) as harness:
+    async with open_harness() as harness:
 
         async def interfere(nursery):
             del nursery
@@ -346,12 +329,8 @@
 
     A caller whose stream has ended resumes it at another entry.
     """
-    async with gateways.open_harness(
-        gateways.make_servers(LAYER_RANGES), EVENTS
-    ) as harness:
-        for other in ("b0", "c0"):
-            refusal = servers_module.Fault("refuse")
-            harness.servers[other].faults = [refusal] * 20
+    async with open_harness() as harness:
+        refuse_at(harness, "b0", "c0")
         interfere = make_silence(harness, [("a0", 0.3, 60.0)])
         began = trio.current_time()
         recorder = await relay_beside(harness, interfere)
@@ -363,9 +342,7 @@
 @cases.run_on_virtual_clock
 async def test_silent_path_is_not_probed_beside_a_newer_run():
     """Guards against probes and repairs of a path that another one replaces."""
-    async with gateways.open_harness(
-        gateways.make_servers(LAYER_RANGES), EVENTS
-    ) as harness:
+    async with open_harness() as harness:
         probe = harness.prober.find_unresponsive
         probed = []
 
@@ -385,9 +362,7 @@
 @cases.run_on_virtual_clock
 async def test_quarantine_ends_no_stream_whose_server_is_silent():
     """Guards against a path given up for another one that is not allowed."""
-    async with gateways.open_harness(
-        gateways.make_servers(LAYER_RANGES), EVENTS
-    ) as harness:
+    async with open_harness() as harness:
         request = harness.make_request()
 
         async def interfere(nursery):
@@ -407,9 +382,7 @@
 @cases.run_on_virtual_clock
 async def test_lost_second_send_ends_no_stream_whose_server_is_silent():
     """Guards against attempts used up by a send that reached no server."""
-    async with gateways.open_harness(
-        gateways.make_servers(LAYER_RANGES), EVENTS
-    ) as harness:
+    async with open_harness() as harness:
         acquire = harness.context.pool.acquire
         first = harness.servers["a0"].server.address
 
