Choose a second path of a stream in one place

The rule that two runs must not begin at the same server stood in the check whether a second run is possible and in the search for its path.

No change of behaviour: tests of runs, relays and gateway pass.

Conclusion: one function has the rule.

--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/relays.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/relays.py
@@ -100,12 +100,7 @@
         return any(run.has_later_stage(instance) for run in self._runs)
 
     async def replace_server(self, instance: str) -> None:
-        """Replaces a server that is leaving or suspected, if another is free.
-
-        Otherwise the path would be changed only after a silence. A server that
-        releases layers waits for the streams that use them, so moving them off
-        early lets it release the layers sooner.
-        """
+        """Replaces a server in all runs, see `runs.Run.replace_server`."""
         for run in list(self._runs):
             await run.replace_server(instance)
 
@@ -264,6 +259,25 @@
             if other is not run:
                 other.scope.cancel()
 
+    def _choose_other_path(
+        self,
+        first: str,
+        failed: frozenset[str],
+        denied: frozenset[str] = frozenset(),
+    ) -> paths.Path | None:
+        """Returns a path for a run beside another one, None if there is none.
+
+        Args:
+            first: Instance at which the other run begins. Orders name a run by
+                its first server and the request, so two runs must not begin at
+                the same server.
+            failed: Instances that the path must not use.
+            denied: Instances with which it must not begin.
+        """
+        return self._context.view.choose_path(
+            self._request.service, self._avoid | failed, denied | {first}
+        )
+
     def _may_move(self, run: runs.Run, failed: frozenset[str]) -> bool:
         """Returns whether the stream can be sent on another path now.
 
@@ -280,13 +294,10 @@
             and not context.is_quarantined(request)
             and context.has_retry(request)
             and context.can_answer_in_time(request)
-            and context.view.choose_path(
-                request.service,
-                self._avoid | failed,
-                # Orders name a run by its first server and the request, so two
-                # runs must not begin at the same server.
-                context.list_exhausted(request.service.name)
-                | {run.first_instance},
+            and self._choose_other_path(
+                run.first_instance,
+                failed,
+                context.list_exhausted(request.service.name),
             )
             is not None
         )
@@ -315,20 +326,13 @@
             last_event=self._progress.sequence.last,
         )
         # The silent run may end while the other one waits for its path.
-        first_instance = silent.first_instance
-
-        def choose_path(denied: frozenset[str]) -> paths.Path | None:
-            return context.view.choose_path(
-                self._request.service,
-                self._avoid | failed,
-                denied | {first_instance},
-            )
+        first = silent.first_instance
 
         async def find_path() -> paths.Path | None:
             path = await context.reserve(
                 self._request,
-                choose_path,
-                lambda: choose_path(frozenset()),
+                lambda denied: self._choose_other_path(first, failed, denied),
+                lambda: self._choose_other_path(first, failed),
                 lambda path: path[0].server,
             )
             self._responder.check_connected()
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/runs.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/runs.py
@@ -567,8 +567,9 @@
     ) -> Broken | None:
         """Replaces failed servers of a path; returns `Broken` if it is lost.
 
-        The path is lost only if the process of its first server has ended: a
-        server without a response to probes may only be silent for a time.
+        A server without a response to probes may only be silent for a time, so
+        the path is lost only if the process of its first server has ended, or
+        after `UNRESPONSIVE_LIMIT_S`.
         """
         first = self._path[0].server
         self._record_ends(self._successions)
