Format the traceback of an unexpected error in one place

Five log calls in three modules formatted it, each with the same number of frames as a constant of its own.

No change of behaviour: the fields error and traceback are as before.

Conclusion: logs.describe_error returns the fields.

--- a/packages/peridotyard-daemon/src/peridotyard_daemon/connection/peers.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/connection/peers.py
@@ -2,7 +2,6 @@
 
 import collections.abc
 import dataclasses
-import traceback
 import typing
 
 from peridotyard_core import addresses
@@ -36,8 +35,6 @@
 HELLO_TEXT_LENGTH = 128
 # Largest processor capacity in a hello, in cores.
 MAX_CAPACITY = 1e6
-# Innermost frames of the traceback of an internal error that are logged.
-TRACEBACK_FRAMES = 4
 
 # Reason of the end of a connection whose peer has stayed silent.
 TIMEOUT_REASON = "nothing received within the heartbeat timeout"
@@ -203,10 +200,7 @@
         _log.error(
             "peer connection ended by an internal error",
             peer=self.peer.instance,
-            error=repr(error),
-            traceback="".join(
-                traceback.format_exception(error, limit=-TRACEBACK_FRAMES)
-            ),
+            **logs.describe_error(error),
         )
         self.close("internal error")
 
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/duties.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/duties.py
@@ -1,7 +1,6 @@
 """Long-running tasks of a process that are started again after an error."""
 
 import collections.abc
-import traceback
 
 import trio
 
@@ -13,8 +12,6 @@
 PAUSE_MAX_S = 5.0
 # Time without an error after which the pause is the shortest one again.
 STEADY_S = 10.0
-# Innermost frames of the traceback that are logged.
-TRACEBACK_FRAMES = 4
 
 _log = logs.Logger("duty")
 
@@ -59,8 +56,7 @@
         _log.error(
             "duty ended by an internal error",
             duty=name,
-            error=repr(error),
-            traceback=traceback.format_exc(limit=-TRACEBACK_FRAMES),
+            **logs.describe_error(error),
         )
         return False
     return True
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/gateway.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/gateway.py
@@ -11,7 +11,6 @@
 import functools
 import json
 import random as random_module
-import traceback
 
 from peridotyard_core import addresses
 from peridotyard_core import budgets
@@ -71,8 +70,6 @@
 )
 # Request target at the metrics address that returns the known fleet as JSON.
 FLEET_TARGET = "/admin/v1/fleet"
-# Innermost frames of the traceback of an internal error that are logged.
-TRACEBACK_FRAMES = 4
 
 _log = logs.Logger("entry")
 
@@ -421,8 +418,7 @@
             self.context.metrics.increment("internal_errors.connection")
             _log.error(
                 "connection ended by an internal error",
-                error=repr(error),
-                traceback=traceback.format_exc(limit=-TRACEBACK_FRAMES),
+                **logs.describe_error(error),
             )
         finally:
             open_connections.discard(connection)
@@ -474,8 +470,7 @@
             self.context.metrics.increment("internal_errors.request")
             _log.error(
                 "request ended by an internal error",
-                error=repr(error),
-                traceback=traceback.format_exc(limit=-TRACEBACK_FRAMES),
+                **logs.describe_error(error),
             )
             raise trio.BrokenResourceError from error
 
@@ -516,8 +511,7 @@
             _log.error(
                 "request ended by an internal error",
                 request=head.request_id,
-                error=repr(error),
-                traceback=traceback.format_exc(limit=-TRACEBACK_FRAMES),
+                **logs.describe_error(error),
             )
             self.context.metrics.increment("internal_errors.request")
             self.context.record_end(admitted, "internal-error")
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/logs.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/logs.py
@@ -4,6 +4,7 @@
 import os
 import sys
 import time
+import traceback
 
 import logbook
 
@@ -15,6 +16,8 @@
 # Size of the output buffer above which further lines are dropped, because the
 # reader does not keep up.
 MAX_PENDING_BYTES = 1 << 16
+# Innermost frames of the traceback of an error that are logged.
+TRACEBACK_FRAMES = 4
 
 # The log handler of the process. A second start replaces it, so that no line is
 # written to two outputs.
@@ -48,6 +51,12 @@
         _installed.pop().pop_application()
 
 
+def describe_error(error: Exception) -> dict[str, str]:
+    """Returns the fields that log an unexpected error."""
+    lines = traceback.format_exception(error, limit=-TRACEBACK_FRAMES)
+    return {"error": repr(error), "traceback": "".join(lines)}
+
+
 class BoundedOutput:
     """Text output that drops lines above a rate, and never blocks.
 
