Show each half of the limit on the use of servers that left by a test

The first test now also checks the entry whose calls failed, and test_server_that_left_just_after_an_outage_is_removed_in_time plays a server that leaves after the first response.

Conclusion: both halves are needed, and each has a test that fails without it.

--- a/tests/unit/test_synchronization.py
+++ b/tests/unit/test_synchronization.py
@@ -684,7 +684,7 @@
                 await trio.sleep(0.3)
                 stand_in.put("servers", f"s{number}", None)
             await trio.sleep(0.9)
-            for view in group.views[1:]:
+            for view in group.views:
                 assert not view.servers
 
 
@@ -703,6 +703,22 @@
         assert list(group.views[0].servers) == ["s2"]
 
 
+@cases.run_on_virtual_clock
+async def test_server_that_left_just_after_an_outage_is_removed_in_time():
+    # Guards against DRAIN: a server that left after the first response that
+    # followed the outage was kept as long as one that may register again.
+    async with open_group(1) as (_, stand_in, group):
+        stand_in.fault = "refuse"
+        await trio.sleep(4)
+        stand_in.fault = ""
+        stand_in.put("servers", "s2", encode_server(address="10.0.0.3:80"))
+        while group.views[0].servers["s2"].address.host != "10.0.0.3":
+            await trio.sleep(0.01)
+        stand_in.put("servers", "s1", None)
+        await trio.sleep(synchronization.REMOVAL_DELAY_MAX_S)
+        assert list(group.views[0].servers) == ["s2"]
+
+
 DEPARTURE_STEPS = strategies.lists(
     strategies.tuples(
         strategies.sampled_from(
