Show operators a configuration that is not taken over

What operators saw: a version that cannot be read left one error line without its number, and `peridotyard fleet` showed the version in effect with a young age, as if it were the newest. Keys that the new version drops go on working, and nothing but that line tells so.

The view now keeps the rejected version with its error and age until a readable row is read; `peridotyard fleet` and /admin/v1/fleet show it as routing.rejected, and the log line names both versions. The metric unreadable_rows.configuration existed.

Test: test_rejected_configuration_is_shown_until_it_is_replaced failed before (no field `rejected`), with two entries of which one receives the rows from the other.

--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/synchronization.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/synchronization.py
@@ -81,6 +81,12 @@
             ValueError: The value is malformed.
         """
 
+    def read_routing_version(self, value: bytes) -> int | None:
+        """Returns the version of a configuration that may be malformed.
+
+        None if the version cannot be read either.
+        """
+
     def decode_server(self, key: str, value: bytes, revision: int):
         """Decodes a server's row as a `fleet.Server`.
 
@@ -204,12 +210,12 @@
             routing = self._schema.decode_routing(value)
         except ValueError as error:
             self._count("unreadable_rows.configuration")
-            _log.error(
-                "stored configuration is unreadable",
-                error=str(error),
-                source=source,
-            )
+            version = self._schema.read_routing_version(value)
+            self._view.reject_routing(version, str(error), source)
             return
+        if revision:
+            # The row is readable again, whichever version it holds.
+            self._view.rejected_routing = None
         replaces_equal = (
             revision > self._routing_revision and value != self.routing_value
         )
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/views.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/views.py
@@ -50,6 +50,8 @@
 FAILURE_WEIGHT = 10.0
 # Weight of the newest duration in a server's mean response time.
 DURATION_SMOOTHING = 0.2
+# Characters of the error of a configuration that are logged and shown.
+ERROR_LENGTH = 200
 
 _log = logs.Logger("fleet")
 
@@ -105,6 +107,29 @@
     since: int
 
 
+@dataclasses.dataclass(frozen=True)
+class RejectedRouting:
+    """A stored configuration that cannot be read.
+
+    Attributes:
+        version: Its version; None if that cannot be read either.
+        error: Why it cannot be read.
+        rejected_at: Time at which it was read.
+    """
+
+    version: int | None
+    error: str
+    rejected_at: float
+
+    def describe(self, now: float) -> dict:
+        """Returns the rejection with its age, as a JSON value."""
+        return {
+            "version": self.version,
+            "error": self.error,
+            "age_s": _render_age(now - self.rejected_at),
+        }
+
+
 class View:
     """The fleet as known to one entry, owned by the process.
 
@@ -120,6 +145,8 @@
         routing: Configuration in effect; None before the first.
         routing_at: Time at which the configuration was last confirmed by the
             store, or received as a new or equal one from another entry.
+        rejected_routing: The stored configuration if it cannot be read, so that
+            an earlier one stays in effect; else None.
         servers: Servers of the platform's list that may be used, by instance.
         servers_at: Time at which the store last confirmed the list.
         notify_suspect: Called with each server that this entry suspects, also
@@ -139,6 +166,7 @@
         self.zone = zone
         self.routing: fleet.Routing | None = None
         self.routing_at = float("-inf")
+        self.rejected_routing: RejectedRouting | None = None
         self.servers: dict[str, fleet.Server] = {}
         self.servers_at = float("-inf")
         self.entry_count = 0
@@ -209,6 +237,31 @@
         )
         return True
 
+    def reject_routing(
+        self, version: int | None, error: str, source: str
+    ) -> None:
+        """Records that a configuration cannot be read.
+
+        The one in effect stays so: with a part of the new one alone, requests
+        could be admitted that neither of them allows.
+
+        Args:
+            version: Its version, None if that cannot be read either.
+            error: Why it cannot be read.
+            source: Where it was received from, for the log.
+        """
+        error = error[:ERROR_LENGTH]
+        self.rejected_routing = RejectedRouting(
+            version, error, trio.current_time()
+        )
+        _log.error(
+            "stored configuration is unreadable",
+            version=version,
+            current=self.routing.version if self.routing else None,
+            error=error,
+            source=source,
+        )
+
     def apply_server(self, server: fleet.Server) -> None:
         """Adds or updates a server of the platform's list."""
         known = self._listed.get(server.instance)
@@ -720,6 +773,8 @@
             "routing": {
                 "version": routing.version if routing else None,
                 "age_s": _render_age(now - self.routing_at),
+                "rejected": self.rejected_routing
+                and self.rejected_routing.describe(now),
             },
             "list_age_s": _render_age(now - self.servers_at),
             "entries": self.entry_count,
--- a/tests/unit/test_gateway.py
+++ b/tests/unit/test_gateway.py
@@ -58,6 +58,39 @@
         assert deployment.servers["x"].requests == []
 
 
+@cases.run_on_virtual_clock
+async def test_rejected_configuration_is_shown_until_it_is_replaced():
+    """Guards against an operator who takes a version for one in effect."""
+    async with deployments.open_deployment(entries=2) as deployment:
+        await trio.sleep(5)
+        tenants = [{"name": "north", "apiKeys": 3}]
+        value = deployments.encode_routing(5, tenants=tenants)
+        deployment.rows.put("op", "config", value)
+        await trio.sleep(2)
+        for number in (1, 2):
+            routing = await read_routing_state(deployment, number)
+            assert routing["version"] == 3
+            assert routing["rejected"]["version"] == 5
+            assert routing["rejected"]["error"]
+            assert routing["rejected"]["age_s"] < 3
+            assert b" 200 " in (await deployment.call(number))[:15]
+            assert b" 401 " in (await deployment.call(number, key="k"))[:15]
+            data = await deployment.call(number, port=83)
+            assert b"unreadable_rows" in data
+        value = deployments.encode_routing(6, key="key-2")
+        deployment.rows.put("op", "config", value)
+        await trio.sleep(2)
+        for number in (1, 2):
+            routing = await read_routing_state(deployment, number)
+            assert routing["version"] == 6
+            assert routing["rejected"] is None
+
+
+async def read_routing_state(deployment, number) -> dict:
+    data = await deployment.call(number, port=83, target=gateway.FLEET_TARGET)
+    return json.loads(data.partition(b"\r\n\r\n")[2])["routing"]
+
+
 @cases.run_on_virtual_clock
 async def test_entry_without_configuration_refuses_as_not_run():
     # Guards against a 404 or 401 for a valid request, which a caller would not
