Check the types of all fields of a configuration

"apiKeys": null and "tenants": null rejected the version, so that keys dropped this way (several encoders write an empty list as null) went on working.

Cause: only numbers and some texts had a checked type; lists were iterated whatever they were, and truth stood in for a boolean. Ruled out: the product's own configuration (core.configuration), whose rules check each item, and the settings file, whose reader checks each field (by reading).

Conclusion: what is not a key in the configuration admits nobody.

--- a/packages/peridotyard-core/src/peridotyard_core/documents.py
+++ b/packages/peridotyard-core/src/peridotyard_core/documents.py
@@ -95,6 +95,20 @@
     raise _make_error(name, value, f"a number from {least:g} to {most:g}")
 
 
+def read_boolean(fields: dict, name: str) -> bool:
+    """Returns a boolean, False if the field is missing; see `read_text`.
+
+    Raises:
+        ValueError: The field is malformed.
+    """
+    value = fields.get(name)
+    if value is None:
+        return False
+    if isinstance(value, bool):
+        return value
+    raise _make_error(name, value, "true or false")
+
+
 def read_object(fields: dict, name: str) -> dict:
     """Returns an object, empty if the field is missing; see `read_text`.
 
@@ -112,6 +126,8 @@
 def read_objects(fields: dict, name: str) -> list[dict]:
     """Returns a list of objects, empty if the field is missing.
 
+    Some encoders write an empty list as null.
+
     Raises:
         ValueError: The field is malformed.
     """
@@ -123,6 +139,35 @@
     raise _make_error(name, value, "a list of objects")
 
 
+def read_texts(fields: dict, name: str) -> list[str]:
+    """Returns a list of non-empty texts, empty if the field is missing.
+
+    Raises:
+        ValueError: The field is malformed.
+    """
+    value = fields.get(name)
+    if value is None:
+        return []
+    if isinstance(value, list) and all(map(_is_name, value)):
+        return value
+    raise _make_error(name, value, "a list of non-empty printable texts")
+
+
+def check_present(fields: dict, *names: str) -> None:
+    """Checks that fields are present, though they may be null.
+
+    Raises:
+        ValueError: A field is missing.
+    """
+    for name in names:
+        if name not in fields:
+            raise ValueError(f"{name} is missing")
+
+
+def _is_name(value: typing.Any) -> bool:
+    return isinstance(value, str) and value != "" and value.isprintable()
+
+
 def _reject_constant(name: str) -> typing.NoReturn:
     raise ValueError(f"{name} is not a number")
 
--- a/tests/unit/test_gateway.py
+++ b/tests/unit/test_gateway.py
@@ -91,6 +91,24 @@
     return json.loads(data.partition(b"\r\n\r\n")[2])["routing"]
 
 
+@cases.run_on_virtual_clock
+async def test_keys_that_became_null_are_not_valid_any_more():
+    # Guards against dropped keys that go on working (CONFIG): some encoders
+    # write an empty list as null, and such a version was not taken over.
+    async with deployments.open_deployment() as deployment:
+        for version, tenants in (
+            (5, [{"name": "north", "apiKeys": None}]),
+            (6, None),
+        ):
+            value = deployments.encode_routing(version, tenants=tenants)
+            deployment.rows.put("op", "config", value)
+            await trio.sleep(2)
+            assert deployment.entries[0].view.routing.version == version
+            for key in ("key-1", ""):
+                assert b" 401 " in (await deployment.call(key=key))[:15]
+        assert deployment.servers["x"].requests == []
+
+
 @cases.run_on_virtual_clock
 async def test_entry_without_configuration_refuses_as_not_run():
     # Guards against a 404 or 401 for a valid request, which a caller would not
