Keep a slow path of a stream until another one has its next event

Cause: left such a path at once, with the reason that a second run would add to the overload. That is the class of streams-cut-while-servers-were-silent: work that is alive is given up before its replacement is known to run.

Ruled out: leaving it only before the first event. Only this one passes the property below.

Change: a second run begins beside a slow path as beside a silent one. Runs no longer need to know whether the stream may move.

Tests: test_slow_path_is_kept_until_another_has_begun failed before; the property test_streams_outlast_any_silence_of_sound_servers, which has slow paths now, failed with the milder change (502 where 503 or the whole stream is due).

Conclusion: no stream is cut or failed by a decision of the entry while a server that may still run it is up.

--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/relays.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/relays.py
@@ -198,7 +198,6 @@
             self._take_lead,
             lambda: len(self._runs) == 1,
             lambda run: self._runs[-1] is run,
-            self._may_move,
             self._start_second_run,
         )
         self._runs.append(run)
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/runs.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/runs.py
@@ -41,7 +41,7 @@
 PROBE_TIME_FACTOR = 3
 # Weight of the newest gap in the moving average of the gaps.
 GAP_SMOOTHING = 0.2
-# Silence after which a stream is moved to another path although all its servers
+# Silence after which a stream is tried on another path although all its servers
 # respond. Callers give up on a stream without events for two seconds.
 STREAM_SILENCE_LIMIT_S = 1.5
 # Time without a response to probes after which a server counts as lost: sound
@@ -136,7 +136,6 @@
         take_lead: collections.abc.Callable[["Run"], None],
         is_alone: collections.abc.Callable[[], bool],
         is_newest: collections.abc.Callable[["Run"], bool],
-        may_move: collections.abc.Callable[["Run", frozenset[str]], bool],
         notify_silent: collections.abc.Callable[
             ["Run", str, frozenset[str]], None
         ],
@@ -153,8 +152,6 @@
                 caller; ends the other runs.
             is_alone: Returns whether the stream has no other run.
             is_newest: Returns whether the stream has no newer run than this.
-            may_move: Returns whether the stream can be sent now on a path
-                without the given instances instead of that of this run.
             notify_silent: Called with this run, a reason and the instances
                 to avoid, if its path has no events and cannot be repaired.
         """
@@ -166,7 +163,6 @@
         self._take_lead = take_lead
         self._is_alone = is_alone
         self._is_newest = is_newest
-        self._may_move = may_move
         self._notify_silent = notify_silent
         # The path while the run is in progress, else empty.
         self._path: paths.Path = ()
@@ -553,14 +549,15 @@
                 return await self._repair_path(failed, silent_s)
             if await self._replace_slow_servers(silent_s):
                 return None
-        # All servers respond, so the path is overloaded. A second run beside
-        # this one would add to that.
-        instances = paths.list_instances(self._path)
-        if silent_s < STREAM_SILENCE_LIMIT_S or not self._may_move(
-            self, instances
-        ):
-            return None
-        return Broken(f"path silent for {silent_s:.1f} s", instances, False)
+        if silent_s >= STREAM_SILENCE_LIMIT_S:
+            # All servers respond, so the path is slow. It is kept until another
+            # one has the next event: that one may refuse, or be slow as well.
+            self._notify_silent(
+                self,
+                f"path silent for {silent_s:.1f} s",
+                paths.list_instances(self._path),
+            )
+        return None
 
     async def _repair_path(
         self, failed: frozenset[str], silent_s: float
--- a/tests/support/servers.py
+++ b/tests/support/servers.py
@@ -36,7 +36,7 @@
             goes on), "unsigned" (no signature
             header), "hang" (no response), "error" (status 500), "cut" (resets
             the connection within the body), "pause" (a stream pauses for
-            `PAUSE_S`), "drip" (a stream sends single bytes of an event without
+            `pause_s`), "drip" (a stream sends single bytes of an event without
             end), "comments" (a stream sends comments without end), "endless"
             (a body of bytes without end), "garbage" (some bytes between two
             events), "unframed" (a stream has neither length nor chunks and ends
@@ -71,6 +71,7 @@
             event of the answer; empty for none.
         peers: Stand-ins for all servers, by address.
         work_s: Time until the answer of a plain server, seconds.
+        pause_s: Duration of the pause of a slow stream, seconds.
     """
 
     def __init__(self, server: fleet.Server, events: int = 10):
@@ -91,6 +92,7 @@
         self.arrived_at: list[float] = []
         self.fatal_part = ""
         self.work_s = 0.02
+        self.pause_s = PAUSE_S
         self.peers: dict[str, StandIn] = {}
         self._path_headers: dict[str, str] = {}
         self._responsive = trio.Event()
@@ -293,7 +295,7 @@
                 self.stalled[request_id] = trio.Event()
                 await self.stalled[request_id].wait()
             case "pause":
-                await trio.sleep(PAUSE_S)
+                await trio.sleep(self.pause_s)
             case "drip":
                 await _send_without_end(responder, b"i")
             case "comments":
--- a/tests/unit/test_runs.py
+++ b/tests/unit/test_runs.py
@@ -101,6 +101,30 @@
         check_complete(await relay_beside(harness, interfere))
 
 
+@cases.run_on_virtual_clock
+async def test_slow_path_is_kept_until_another_has_begun():
+    """Guards against streams cut by the entry although their path is only slow.
+
+    Load pattern: an overloaded fleet, whose servers respond to probes but send
+    no events for two seconds, and refuse further streams.
+    """
+    async with open_harness() as harness:
+        harness.servers["a0"].faults = [servers_module.Fault("pause", 5)]
+        harness.servers["a0"].pause_s = 1.9
+        refuse_at(harness, "b0", "c0")
+        check_complete(await relay_beside(harness, make_silence(harness, [])))
+        assert harness.servers["b0"].requests or harness.servers["c0"].requests
+
+
+@cases.run_on_virtual_clock
+async def test_slow_path_ends_once_another_has_begun():
+    """Guards against work for a stream that has gone on elsewhere."""
+    async with open_harness() as harness:
+        harness.servers["a0"].faults = [servers_module.Fault("pause", 5)]
+        check_complete(await relay_beside(harness, make_silence(harness, [])))
+        assert harness.servers["a0"].abandoned
+
+
 @cases.run_on_virtual_clock
 async def test_stream_continues_on_the_path_that_responds_first():
     """Guards against repeated events, and a second run that goes on unread."""
@@ -144,14 +168,22 @@
 @hypothesis.given(
     silences=_SILENCES,
     refusing=strategies.sets(strategies.sampled_from(["b0", "c0"])),
+    slow=strategies.dictionaries(
+        strategies.sampled_from(["a0", "b0", "c0"]), strategies.integers(0, 9)
+    ),
 )
 @hypothesis.settings(max_examples=60, deadline=None)
-def test_streams_outlast_any_silence_of_sound_servers(silences, refusing):
+def test_streams_outlast_any_silence_of_sound_servers(silences, refusing, slow):
     """Guards against a stream that is cut while a server may still run it."""
 
     async def play():
         async with open_harness() as harness:
             refuse_at(harness, *refusing)
+            for name, after in slow.items():
+                harness.servers[name].pause_s = 1.9
+                harness.servers[name].faults.insert(
+                    0, servers_module.Fault("pause", after)
+                )
             recorder = await relay_beside(
                 harness, make_silence(harness, silences)
             )
