Keep a part of the retry budget for streams that have begun

Cause: one budget for all retries; those that follow a refusal, where nothing has been lost, come far more often than those of streams that lose their server.

Change: retries before the first event, and of no others, leave a quarter of the allowed ones (budgets.BEGUN_PART). The limit over all entries is unchanged, so the BUDGET rule holds as before. Plain calls have a budget of their own service and use all of it.

Ruled out: sending streams that have begun without a budget (the rule counts them), and a budget of their own (it would lie idle in calm times, or the sum would exceed the limit).

Tests: test_refusals_leave_retries_for_streams_that_have_begun failed before (cut after event 4); test_part_of_the_retries_is_kept_for_streams_that_have_begun is a property of the budget alone.

Conclusion: what a refusal costs is no longer paid by the streams that lose a server.

--- a/packages/peridotyard-core/src/peridotyard_core/budgets.py
+++ b/packages/peridotyard-core/src/peridotyard_core/budgets.py
@@ -11,6 +11,10 @@
 # its own window, so the sum can exceed the limit when callers move from entries
 # that have spent their retries and ended to the others.
 USED_PART = 0.92
+# Part of the allowed retries that only streams that have begun may use. Most
+# retries follow refusals by full servers, and in an overload these would use up
+# the budget of the streams that lose a server.
+BEGUN_PART = 0.25
 
 
 class RetryBudget:
@@ -100,25 +104,33 @@
         self._requests.append(now)
         self._trim(now)
 
-    def try_spend(self, now: float, entries: int) -> bool:
+    def try_spend(
+        self, now: float, entries: int, is_limited: bool = False
+    ) -> bool:
         """Uses one retry; returns False if none is left.
 
         Args:
             now: Current time, seconds.
             entries: Number of entries that share the reserve; 0 if unknown, so
                 that only the fraction of the requests is allowed.
+            is_limited: Whether the retry must not use the part that is kept for
+                streams that have begun.
         """
-        if not self.has_retry(now, entries):
+        if not self.has_retry(now, entries, is_limited):
             return False
         self._retries.append(now)
         return True
 
-    def has_retry(self, now: float, entries: int) -> bool:
+    def has_retry(
+        self, now: float, entries: int, is_limited: bool = False
+    ) -> bool:
         """Returns whether a retry is left; see `try_spend`."""
         self._trim(now)
         share = self._reserve / entries if entries else 0.0
         share *= min(1.0, (now - self._started_at) / self._window_s)
         allowed = self._fraction * len(self._requests) + share
+        if is_limited:
+            allowed *= 1 - BEGUN_PART
         return len(self._retries) + 1 <= allowed
 
     def _trim(self, now: float) -> None:
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/contexts.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/contexts.py
@@ -223,15 +223,20 @@
         for budget in self._budgets.values():
             budget.update_limits(fraction, reserve, window_s)
 
-    def spend_retry(self, request: Request) -> bool:
+    def spend_retry(self, request: Request, is_limited: bool = False) -> bool:
         """Spends a retry of the service's budget, unless it is exhausted.
 
+        Args:
+            request: The request.
+            is_limited: Whether the part of the budget is left that is kept for
+                streams that have begun.
+
         Returns:
             Whether the request may be retried.
         """
         budget = self.find_budget(request.service.name)
         granted = budget.try_spend(
-            trio.current_time(), self._count_sharing_entries()
+            trio.current_time(), self._count_sharing_entries(), is_limited
         )
         self.metrics.increment("retries" if granted else "retries_denied")
         if not granted:
@@ -240,11 +245,11 @@
             )
         return granted
 
-    def has_retry(self, request: Request) -> bool:
-        """Returns whether the service's budget has a retry left."""
+    def has_retry(self, request: Request, is_limited: bool = False) -> bool:
+        """Returns whether a retry is left; see `spend_retry`."""
         budget = self.find_budget(request.service.name)
         return budget.has_retry(
-            trio.current_time(), self._count_sharing_entries()
+            trio.current_time(), self._count_sharing_entries(), is_limited
         )
 
     def _count_sharing_entries(self) -> int:
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/relays.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/relays.py
@@ -129,7 +129,7 @@
                 if context.is_quarantined(request):
                     self._log_given_up("quarantined")
                     break
-                if not context.spend_retry(request):
+                if not self._spend_retry():
                     if not await self._wait_for_retry():
                         self._log_given_up("retry budget")
                         break
@@ -291,7 +291,7 @@
         return (
             self._may_resume(self._possible_runs + 1)
             and not context.is_quarantined(request)
-            and context.has_retry(request)
+            and context.has_retry(request, not self._responder.started)
             and context.can_answer_in_time(request)
             and self._choose_other_path(
                 run.first_instance,
@@ -335,7 +335,7 @@
                 lambda path: path[0].server,
             )
             self._responder.check_connected()
-            if path is None or not context.spend_retry(self._request):
+            if path is None or not self._spend_retry():
                 return None
             return path
 
@@ -362,6 +362,12 @@
             path = await self._wait_for_path(last)
         return path
 
+    def _spend_retry(self) -> bool:
+        """Spends a retry; returns False if the budget has none left."""
+        return self._context.spend_retry(
+            self._request, not self._responder.started
+        )
+
     async def _wait_for_retry(self) -> bool:
         """Waits until the retry budget allows a stream that has begun to go on.
 
@@ -374,7 +380,7 @@
             while True:
                 await trio.sleep(PATH_SEARCH_INTERVAL_S)
                 self._responder.check_connected()
-                if self._context.spend_retry(self._request):
+                if self._spend_retry():
                     return True
         return False
 
--- a/tests/unit/test_budgets.py
+++ b/tests/unit/test_budgets.py
@@ -1,6 +1,7 @@
 """Tests of peridotyard_core.budgets."""
 
 import bisect
+import collections
 
 import hypothesis
 from hypothesis import strategies
@@ -47,6 +48,33 @@
     assert budget.try_spend(10.0, 1)
 
 
+@hypothesis.settings(**cases.DERANDOMIZED)
+@hypothesis.given(
+    steps=strategies.lists(
+        strategies.tuples(strategies.booleans(), strategies.floats(0, 3)),
+        max_size=100,
+    )
+)
+def test_part_of_the_retries_is_kept_for_streams_that_have_begun(steps):
+    """Guards against streams without a retry after the refusals of others."""
+    limit, window_s = 40, 10.0
+    budget = budgets.WindowBudget(0.0, limit, window_s)
+    now = 0.0
+    kept = round(limit * budgets.BEGUN_PART)
+    limited = collections.deque()
+    for is_burst, wait_s in steps:
+        now += wait_s
+        while is_burst and budget.try_spend(now, 1, is_limited=True):
+            limited.append(now)
+        while limited and limited[0] <= now - window_s:
+            limited.popleft()
+        assert len(limited) <= limit - kept
+    spent = 0
+    while budget.try_spend(now, 1):
+        spent += 1
+    assert spent + len(limited) == limit
+
+
 def test_restarted_entry_does_not_spend_its_share_twice():
     """Guards against a restarted entry that uses its share a second time.
 
--- a/tests/unit/test_relays.py
+++ b/tests/unit/test_relays.py
@@ -931,12 +931,38 @@
     ) as harness:
         harness.servers["a0"].faults = [servers_module.Fault("crash", 4)]
         available_at = trio.current_time() + 0.8
-        harness.context.spend_retry = lambda _request: (
+        harness.context.spend_retry = lambda *_: (
             trio.current_time() >= available_at
         )
         check_complete(await relay(harness))
 
 
+@cases.run_on_virtual_clock
+async def test_refusals_leave_retries_for_streams_that_have_begun():
+    """Guards against a stream that is cut since others used up the budget.
+
+    Load pattern: an overloaded fleet, which refuses a third of the requests.
+    Each refusal leads to a retry until the budget denies it, and a stream whose
+    server crashed after some events found none left.
+    """
+    async with gateways.open_harness(
+        gateways.make_servers(LAYER_RANGES)
+    ) as harness:
+        context = harness.context
+        context.make_budget = lambda: budgets.WindowBudget(0.0, 12, 10.0)
+        for server in harness.servers.values():
+            server.faults = [servers_module.Fault("refuse")] * 50
+        for number in range(15):
+            await relay(harness, request_id=f"r{number}")
+            for server in harness.servers.values():
+                context.view.record_acceptance(server.server)
+        for server in harness.servers.values():
+            server.faults = []
+        harness.servers["a0"].faults = [servers_module.Fault("crash", 4)]
+        check_complete(await relay(harness))
+        assert not harness.servers["a0"].faults
+
+
 @cases.run_on_virtual_clock
 async def test_refused_callers_return_at_different_times():
     """Guards against callers that fill the servers at once again."""
