Place the layers of a silent server elsewhere only after a time

What callers saw: requests refused with 421 or 503 while a sound server stood still for a second.

Change: a suspected server that has not refused a connection keeps its layers in the plan for 1.5 s (views.SILENCE_LIMIT_S) and gets no orders. Another entry's finding does not tell whether the server has ended, so the lease holder opens one connection to it, with a limit of 50 ms; a refused one shows the end, and the layers are placed at once as before.

Cost: a server that is lost in silence (its machine is cut off) is repaired 1.5 s later. Ruled out: a longer time limit of the probes, which delays the repair of paths as well.

Conclusion: a second of silence moves no layers.

--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/placement.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/placement.py
@@ -30,6 +30,9 @@
 # Timeout of requests for reports and of orders. A live server responds in a few
 # milliseconds.
 REPORT_TIMEOUT_S = 0.4
+# Time limit of the connection attempt that distinguishes an ended server
+# from a silent one.
+CONNECT_TIMEOUT_S = 0.05
 # Layers are first placed once the fleet has not changed for `STABLE_FLEET_S`,
 # or at the latest `STABLE_FLEET_LIMIT_S` after its first server was seen.
 # Servers start within a second or two of each other; a later one is used as a
@@ -135,6 +138,7 @@
             if not self._view.is_suspected(server)
             and not self._view.is_leaving(server)
         ]
+        silent = await self._find_silent(servers)
         await self._fetch_reports(
             s for s in alive if s.instance in self._pending
         )
@@ -147,24 +151,64 @@
         layer_ranges = self._find_layer_ranges(alive)
         if not self._is_fleet_stable(alive, layer_ranges):
             return True
-        busy = bool(self._pending)
-        for group in layouts.group_zones(alive, service.engine):
+        # The next round finds whether the silent servers go on.
+        busy = bool(self._pending or silent)
+        layer_ranges |= self._find_layer_ranges(silent)
+        for group in layouts.group_zones(alive + silent, service.engine):
             if self._plan(group, layer_ranges, service.engine):
-                await self._order_group(group, service.engine)
+                await self._order_group(group, silent, service.engine)
                 # Also if all orders were refused, so that they are sent again
                 # in the next round.
                 busy = True
         return busy
 
-    async def _order_group(self, group, engine: fleet.Engine) -> None:
+    async def _find_silent(self, servers) -> list[fleet.Server]:
+        """Returns the suspected servers that may still hold their layers.
+
+        Their layers are not placed elsewhere yet: other servers would release
+        layers for that, and refuse the streams over them.
+        """
+        suspects = [s for s in servers if self._view.may_recover(s)]
+        async with trio.open_nursery() as nursery:
+            for server in suspects:
+                nursery.start_soon(self._check_ended, server)
+        return [
+            server
+            for server in suspects
+            if server.layer_range is not None and self._view.may_recover(server)
+        ]
+
+    async def _check_ended(self, server: fleet.Server) -> None:
+        """Records whether a server refuses connections, since it has ended.
+
+        Another entry may have found that it does not respond.
+        """
+        try:
+            with trio.move_on_after(CONNECT_TIMEOUT_S):
+                connection = await self._pool.acquire(
+                    server.address, force_new=True
+                )
+                connection.abort()
+        except upstreams.RefusedError as error:
+            self._view.suspect(server, str(error), ended=True)
+        except upstreams.UnsentError:
+            # Other failures do not show that the server has ended.
+            pass
+
+    async def _order_group(
+        self, group, silent: list[fleet.Server], engine: fleet.Engine
+    ) -> None:
         """Plans a group again with new reports, and sends the orders.
 
         Args:
             group: Servers that together can hold all layers, see
                 `layouts.group_zones`.
+            silent: Servers that may be in the group and get no orders, but keep
+                their layers.
             engine: The engine of the group's service.
         """
-        reports = await self._fetch_reports(group)
+        kept = [server for server in group if server in silent]
+        reports = await self._fetch_reports(s for s in group if s not in kept)
         if any(
             report.busy and name not in self._pending
             for name, report in reports.items()
@@ -177,12 +221,13 @@
             for name in reports
             if name in self._view.servers
         ]
+        alive += [s for s in kept if self._view.may_recover(s)]
         layer_ranges = self._find_layer_ranges(alive)
         changes = self._plan(alive, layer_ranges, engine)
         by_name = {server.instance: server for server in alive}
         async with trio.open_nursery() as nursery:
             for instance, layer_range in changes.items():
-                if instance not in self._pending:
+                if instance in reports and instance not in self._pending:
                     nursery.start_soon(
                         self._send_order,
                         by_name[instance],
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/views.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/views.py
@@ -20,6 +20,9 @@
 from peridotyard_daemon.process import logs
 from peridotyard_daemon.process import stores
 
+# Time for which a server without a response may only be silent: sound ones
+# stand still for about a second and then go on, with the layers that they hold.
+SILENCE_LIMIT_S = 1.5
 # A server that failed a request is avoided until a probe succeeds. After this
 # time it is used again without a successful probe: the platform removes a
 # failed server from the list after three missed heartbeats of 1.2 s each.
@@ -67,6 +70,7 @@
         failure_rate: Exponential moving average of failures, from 0 to 1.
         mean_duration_s: Exponential moving average of the response time; 0
             before the first response.
+        suspected_since: Time at which the last suspicion began.
         suspected_until: Time until which the server is suspected of failure.
         reason: Why it is suspected.
         ended: Whether it refused a connection, so that its process has ended.
@@ -82,6 +86,7 @@
     in_flight: int = 0
     failure_rate: float = 0.0
     mean_duration_s: float = 0.0
+    suspected_since: float = 0.0
     suspected_until: float = 0.0
     reason: str = ""
     ended: bool = False
@@ -470,6 +475,14 @@
             health is not None and trio.current_time() < health.suspected_until
         )
 
+    def may_recover(self, server: fleet.Server) -> bool:
+        """Returns whether a suspected server may only be silent for a time."""
+        if not self.is_suspected(server):
+            return False
+        health = self._health[server.instance]
+        silent_s = trio.current_time() - health.suspected_since
+        return not health.ended and silent_s < SILENCE_LIMIT_S
+
     def has_ended(self, server: fleet.Server) -> bool:
         """Returns whether a server's process is known to have ended.
 
@@ -503,7 +516,7 @@
         health.ended = ended or (health.ended and not is_new)
         health.checked_by_others = False
         if is_new:
-            self._log_suspicion(server, reason)
+            self._begin_suspicion(server, reason)
         now = trio.current_time()
         if is_new or now - health.announced_at >= SUSPICION_ANNOUNCE_S:
             health.announced_at = now
@@ -525,11 +538,13 @@
         health.checked_by_others = True
         if is_new:
             health.reason = f"found by {entry}"
-            self._log_suspicion(server, health.reason)
+            health.ended = False
+            self._begin_suspicion(server, health.reason)
         return is_new
 
-    def _log_suspicion(self, server: fleet.Server, reason: str) -> None:
-        """Logs a new suspicion and wakes the tasks that wait for a change."""
+    def _begin_suspicion(self, server: fleet.Server, reason: str) -> None:
+        """Records a new suspicion and wakes tasks that wait for a change."""
+        self._health[server.instance].suspected_since = trio.current_time()
         _log.warning(
             "server suspected",
             instance=server.instance,
--- a/tests/unit/test_placement.py
+++ b/tests/unit/test_placement.py
@@ -277,3 +277,36 @@
                 now = stand_ins[name].server.layer_range
                 assert now.first <= held.first, (silent, name)
                 assert held.end <= now.end, (silent, name)
+
+
+@cases.run_on_virtual_clock
+async def test_layers_of_an_ended_server_are_placed_at_once():
+    """Guards against a repair that waits, as for a silent server.
+
+    Another entry has found that the server does not respond, which does not
+    tell whether it has ended.
+    """
+    async with open_fleet(make_servers()) as (network, _, stand_ins, holders):
+        await trio.sleep(8)
+        name = find_needed(stand_ins)
+        ended = stand_ins[name].server
+        network.stop_serving(str(ended.address))
+        network.reset(str(ended.address))
+        holders[0].view.apply_peer_suspicion(ended, "second")
+        await trio.sleep(1.0)
+        assert not list_missing(stand_ins, without=(name,))
+
+
+@cases.run_on_virtual_clock
+async def test_layers_of_a_server_that_stays_silent_are_placed():
+    """Guards against layers that stay away with a server that is cut off."""
+    async with open_fleet(make_servers()) as (_, _, stand_ins, holders):
+        await trio.sleep(8)
+        name = find_needed(stand_ins)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(stand_ins[name].fall_silent, 60)
+            view = holders[0].view
+            view.suspect(view.servers[name], "no response to probes")
+            await trio.sleep(views.SILENCE_LIMIT_S + 1.0)
+            assert not list_missing(stand_ins, without=(name,))
+            nursery.cancel_scope.cancel()
