Let servers register again also if the store is away twice

Change: if the time to register ends and the list is not known as of half a second before, the server is looked at again every 0.1 s; an outage that is found then starts the time anew, and a response without the server removes it. A server that left after the first response keeps its limit (1.5 s), whatever the store does.

Conclusion: the time to register is time in which the store can be reached.

--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/synchronization.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/synchronization.py
@@ -57,6 +57,10 @@
 # Longest use of a server after the store has acknowledged, outside an outage,
 # that it left. Servers continue to serve for two seconds at least.
 REMOVAL_DELAY_MAX_S = 1.5
+# Age of the list up to which it shows that a server has not registered again,
+# and the time between two looks at it after the time to register.
+REGISTRATION_READ_AGE_S = 0.5
+REGISTRATION_POLL_S = 0.1
 
 _log = logs.Logger("store")
 
@@ -98,6 +102,22 @@
 Publish = collections.abc.Callable[[str, int, stores.Listing], None]
 
 
+@dataclasses.dataclass(frozen=True)
+class _Expiry:
+    """A server without a row that may register again.
+
+    Attributes:
+        until: Time at which it is removed.
+        revision: Revision at which the row was missing.
+        is_in_outage: Whether the row was missing in the first response that
+            followed an outage, so that it may have expired meanwhile.
+    """
+
+    until: float
+    revision: int
+    is_in_outage: bool
+
+
 @dataclasses.dataclass
 class _Feed:
     """Replication state of one table.
@@ -156,9 +176,8 @@
         self._server_rows = listings.ServerRows(schema.decode_server, count)
         self._count = count
         # Servers whose rows have expired but that may register again, by
-        # instance: the time at which they are removed, and the revision at
-        # which the row was missing.
-        self._expired: dict[str, tuple[float, int]] = {}
+        # instance.
+        self._expired: dict[str, _Expiry] = {}
         self._expired_changed = trio.Event()
         # End of the last outage of the store.
         self._available_since = float("-inf")
@@ -492,29 +511,51 @@
         """
         until = self._available_since + REREGISTRATION_S
         known_at = self._feeds[self._schema.server_table].known_at
-        if known_at >= self._available_since:
+        is_in_outage = known_at < self._available_since
+        if not is_in_outage:
             until = min(until, known_at + REMOVAL_DELAY_MAX_S)
         if instance in self._expired:
-            until = min(until, self._expired[instance][0])
+            until = min(until, self._expired[instance].until)
         if now >= until:
             self._expired.pop(instance, None)
             self._view.remove_server(instance, revision)
         elif self._view.is_listed(instance):
-            self._expired[instance] = (until, revision)
+            self._expired[instance] = _Expiry(until, revision, is_in_outage)
             self._expired_changed.set()
 
     async def _remove_expired_servers(self) -> None:
         """Removes the expired servers that have not registered again."""
         while True:
             now = trio.current_time()
-            for instance, (until, revision) in list(self._expired.items()):
+            for instance, expiry in list(self._expired.items()):
+                until = self._find_removal_time(expiry, now)
                 if now >= until:
                     del self._expired[instance]
-                    self._view.remove_server(instance, revision)
+                    self._view.remove_server(instance, expiry.revision)
+                else:
+                    self._expired[instance] = dataclasses.replace(
+                        expiry, until=until
+                    )
             self._expired_changed = trio.Event()
             next_at = min(
-                (until for until, _ in self._expired.values()),
+                (expiry.until for expiry in self._expired.values()),
                 default=float("inf"),
             )
             with trio.move_on_at(next_at):
                 await self._expired_changed.wait()
+
+    def _find_removal_time(self, expiry: _Expiry, now: float) -> float:
+        """Returns when an expired server is removed, or looked at again.
+
+        If the store is away again when the time to register ends, the server
+        has not had that time.
+        """
+        if now < expiry.until or not expiry.is_in_outage:
+            return expiry.until
+        until = self._available_since + REREGISTRATION_S
+        if until > now:
+            return until
+        known_at = self._feeds[self._schema.server_table].known_at
+        if known_at < until - REGISTRATION_READ_AGE_S:
+            return now + REGISTRATION_POLL_S
+        return now
--- a/tests/unit/test_synchronization.py
+++ b/tests/unit/test_synchronization.py
@@ -848,6 +848,8 @@
 
 @hypothesis.settings(**cases.DERANDOMIZED)
 @hypothesis.given(steps=DEPARTURE_STEPS)
+# The store is away again before a live server has registered.
+@hypothesis.example(steps=[("away", 0), ("wait", 0), ("away", 0)])
 def test_servers_that_left_are_not_used_beside_local_failures(steps):
     """Guards against DRAIN after cuts and freezes of some or all entries.
 
