Check once for each suspicion whether the server has ended

Now it opens one connection for each suspicion, and a refusal only records the end (views.record_end).

Conclusion: a silent server costs one connection more, whatever the number of entries.

--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/placement.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/placement.py
@@ -97,6 +97,9 @@
         self._count = count
         self._publish = publish
         self._statements = statements
+        # Begin of the last suspicion after which a server was checked, by
+        # instance.
+        self._checked_suspicions: dict[str, float] = {}
         self._pending: dict[str, _Order] = {}
         # The last order of each server, kept after it has taken effect, since
         # reports from before it may still arrive.
@@ -142,6 +145,8 @@
         await self._fetch_reports(
             s for s in alive if s.instance in self._pending
         )
+        for instance in self._checked_suspicions.keys() - self._view.servers:
+            del self._checked_suspicions[instance]
         now = trio.current_time()
         self._last_orders = {
             instance: order
@@ -171,7 +176,10 @@
         suspects = [s for s in servers if self._view.may_recover(s)]
         async with trio.open_nursery() as nursery:
             for server in suspects:
-                nursery.start_soon(self._check_ended, server)
+                since = self._view.get_health(server).suspected_since
+                if self._checked_suspicions.get(server.instance) != since:
+                    self._checked_suspicions[server.instance] = since
+                    nursery.start_soon(self._check_ended, server)
         return [
             server
             for server in suspects
@@ -189,8 +197,8 @@
                     server.address, force_new=True
                 )
                 connection.abort()
-        except upstreams.RefusedError as error:
-            self._view.suspect(server, str(error), ended=True)
+        except upstreams.RefusedError:
+            self._view.record_end(server)
         except upstreams.UnsentError:
             # Other failures do not show that the server has ended.
             pass
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/views.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/views.py
@@ -522,6 +522,14 @@
             health.announced_at = now
             self.notify_suspect(server)
 
+    def record_end(self, server: fleet.Server) -> None:
+        """Records that a suspected server has refused a connection.
+
+        Whoever checks whether it responds again goes on to do so.
+        """
+        if self.is_suspected(server):
+            self._health[server.instance].ended = True
+
     def apply_peer_suspicion(self, server: fleet.Server, entry: str) -> bool:
         """Applies the finding of an entry that checks a server for the others.
 
