Do not act for the lease holder just after a pause

The holder was well, so that two entries placed layers.

Cause: the age of all that an entry knows of the store and of the other entries includes its own pause. Ruled out: a longer time limit, which a longer pause exceeds as well.

Change: delays.PauseDetector notes when the loop was late by a second or more; the entry acts only once it has run for as long as the store has to be away.

Test: test_entry_that_was_paused_does_not_act_for_the_lease_holder failed before (the virtual clock jumps by 4 s). The lease itself is on a clock that counts pauses, and is read right before each order. A pause between that read and the write of the order is not excluded; the order's count of orders covers it.

Conclusion: what an entry knows from before a pause no longer makes it act.

--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/mesh.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/mesh.py
@@ -23,6 +23,7 @@
 
 from peridotyard_daemon.connection import peers as peers_module
 from peridotyard_daemon.process import announcements
+from peridotyard_daemon.process import delays
 from peridotyard_daemon.process import duties
 from peridotyard_daemon.process import logs
 from peridotyard_daemon.process import network as network_module
@@ -161,6 +162,7 @@
         self._forwarded_at: dict[str, float] = {}
         self._store_seen_at: dict[str, float] = {}
         self._was_acting_holder = False
+        self._pauses = delays.PauseDetector()
         # Entries that stay silent, and may still send requests to servers.
         self._silent: set[str] = set()
         self._exchange = announcements.Exchange(self, statements, reservations)
@@ -199,6 +201,7 @@
             for name, duty in (
                 ("mesh-dials", self._dial_all),
                 ("mesh-loads", self._send_loads),
+                ("mesh-pauses", self._pauses.run),
             ):
                 nursery.start_soon(duties.run, name, duty, self._count)
 
@@ -300,6 +303,9 @@
         lowest address among the connected ones acts. With a partition between
         the entries, a second one may act as well. This is harmless, since all
         orders are conditional.
+
+        An entry that was paused does not act until it has heard nothing of the
+        store for as long as others have to.
         """
         if self.is_member:
             return False
@@ -319,7 +325,8 @@
             )
             if self._is_hub(connection):
                 is_lowest = is_lowest and str(self._address) < connection.key
-        acts = (store_is_lost or holder_is_lost) and is_lowest
+        is_paused = self._pauses.get_running_s() <= STORE_LOST_TIMEOUT_S
+        acts = (store_is_lost or holder_is_lost) and is_lowest and not is_paused
         if acts != self._was_acting_holder:
             self._was_acting_holder = acts
             _log.info(
--- a/tests/unit/test_gateway.py
+++ b/tests/unit/test_gateway.py
@@ -680,6 +680,24 @@
         )
 
 
+@cases.run_on_virtual_clock
+async def test_entry_that_was_paused_does_not_act_for_the_lease_holder():
+    """Guards against orders of an entry whose knowledge is as old as its pause.
+
+    It took the store for lost when it resumed, and sent an order before the
+    first response.
+    """
+    async with deployments.open_deployment(entries=3) as deployment:
+        await trio.sleep(6)
+        trio.lowlevel.current_clock().jump(4.0)
+        for _ in range(20):
+            acting = [
+                entry._mesh.is_acting_holder() for entry in deployment.entries
+            ]
+            assert not any(acting)
+            await trio.sleep(0.05)
+
+
 @cases.run_on_virtual_clock
 async def test_stopping_entry_releases_the_lease():
     # Guards against a next holder that has to wait until the lease expires.
