Load layers of a silent server in addition, but release none for them

Cause: with most servers silent, nothing was loaded for 1.5 s, although the ones that respond have room for the layers beside their own.

Change: while a group is complete with its silent servers, orders are sent that extend what a server holds or give layers to one without any.

Tests: test_layers_stay_while_a_server_is_silent_for_a_second holds as before.

Conclusion: only the release of layers waits for the silence to end.

--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/placement.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/placement.py
@@ -160,7 +160,7 @@
         busy = bool(self._pending or silent)
         layer_ranges |= self._find_layer_ranges(silent)
         for group in layouts.group_zones(alive + silent, service.engine):
-            if self._plan(group, layer_ranges, service.engine):
+            if self._plan(group, silent, layer_ranges, service.engine):
                 await self._order_group(group, silent, service.engine)
                 # Also if all orders were refused, so that they are sent again
                 # in the next round.
@@ -231,7 +231,7 @@
         ]
         alive += [s for s in kept if self._view.may_recover(s)]
         layer_ranges = self._find_layer_ranges(alive)
-        changes = self._plan(alive, layer_ranges, engine)
+        changes = self._plan(alive, silent, layer_ranges, engine)
         by_name = {server.instance: server for server in alive}
         async with trio.open_nursery() as nursery:
             for instance, layer_range in changes.items():
@@ -243,11 +243,24 @@
                         reports[instance],
                     )
 
-    def _plan(self, group, layer_ranges, engine) -> layouts.LayerRanges:
-        """Returns the layers to load by instance, empty for no change."""
-        if not any(server.instance in layer_ranges for server in group):
-            return layouts.plan_group(group, engine)
-        return layouts.repair_group(group, layer_ranges, engine)
+    def _plan(self, group, silent, layer_ranges, engine) -> layouts.LayerRanges:
+        """Returns the layers to load by instance, empty for no change.
+
+        If the group is complete with the silent servers, others may load their
+        layers in addition to their own, but release none for that.
+        """
+        changes = _plan_group(group, layer_ranges, engine)
+        responsive = [server for server in group if server not in silent]
+        if changes or len(responsive) == len(group):
+            return changes
+        return {
+            instance: layer_range
+            for instance, layer_range in _plan_group(
+                responsive, layer_ranges, engine
+            ).items()
+            if _intersect(layer_ranges.get(instance), layer_range)
+            == layer_ranges.get(instance)
+        }
 
     def _is_fleet_stable(self, alive, layer_ranges) -> bool:
         """Returns whether the fleet is complete enough to place layers."""
@@ -399,6 +412,13 @@
         )
 
 
+def _plan_group(group, layer_ranges, engine) -> layouts.LayerRanges:
+    """Returns the layers to load by instance, empty for no change."""
+    if not any(server.instance in layer_ranges for server in group):
+        return layouts.plan_group(group, engine)
+    return layouts.repair_group(group, layer_ranges, engine)
+
+
 def _intersect(
     first: fleet.LayerRange | None, second: fleet.LayerRange
 ) -> fleet.LayerRange | None:
