soak: a stand-in may end before its listener has begun

The fault is the harness's own; no entry was involved.

The scope of a listener now exists from whichever call comes first. test_stand_in_may_end_before_its_listener_has_begun failed before with the same error.

--- a/tests/soak/proxies.py
+++ b/tests/soak/proxies.py
@@ -54,15 +54,23 @@
                 upstreams.reset_on_close(stream)
                 await trio.aclose_forcefully(stream)
 
-        with trio.CancelScope() as scope:
-            self._scopes[str(address)] = scope
-            await trio.serve_tcp(
-                run, listen_address.port, host=listen_address.host
-            )
+        try:
+            with self._find_scope(str(address)):
+                await trio.serve_tcp(
+                    run, listen_address.port, host=listen_address.host
+                )
+        finally:
+            del self._scopes[str(address)]
 
     def stop_serving(self, address: str) -> None:
-        """Ends the listener of a stand-in and breaks its connections."""
-        self._scopes[address].cancel()
+        """Ends the listener of a stand-in and breaks its connections.
+
+        The task of the listener may not have begun yet.
+        """
+        self._find_scope(address).cancel()
+
+    def _find_scope(self, address: str) -> trio.CancelScope:
+        return self._scopes.setdefault(address, trio.CancelScope())
 
     def reset(self, _address: str) -> None:
         """Does nothing, since `stop_serving` has ended the connections."""
--- a/tests/unit/test_soak.py
+++ b/tests/unit/test_soak.py
@@ -5,7 +5,11 @@
 import sys
 import time
 
+from peridotyard_core import addresses
+import trio
+
 from tests.soak import callers
+from tests.soak import proxies
 from tests.soak import stand_ins
 
 SECONDS = 4
@@ -63,6 +67,21 @@
     assert parts == [("10.0.0.1:80", 0, 8), ("10.0.0.2:80", 8, 20)]
 
 
+def test_stand_in_may_end_before_its_listener_has_begun():
+    """Guards against a soak that stops with an error of its own."""
+
+    async def run():
+        listeners = proxies.Listeners()
+        address = addresses.Address("127.0.0.1", 0)
+        for _ in range(2):
+            listeners.listen_addresses[address] = address
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(listeners.serve, address, None)
+                listeners.stop_serving(str(address))
+
+    trio.run(run)
+
+
 def test_processes_end_with_the_soak():
     """Guards against entries that outlive a terminated soak.
 
