Check whether a server refuses connections in one place

Found in the last read of the change: the placement opened a connection to a suspected server, with its own time limit, as Context.check_ended already did. Pool.try_connect has that attempt and its limit of 50 ms now, and both call it; what each does with a refusal stays with it. A docstring still said that no layers are placed during a silence.

No change of behaviour: the tests of placement, streams, runs, calls, connections, the mesh and the entry pass unchanged.

Conclusion: one attempt, one limit.

--- a/packages/peridotyard-daemon/src/peridotyard_daemon/connection/upstreams.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/connection/upstreams.py
@@ -23,6 +23,10 @@
 # A server in the same region accepts a connection within a few milliseconds;
 # TCP retransmits a lost connection request after one second.
 CONNECT_TIMEOUT_S = 1.2
+# Time limit of the connection attempt that distinguishes a terminated server
+# from one that lost a response or is silent. A terminated server refuses the
+# connection within a round trip, 2 ms within a region.
+REFUSAL_TIMEOUT_S = 0.05
 # TCP closes a connection on which data or keep-alive probes stay unacknowledged
 # for this long. Otherwise a connection to a machine that lost power would stay
 # open for minutes.
@@ -345,6 +349,19 @@
         self._notify_dialed()
         return Connection(address, stream)
 
+    async def try_connect(self, address: addresses.Address) -> None:
+        """Opens a new connection and closes it, to see whether it is refused.
+
+        Returns without an error if there is no result within
+        `REFUSAL_TIMEOUT_S`.
+
+        Raises:
+            RefusedError: The connection was refused, so the process has ended.
+            UnsentError: No connection could be made for another reason.
+        """
+        with trio.move_on_after(REFUSAL_TIMEOUT_S):
+            (await self.acquire(address, force_new=True)).abort()
+
     def release(
         self, connection: Connection, keep_alive_s: float | None = None
     ) -> None:
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/placement.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/placement.py
@@ -30,9 +30,6 @@
 # Timeout of requests for reports and of orders. A live server responds in a few
 # milliseconds.
 REPORT_TIMEOUT_S = 0.4
-# Time limit of the connection attempt that distinguishes an ended server
-# from a silent one.
-CONNECT_TIMEOUT_S = 0.05
 # Layers are first placed once the fleet has not changed for `STABLE_FLEET_S`,
 # or at the latest `STABLE_FLEET_LIMIT_S` after its first server was seen.
 # Servers start within a second or two of each other; a later one is used as a
@@ -170,8 +167,8 @@
     async def _find_silent(self, servers) -> list[fleet.Server]:
         """Returns the suspected servers that may still hold their layers.
 
-        Their layers are not placed elsewhere yet: other servers would release
-        layers for that, and refuse the streams over them.
+        Other servers do not release layers for theirs yet, as they would refuse
+        the streams over them.
         """
         suspects = [s for s in servers if self._view.may_recover(s)]
         async with trio.open_nursery() as nursery:
@@ -192,11 +189,7 @@
         Another entry may have found that it does not respond.
         """
         try:
-            with trio.move_on_after(CONNECT_TIMEOUT_S):
-                connection = await self._pool.acquire(
-                    server.address, force_new=True
-                )
-                connection.abort()
+            await self._pool.try_connect(server.address)
         except upstreams.RefusedError:
             self._view.record_end(server)
         except upstreams.UnsentError:
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/contexts.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/contexts.py
@@ -51,11 +51,6 @@
 # Weight of the newest duration in the mean duration of a route's requests.
 DURATION_SMOOTHING = 0.2
 
-# Time limit of the connection attempt that distinguishes a terminated server
-# from one that lost a response. A terminated server refuses the connection
-# within a round trip, 2 ms within a region.
-CRASH_CHECK_S = 0.05
-
 # A server, or a path of servers.
 _Choice = typing.TypeVar("_Choice")
 
@@ -393,10 +388,7 @@
             return self.view.has_ended(server)
         self._ended_checks[server.instance] = trio.Event()
         try:
-            with trio.move_on_after(CRASH_CHECK_S):
-                (
-                    await self.pool.acquire(server.address, force_new=True)
-                ).abort()
+            await self.pool.try_connect(server.address)
         except upstreams.RefusedError as error:
             self.view.suspect(server, str(error), ended=True)
         except upstreams.UnsentError as error:
