--- a/tests/unit/test_platform_settings.py
+++ b/tests/unit/test_platform_settings.py
@@ -98,3 +98,17 @@
     """Guards against a start without a settings file."""
     with pytest.raises(errors.SettingsError):
         settings.read("/nonexistent")
+
+
+# Guards against a reload that stops the event loop for a second, since the
+# scanner looks ahead through all brackets of a malformed file.
+@pytest.mark.parametrize("text", ["[" * 1000, "a: " + "{" * 1000 + "}" * 1000])
+def test_deeply_nested_brackets_are_rejected_by_their_depth(tmp_path, text):
+    with pytest.raises(errors.SettingsError, match="nested more than 16 deep"):
+        read(tmp_path, text)
+
+
+def test_nested_brackets_of_a_valid_file_are_read(tmp_path):
+    """Guards against a limit of the depth that rejects a valid file."""
+    nested = "extra: " + "[" * 16 + "]" * 16 + "\n"
+    assert read(tmp_path, FILE + nested).gateway.zone == "superior-north"
