Place layers at once if a leaving server does not respond

What callers saw: up to 1.5 s more of refused streams if a server that counts as leaving (three refusals in a row) also stopped responding.

Cause: the wait for a silent server, which may go on with its layers, did not ask whether the server is leaving; one that leaves does not go on.

Change: a leaving server is not among the silent ones.

Evidence: test_layers_of_a_silent_server_that_leaves_are_placed_at_once failed before (layers missing after a second); test_placement passes, 11 tests.

Conclusion: silence delays a repair only for servers that may return.

--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/placement.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/placement.py
@@ -168,9 +168,15 @@
         """Returns the suspected servers that may still hold their layers.
 
         Other servers do not release layers for theirs yet, as they would refuse
-        the streams over them.
+        the streams over them. A server that is leaving does not go on with its
+        layers, silent or not.
         """
-        suspects = [s for s in servers if self._view.may_recover(s)]
+        suspects = [
+            server
+            for server in servers
+            if self._view.may_recover(server)
+            and not self._view.is_leaving(server)
+        ]
         async with trio.open_nursery() as nursery:
             for server in suspects:
                 since = self._view.get_health(server).suspected_since
--- a/tests/unit/test_placement.py
+++ b/tests/unit/test_placement.py
@@ -297,6 +297,23 @@
         assert not list_missing(stand_ins, without=(name,))
 
 
+@cases.run_on_virtual_clock
+async def test_layers_of_a_silent_server_that_leaves_are_placed_at_once():
+    """Guards against a repair that waits for a server that does not return."""
+    async with open_fleet(make_servers()) as (_, _, stand_ins, holders):
+        await trio.sleep(8)
+        name = find_needed(stand_ins)
+        view = holders[0].view
+        leaving = stand_ins[name].server
+        for _ in range(views.REFUSALS_UNTIL_LEAVING):
+            view.record_refusal(leaving)
+            view.get_health(leaving).refused_until = 0.0
+        view.suspect(leaving, "no response to probes")
+        assert view.is_leaving(leaving)
+        await trio.sleep(1.0)
+        assert not list_missing(stand_ins, without=(name,))
+
+
 @cases.run_on_virtual_clock
 async def test_layers_of_a_server_that_stays_silent_are_placed():
     """Guards against layers that stay away with a server that is cut off."""
