Place layers while the store fails the writes that grant the lease

Cause: placing needs the lease, or a store that responds to no entry. A slow store whose queue of writes is full responds to reads, and refuses writes or responds after the call's timeout: nobody held the lease and nobody acted for a holder. Ruled out: the list of servers and their reports, which all entries had.

Change: an entry also acts for the holder if no connected entry states that it holds the lease for 1.2 s. A row whose writer does not know that its claim was granted does not count as held if that entry is connected. Two entries that act are harmless, as before: each order names the server's start and its count of orders.

Conclusion: a part of the overload; servers that start still wait for their layers while an entry that was granted the lease loses it again.

--- a/packages/peridotyard-core/src/peridotyard_core/leases.py
+++ b/packages/peridotyard-core/src/peridotyard_core/leases.py
@@ -39,6 +39,14 @@
         except ValueError:
             return None
 
+    def is_valid_at(self, clock_s: float) -> bool:
+        """Returns whether the lease is held at a time on the store's clock.
+
+        Args:
+            clock_s: The time, seconds.
+        """
+        return clock_s < self.until_s <= clock_s + MAX_REMAINING_S
+
     def to_json(self) -> bytes:
         """Returns the JSON value of the row."""
         return json.dumps(dataclasses.asdict(self)).encode()
@@ -95,7 +103,7 @@
         if (
             record is not None
             and record.holder != self._name
-            and clock_s < record.until_s <= clock_s + MAX_REMAINING_S
+            and record.is_valid_at(clock_s)
         ):
             self.record_lost()
             return None
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/mesh.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/mesh.py
@@ -191,6 +191,7 @@
         own_presence.may_claim = lambda: not self.is_member
         own_presence.list_represented = self._list_represented
         own_presence.publish = self._send_entries
+        own_presence.is_connected = self._is_connected
 
     async def run(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
         """Accepts and opens connections until cancelled."""
@@ -298,9 +299,10 @@
     def is_acting_holder(self) -> bool:
         """Returns whether this entry acts for the holder of the lease.
 
-        No lease can be granted while the store responds to no entry, nor while
-        the lease of an ended holder has not expired. Then, the entry with the
-        lowest address among the connected ones acts. With a partition between
+        No lease can be granted while the store responds to no entry, while it
+        fails their writes, nor while the lease of an ended holder has not
+        expired. Then, the entry with the lowest address among the connected
+        ones acts. With a partition between
         the entries, a second one may act as well. This is harmless, since all
         orders are conditional.
 
@@ -313,6 +315,7 @@
         # than the only entry left, unless the holder was the only other entry.
         is_isolated = not self._peers.connections and self._view.entry_count > 2
         holder_is_lost = self._presence.is_holder_lost() and not is_isolated
+        is_vacant = self._presence.is_lease_vacant() and not is_isolated
         now = trio.current_time()
         age_s = min(self._view.get_store_age_s(), now - self._started_at)
         store_is_lost = age_s > STORE_LOST_TIMEOUT_S
@@ -326,7 +329,11 @@
             if self._is_hub(connection):
                 is_lowest = is_lowest and str(self._address) < connection.key
         is_paused = self._pauses.get_running_s() <= STORE_LOST_TIMEOUT_S
-        acts = (store_is_lost or holder_is_lost) and is_lowest and not is_paused
+        acts = (
+            (store_is_lost or holder_is_lost or is_vacant)
+            and is_lowest
+            and not is_paused
+        )
         if acts != self._was_acting_holder:
             self._was_acting_holder = acts
             _log.info(
@@ -334,9 +341,17 @@
                 acts=acts,
                 holder_lost=holder_is_lost,
                 store_lost=store_is_lost,
+                vacant=is_vacant,
             )
         return acts
 
+    def _is_connected(self, name: str) -> bool:
+        """Returns whether this entry is connected to the entry of a name."""
+        return any(
+            connection.peer.instance == name
+            for connection in self._peers.connections
+        )
+
     def make_hello(self) -> ttypes.Hello:
         """Returns the first message for a peer."""
         return ttypes.Hello(
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/presence.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/presence.py
@@ -51,6 +51,12 @@
 # next one. A holder that is alive but partitioned from the other entries keeps
 # its lease beyond this time, so the others stop acting for it.
 HOLDER_LOST_PERIOD_S = LEASE_DURATION_S + 0.6
+# Time for which the lease may be free before another entry acts for a holder. A
+# claim is granted within 0.6 s, or fails.
+VACANCY_LIMIT_S = 1.2
+# Time for which a read of the lease shows that it is free. It covers a read, a
+# write that times out and the pause between them.
+VACANCY_LIFETIME_S = 5.0
 # Time after the last heartbeat of a holder, which sends one each half second,
 # at which the other entries read the lease again.
 HOLDER_HEARTBEAT_TIMEOUT_S = 1.1
@@ -83,6 +89,8 @@
         list_represented: Returns the entries whose rows this entry writes
             beside its own, by name.
         publish: Called with the listing that was read before each such write.
+        is_connected: Returns whether this entry is connected to the entry of a
+            name, so that its heartbeats state whether it holds the lease.
     """
 
     def __init__(
@@ -119,6 +127,9 @@
         self.publish: collections.abc.Callable[[stores.Listing], None] = (
             lambda _: None
         )
+        self.is_connected: collections.abc.Callable[[str], bool] = (
+            lambda _: False
+        )
         # Revision of the lease's row, as last read or written.
         self._revision = 0
         # Times of this process's clock, and the difference between the store's
@@ -133,6 +144,10 @@
         self._holder_lost_until = float("-inf")
         self._holder_heartbeat_at = float("-inf")
         self._holder_lost_event = trio.Event()
+        # Time since when no entry is known to hold the lease, None while one
+        # does, and the time of the last read that has shown it.
+        self._free_since: float | None = None
+        self._free_read_at = float("-inf")
         # Time until which a hub writes the row of this entry.
         self._represented_until = float("-inf")
         # Time at which the row of this entry expires.
@@ -154,6 +169,7 @@
             self._holder = entry
             self._holder_heartbeat_at = self._clock()
             self._holder_lost_until = float("-inf")
+            self._free_since = None
         elif entry == self._holder:
             self._holder = ""
             self._holder_heartbeat_at = float("-inf")
@@ -194,6 +210,46 @@
             and not self.is_lease_holder()
         )
 
+    def is_lease_vacant(self) -> bool:
+        """Returns whether no entry has been able to claim the lease.
+
+        The store may respond to reads and fail writes, such as a slow one whose
+        queue of writes is full.
+        """
+        now = self._clock()
+        return (
+            self._free_since is not None
+            and now - self._free_since > VACANCY_LIMIT_S
+            and now - self._free_read_at < VACANCY_LIFETIME_S
+        )
+
+    def _record_vacancy(
+        self, record: leases.Record | None, clock_s: float
+    ) -> None:
+        """Records whether an entry may hold the lease.
+
+        A claim whose response was lost is valid in the store, but its writer
+        does not hold the lease. A connected one states that.
+
+        Args:
+            record: Content of the lease's row as read, None if there is none.
+            clock_s: Time of the read on the store's clock, seconds.
+        """
+        now = self._clock()
+        self._free_read_at = now
+        if record is not None and record.is_valid_at(clock_s):
+            is_held = (
+                self.is_lease_holder()
+                if record.holder == self._name
+                else record.holder == self._holder
+                or not self.is_connected(record.holder)
+            )
+            if is_held:
+                self._free_since = None
+                return
+        if self._free_since is None:
+            self._free_since = now
+
     async def _wait_next_refresh(self, pause_s: float) -> None:
         """Waits until rows and lease are to be refreshed again.
 
@@ -274,6 +330,7 @@
         row = next((row for row in listing.rows if row.key == LEASE_KEY), None)
         self._revision = row.revision if row else 0
         record = leases.Record.from_json(row.value) if row else None
+        self._record_vacancy(record, listing.clock_s)
         claim = None
         if self.may_claim():
             claim = self.lease.plan_claim(
@@ -386,6 +443,7 @@
             case result.Success(committed) if claim is not None:
                 self._revision = committed.revision
                 self.lease.record_granted(sent_at)
+                self._free_since = None
             case result.Failure(stores.Conflict()):
                 self.lease.record_lost()
             case result.Failure(failure):
--- a/tests/support/platform_store.py
+++ b/tests/support/platform_store.py
@@ -24,8 +24,10 @@
         fault: "" or the fault of each call: "refuse" (status 503), "lose" (a
             transaction takes effect, then the connection is reset), "silent"
             (no effect, no response), "reset" (no effect, the connection is
-            reset) or "late" (a transaction takes effect after 3 s, when the
-            caller has timed out). "lose" and "late" do not affect reads.
+            reset), "late" (a transaction takes effect after 3 s, when the
+            caller has timed out) or "full" (a transaction is refused with
+            status 429, as the queue of writes is full). "lose", "late" and
+            "full" do not affect reads.
         calls: Number of calls by path.
         era: Number of times that the store was restored from a copy; stated
             in the responses unless it is 0.
@@ -101,6 +103,9 @@
                 await trio.sleep_forever()
             case "reset":
                 raise trio.BrokenResourceError
+            case "full" if path == "/rows-tx":
+                await responder.send_complete(429, self._make_headers(), b"")
+                return
             case "late" if path == "/rows-tx":
                 with trio.CancelScope(shield=True):
                     await trio.sleep(3.0)
--- a/tests/unit/test_gateway.py
+++ b/tests/unit/test_gateway.py
@@ -680,6 +680,41 @@
         )
 
 
+# Guards against servers that start and stay empty, since the store responds to
+# reads but fails the writes that would grant the lease.
+@pytest.mark.parametrize("fault", ["full", "late"])
+@cases.run_on_virtual_clock
+async def test_layers_are_placed_while_the_store_fails_writes(fault):
+    server_layers = [
+        ("x", "a", (0, 10)),
+        ("y", "a", (10, 20)),
+        ("z", "a", (0, 10)),
+    ]
+    async with deployments.open_deployment(
+        entries=3, server_layers=server_layers
+    ) as deployment:
+        await trio.sleep(6)
+        deployment.rows.fault = fault
+        await trio.sleep(6)
+        assert sum(entry._may_place() for entry in deployment.entries) == 1
+        address = str(deployment.servers["y"].server.address)
+        deployment.network.stop_serving(address)
+        deployment.network.reset(address)
+        for entry in deployment.entries:
+            entry.view.suspect(entry.view.servers["y"], "test")
+        await trio.sleep(2)
+        layer_ranges = [
+            deployment.servers[name].server.layer_range for name in ("x", "z")
+        ]
+        assert {layer_range.first for layer_range in layer_ranges} == {0, 10}
+        deployment.rows.fault = ""
+        await trio.sleep(6)
+        assert sum(entry._may_place() for entry in deployment.entries) == 1
+        assert not any(
+            entry._mesh.is_acting_holder() for entry in deployment.entries
+        )
+
+
 @cases.run_on_virtual_clock
 async def test_entry_that_was_paused_does_not_act_for_the_lease_holder():
     """Guards against orders of an entry whose knowledge is as old as its pause.
