Log the responses to probes that come after the timeout

A probe ended at its timeout, so that the log could not tell a server that responds after 51 ms from one that is gone.

Change: a probe goes on for up to two seconds after it was sent, in the nursery of Prober.run: one for each server, 64 in all, ended with the prober, and not counted by the limiter. A late response is logged with its time, the delay of this process and whether the server is suspected, and counted in the metric late_probe_responses. No decision changes: the caller of a probe gets the same result at the same time, and a late response is not used yet.

Conclusion: the duration of late responses is in the log.

--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/probes.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/probes.py
@@ -4,6 +4,7 @@
 """
 
 import collections.abc
+import contextlib
 
 from peridotyard_core import addresses
 from peridotyard_core import errors
@@ -20,6 +21,12 @@
 # A server of the same region responds within 2 ms also under load, since a
 # report needs no slot.
 PROBE_TIMEOUT_S = 0.05
+# Time from the start of a probe for which its response is awaited beyond the
+# timeout.
+LATE_RESPONSE_LIMIT_S = 2.0
+# Maximum number of probes that are awaited beyond their timeout, each of
+# another server and with a connection.
+MAX_LATE_PROBES = 64
 # Timeout of a second probe while this process is busy. With a third of a core,
 # the process needs 5 ms for each of the ten probes of a path.
 SECOND_TIMEOUT_S = 0.3
@@ -54,6 +61,58 @@
 _log = logs.Logger("probe")
 
 
+class _Probe:
+    """A probe that was sent, owned by the task that waits for its response.
+
+    Attributes:
+        server: The server.
+        sent_at: Time at which it was started.
+        outcome: Result of `upstreams.Pool.try_fetch`; None until it ends.
+        scope: Ends the request.
+        delay_s: Longest time by which this process noticed the end of a part of
+            the wait too late; seconds.
+    """
+
+    def __init__(self, server: fleet.Server):
+        self.server = server
+        self.sent_at = trio.current_time()
+        self.outcome: (
+            result.Result[upstreams.Response, errors.PeridotyardError] | None
+        ) = None
+        self.scope = trio.CancelScope()
+        self.delay_s = 0.0
+        self._ended = trio.Event()
+
+    async def send(self, pool: upstreams.Pool, target: str) -> None:
+        """Requests the report."""
+        with self.scope:
+            # A pooled connection may be broken while the server is alive, so a
+            # probe uses a new one.
+            self.outcome = await pool.try_fetch(
+                self.server.address,
+                "GET",
+                target,
+                timeout_s=LATE_RESPONSE_LIMIT_S,
+                force_new=True,
+            )
+            self._ended.set()
+
+    async def wait_until(self, deadline: float) -> None:
+        """Waits for the outcome; without one, returns at the deadline."""
+        while self.outcome is None and trio.current_time() < deadline:
+            # Short parts show the pauses of this process.
+            due = min(deadline, trio.current_time() + PROBE_TIMEOUT_S)
+            with trio.move_on_at(due):
+                await self._ended.wait()
+            self.delay_s = max(self.delay_s, trio.current_time() - due)
+        # A response that arrives at the deadline is read first.
+        await trio.lowlevel.checkpoint()
+
+    def get_duration_s(self) -> float:
+        """Returns the time since the probe was sent, seconds."""
+        return trio.current_time() - self.sent_at
+
+
 class Prober:
     """Finds servers that do not respond, owned by the process.
 
@@ -84,6 +143,10 @@
         self._probe_requested = trio.Event()
         self._running: dict[str, trio.Event] = {}
         self._reports: dict[str, exchanges.ServerReport] = {}
+        # Nursery of `run` while it runs.
+        self._nursery: trio.Nursery | None = None
+        # Servers with a probe that is awaited beyond its timeout.
+        self._late: set[str] = set()
 
     async def find_unresponsive(
         self, servers: collections.abc.Iterable[fleet.Server]
@@ -218,11 +281,15 @@
     async def run(self) -> None:
         """Probes suspected servers periodically until cancelled."""
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._probe_requested_servers, nursery)
-            while True:
-                await trio.sleep(RECHECK_INTERVAL_S)
-                self._discard_unlisted()
-                await self._recheck()
+            self._nursery = nursery
+            try:
+                nursery.start_soon(self._probe_requested_servers, nursery)
+                while True:
+                    await trio.sleep(RECHECK_INTERVAL_S)
+                    self._discard_unlisted()
+                    await self._recheck()
+            finally:
+                self._nursery = None
 
     async def _probe_requested_servers(self, nursery: trio.Nursery) -> None:
         while True:
@@ -284,19 +351,26 @@
         self, server: fleet.Server, timeout_s: float
     ) -> errors.PeridotyardError | None:
         """Requests a report; returns the error if there is no response."""
-        async with self._limiter:
+        async with self._limiter, self._open_nursery() as nursery:
             self._count("probes")
-            sent_at = self._probed_at[server.instance] = trio.current_time()
-            # A pooled connection may be broken while the server is alive, so a
-            # probe uses a new one.
-            response = await self._pool.try_fetch(
-                server.address,
-                "GET",
-                self._codec.report_target,
-                timeout_s=timeout_s,
-                force_new=True,
+            probe = _Probe(server)
+            self._probed_at[server.instance] = probe.sent_at
+            nursery.start_soon(
+                probe.send, self._pool, self._codec.report_target
+            )
+            try:
+                await probe.wait_until(probe.sent_at + timeout_s)
+            finally:
+                if probe.outcome is None:
+                    self._await_late(probe)
+        duration_s = probe.get_duration_s()
+        response = probe.outcome
+        if response is None:
+            response = result.Failure(
+                upstreams.ResponseTimeoutError(
+                    f"{server.address}: no response within {timeout_s} s"
+                )
             )
-        duration_s = trio.current_time() - sent_at
         self._statements.record_fetched(server, self._codec, response)
         match response:
             case result.Success(upstreams.Response(status, body)):
@@ -325,3 +399,48 @@
             )
             return None
         return error
+
+    @contextlib.asynccontextmanager
+    async def _open_nursery(self):
+        """Yields the nursery of `run`, or a temporary one without that."""
+        if self._nursery is not None:
+            yield self._nursery
+            return
+        async with trio.open_nursery() as nursery:
+            yield nursery
+            nursery.cancel_scope.cancel()
+
+    def _await_late(self, probe: _Probe) -> None:
+        """Lets a probe go on beyond its timeout, else cancels it.
+
+        The limiter does not count it any more. One for each server is enough,
+        and the earlier one is the next to end.
+        """
+        instance = probe.server.instance
+        if (
+            self._nursery is None
+            or instance in self._late
+            or len(self._late) >= MAX_LATE_PROBES
+        ):
+            probe.scope.cancel()
+            return
+        self._late.add(instance)
+        self._nursery.start_soon(self._handle_late, probe)
+
+    async def _handle_late(self, probe: _Probe) -> None:
+        """Waits for the response to a probe beyond its timeout."""
+        try:
+            await probe.wait_until(probe.sent_at + LATE_RESPONSE_LIMIT_S)
+        finally:
+            self._late.discard(probe.server.instance)
+            probe.scope.cancel()
+        match probe.outcome:
+            case result.Success():
+                self._count("late_probe_responses")
+                _log.info(
+                    "late response to a probe",
+                    instance=probe.server.instance,
+                    ms=round(1000 * probe.get_duration_s()),
+                    delay_ms=round(1000 * probe.delay_s),
+                    suspected=self._view.is_suspected(probe.server),
+                )
--- a/tests/unit/test_probes.py
+++ b/tests/unit/test_probes.py
@@ -1,6 +1,11 @@
 """Tests of peridotyard_daemon.process.probes."""
 
+import collections
+import contextlib
+
+from peridotyard_daemon.process import probes
 import trio
+import trio.testing
 
 from tests.support import cases
 from tests.support import gateways
@@ -12,6 +17,42 @@
     return list(harness.context.view.servers.values())
 
 
+def delay_reports(harness, names, delay_s):
+    """Delays the reports; returns the numbers of concurrent ones seen."""
+    seen = []
+    running = collections.Counter()
+
+    def delay(stand_in, send):
+        async def report(responder):
+            running[stand_in] += 1
+            seen.append(running[stand_in])
+            try:
+                await trio.sleep(delay_s)
+                await send(responder)
+            finally:
+                running[stand_in] -= 1
+
+        return report
+
+    for name in names:
+        stand_in = harness.servers[name]
+        stand_in._send_report = delay(stand_in, stand_in._send_report)
+    return seen
+
+
+@contextlib.asynccontextmanager
+async def open_running_harness(server_layers=SERVER_LAYERS):
+    """Yields a harness whose prober runs."""
+    async with gateways.open_harness(
+        gateways.make_servers(server_layers)
+    ) as harness:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(harness.prober.run)
+            await trio.testing.wait_all_tasks_blocked()
+            yield harness
+            nursery.cancel_scope.cancel()
+
+
 @cases.run_on_virtual_clock
 async def test_unresponsive_servers_are_found_and_others_are_not():
     async with gateways.open_harness(
@@ -169,3 +210,57 @@
                 SERVER_LAYERS
             )
             nursery.cancel_scope.cancel()
+
+
+@cases.run_on_virtual_clock
+async def test_late_response_to_a_probe_is_counted():
+    # Guards against probes that end at their timeout: a response just after it
+    # and a server that has failed looked alike.
+    async with open_running_harness() as harness:
+        delay_reports(harness, ["s3"], 0.08)
+        servers = [harness.context.view.servers["s3"]]
+        await harness.prober.find_unresponsive(servers)
+        assert harness.context.metrics.get_count("late_probe_responses") == 0
+        await trio.sleep(0.1)
+        assert harness.context.metrics.get_count("late_probe_responses") == 1
+
+
+@cases.run_on_virtual_clock
+async def test_server_has_one_late_probe_beside_a_timely_one():
+    # Guards against probes that add up on an overloaded server.
+    async with open_running_harness() as harness:
+        seen = delay_reports(harness, ["s3"], 1.0)
+        servers = [harness.context.view.servers["s3"]]
+        for _ in range(10):
+            await harness.prober.find_unresponsive(servers)
+        assert max(seen) == 2
+
+
+@cases.run_on_virtual_clock
+async def test_late_probes_do_not_delay_the_probes_of_other_servers():
+    # Guards against late probes that use up the concurrent ones.
+    async with open_running_harness() as harness:
+        names = [name for name, _, _ in SERVER_LAYERS]
+        delay_reports(harness, names[:8], 1.0)
+        harness.partition("s8")
+        view = harness.context.view
+        await harness.prober.find_unresponsive(
+            view.servers[name] for name in names[:8]
+        )
+        began = trio.current_time()
+        await harness.prober.find_unresponsive([view.servers["s8"]])
+        assert view.is_suspected(view.servers["s8"])
+        assert trio.current_time() - began < 0.06
+
+
+@cases.run_on_virtual_clock
+async def test_late_probes_are_limited_and_end_with_the_prober():
+    # Guards against connections without bound while many servers are silent.
+    count = probes.MAX_LATE_PROBES + 10
+    layers = [(f"s{n}", "a", (n, n + 1)) for n in range(count)]
+    async with open_running_harness(layers) as harness:
+        running = delay_reports(harness, harness.servers, 5.0)
+        await harness.prober.find_unresponsive(list_servers(harness))
+        assert len(harness.prober._late) == probes.MAX_LATE_PROBES
+        assert max(running) <= 2
+    assert not harness.prober._late
