Use and learn from responses to probes that come after the timeout

What callers saw: streams over overloaded servers were cut.

Cause: a probe ended at its timeout of 50 ms, and only responses within it entered the mean that lengthens the next timeout. A sound server whose reports take 60 ms or more failed each probe, stayed suspected for good, and after 2 s of such probes counted as lost.

A higher constant would only move the limit, and delay the detection of servers that have ended.

Change, in the direction of SWIM with Lifeguard: - A late response clears the suspicion at once, unless a connection was refused since. - Each server has a timeout of 1.25 times its longest response time, in time or late, from 50 to 500 ms; the longest time halves within 10 s. It is one for each server, since an overload of one server shows in that one alone, and a busy process in all of them. Waiting beyond 50 ms holds no slot of the limiter. - How busy this process is follows from the median of the last response times of 16 servers (50 ms each at most) and its own delays, so that one slow server does not delay the detection of others, nor a slow fleet the first probe of a silent path by more than 0.15 s. - A response during which this process was paused clears a suspicion and teaches nothing. - Bytes that arrive on any connection from a server after a probe of it was sent show that it is alive.

Tests of detection times are unchanged and pass, as do those of probes, runs, relays, mesh, gateway, placement, forwards and upstreams.

Conclusion: a server that responds late is avoided for that long, and its streams go on.

--- a/packages/peridotyard-daemon/src/peridotyard_daemon/connection/upstreams.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/connection/upstreams.py
@@ -7,6 +7,7 @@
 """
 
 import collections
+import collections.abc
 import contextlib
 import dataclasses
 import select
@@ -48,6 +49,9 @@
 # Idle connections per server. More would use up connections that other entries
 # need, since the server limits the total of all entries.
 IDLE_LIMIT = 12
+# Time for which it is known when an address last sent bytes. It exceeds the
+# time limits of all requests to which a missing response is a failure.
+HEARD_LIFETIME_S = 10.0
 
 
 class UnsentError(errors.PeridotyardError):
@@ -172,11 +176,26 @@
         is_reused: Whether it has carried another request before.
     """
 
-    def __init__(self, address: addresses.Address, stream: trio.abc.Stream):
+    def __init__(
+        self,
+        address: addresses.Address,
+        stream: trio.abc.Stream,
+        notify_received: collections.abc.Callable[
+            [addresses.Address], None
+        ] = lambda _: None,
+    ):
+        """Wraps a new connection.
+
+        Args:
+            address: The server's address.
+            stream: The connection.
+            notify_received: Called with the address whenever bytes arrive.
+        """
         self.address = address
         self.is_framed = True
         self.is_reused = False
         self._stream = stream
+        self._notify_received = notify_received
         self._http = h11.Connection(h11.CLIENT)
         self._request = None
 
@@ -216,6 +235,8 @@
                 event = self._http.next_event()
                 if event is h11.NEED_DATA:
                     data = await self._stream.receive_some(RECEIVE_BYTES)
+                    if data:
+                        self._notify_received(self.address)
                     self._http.receive_data(data)
                     continue
             except (
@@ -320,6 +341,7 @@
         self._notify_dialed = notify_dialed or (lambda: None)
         self._names_request = names_request or (lambda _: False)
         self._idle = collections.defaultdict(collections.deque)
+        self._heard_at: dict[addresses.Address, float] = {}
 
     async def acquire(
         self, address: addresses.Address, force_new: bool = False
@@ -347,7 +369,18 @@
         except OSError as error:
             raise UnsentError(f"{address}: {error!r}") from error
         self._notify_dialed()
-        return Connection(address, stream)
+        return Connection(address, stream, self._record_heard)
+
+    def _record_heard(self, address: addresses.Address) -> None:
+        self._heard_at[address] = trio.current_time()
+
+    def get_heard_at(self, address: addresses.Address) -> float:
+        """Returns when bytes last arrived from an address.
+
+        It is the time on any connection of this pool, and minus infinity if
+        that is more than `HEARD_LIFETIME_S` ago.
+        """
+        return self._heard_at.get(address, float("-inf"))
 
     async def try_connect(self, address: addresses.Address) -> None:
         """Opens a new connection and closes it, to see whether it is refused.
@@ -389,8 +422,17 @@
             connection.abort()
 
     def close_expired(self) -> None:
-        """Closes the idle connections that have expired."""
+        """Closes the idle connections that have expired.
+
+        Also discards the times at which addresses were heard, after
+        `HEARD_LIFETIME_S`.
+        """
         now = trio.current_time()
+        self._heard_at = {
+            address: at
+            for address, at in self._heard_at.items()
+            if now - at < HEARD_LIFETIME_S
+        }
         for address, idle in list(self._idle.items()):
             while idle and idle[0][1] <= now:
                 idle.popleft()[0].abort()
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/probes.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/probes.py
@@ -3,8 +3,11 @@
 A probe is a request for the server's report of its state on a new connection.
 """
 
+import collections
 import collections.abc
 import contextlib
+import dataclasses
+import statistics
 
 from peridotyard_core import addresses
 from peridotyard_core import errors
@@ -18,9 +21,18 @@
 from peridotyard_daemon.process import statements as statements_module
 from peridotyard_daemon.process import views
 
-# A server of the same region responds within 2 ms also under load, since a
-# report needs no slot.
+# A server of the same region responds within 2 ms, since a report needs no
+# slot. An overloaded one takes longer, see `Prober._get_timeout_s`.
 PROBE_TIMEOUT_S = 0.05
+# Upper limit of the timeout of a server that responds slowly: a quarter of the
+# time for which callers wait for an event, so that there is time to replace it.
+PROBE_TIMEOUT_MAX_S = 0.5
+# Timeout of a server as a multiple of its longest response time, and the time
+# in which that decreases by half.
+PROBE_TIMEOUT_FACTOR = 1.25
+LONGEST_HALF_LIFE_S = 10.0
+# Number of servers whose latest response times show how busy this process is.
+MEDIAN_SERVERS = 16
 # Time from the start of a probe for which its response is awaited beyond the
 # timeout.
 LATE_RESPONSE_LIMIT_S = 2.0
@@ -61,6 +73,23 @@
 _log = logs.Logger("probe")
 
 
+@dataclasses.dataclass(frozen=True)
+class _Longest:
+    """Longest response time of a server to a probe, decreasing with time.
+
+    Attributes:
+        duration_s: The response time when it was set, seconds.
+        at: Time at which it was set.
+    """
+
+    duration_s: float
+    at: float
+
+    def get_duration_s(self, now: float) -> float:
+        """Returns the response time as decreased since, seconds."""
+        return self.duration_s * 0.5 ** ((now - self.at) / LONGEST_HALF_LIFE_S)
+
+
 class _Probe:
     """A probe that was sent, owned by the task that waits for its response.
 
@@ -98,27 +127,43 @@
             self._ended.set()
 
     async def wait_until(self, deadline: float) -> None:
-        """Waits for the outcome; without one, returns at the deadline."""
-        while self.outcome is None and trio.current_time() < deadline:
-            # Short parts show the pauses of this process.
-            due = min(deadline, trio.current_time() + PROBE_TIMEOUT_S)
-            with trio.move_on_at(due):
-                await self._ended.wait()
-            self.delay_s = max(self.delay_s, trio.current_time() - due)
-        # A response that arrives at the deadline is read first.
-        await trio.lowlevel.checkpoint()
+        """Waits for the outcome; without one, returns at the deadline.
+
+        The probe ends if this is cancelled.
+        """
+        try:
+            while self.outcome is None and trio.current_time() < deadline:
+                # Short parts show the pauses of this process.
+                due = min(deadline, trio.current_time() + PROBE_TIMEOUT_S)
+                with trio.move_on_at(due):
+                    await self._ended.wait()
+                self.delay_s = max(self.delay_s, trio.current_time() - due)
+            # A response that arrives at the deadline is read first.
+            await trio.lowlevel.checkpoint()
+        except trio.Cancelled:
+            self.scope.cancel()
+            raise
 
     def get_duration_s(self) -> float:
         """Returns the time since the probe was sent, seconds."""
         return trio.current_time() - self.sent_at
 
+    @property
+    def has_paused(self) -> bool:
+        """Whether this process did not run in time to read a response.
+
+        Then, neither a response time nor a missing response shows anything.
+        """
+        return self.delay_s > PROBE_TIMEOUT_S
+
 
 class Prober:
     """Finds servers that do not respond, owned by the process.
 
     Attributes:
-        mean_probe_duration_s: Mean duration of a probe; it grows while this
-            process is busy.
+        mean_probe_duration_s: Mean of the median duration of probes, at most
+            `PROBE_TIMEOUT_S` each, and of delays of this process; it grows
+            while this process is busy.
     """
 
     def __init__(
@@ -147,13 +192,18 @@
         self._nursery: trio.Nursery | None = None
         # Servers with a probe that is awaited beyond its timeout.
         self._late: set[str] = set()
+        self._longest: dict[str, _Longest] = {}
+        # Latest response times of the servers probed last, oldest first.
+        self._latest_s: collections.OrderedDict[str, float] = (
+            collections.OrderedDict()
+        )
 
     async def find_unresponsive(
         self, servers: collections.abc.Iterable[fleet.Server]
     ) -> frozenset[str]:
         """Probes servers concurrently; returns the suspected instances."""
         servers = list(servers)
-        failures = await self._probe_all(servers, PROBE_TIMEOUT_S)
+        failures = await self._probe_all(servers)
         # A refused connection is conclusive: the process has ended.
         inconclusive = [
             server
@@ -184,7 +234,9 @@
             if self._view.is_suspected(server)
         )
 
-    async def _probe_all(self, servers, timeout_s: float) -> list[ProbeFailure]:
+    async def _probe_all(
+        self, servers, timeout_s: float | None = None
+    ) -> list[ProbeFailure]:
         """Returns the servers without a response, each with the error."""
         failures: list[ProbeFailure] = []
         async with trio.open_nursery() as nursery:
@@ -213,13 +265,49 @@
             ended = isinstance(error, upstreams.RefusedError)
             self._view.suspect(server, f"probe: {error}", ended)
 
-    def _update_mean_duration(self, duration_s: float) -> None:
-        """Updates the mean with a response time or a delay of this process.
+    def _get_timeout_s(self, server: fleet.Server) -> float:
+        """Returns the time limit of the response of a server, seconds.
 
-        Args:
-            duration_s: Time until the response, or by which this process
-                handled a timeout too late; seconds.
+        It follows the longest response time of the server itself: a busy
+        process sees long ones of all servers.
         """
+        longest = self._longest.get(server.instance)
+        if longest is None:
+            return PROBE_TIMEOUT_S
+        longest_s = longest.get_duration_s(trio.current_time())
+        return min(
+            max(PROBE_TIMEOUT_S, PROBE_TIMEOUT_FACTOR * longest_s),
+            PROBE_TIMEOUT_MAX_S,
+        )
+
+    def _record_duration(self, probe: _Probe) -> None:
+        """Records the response time of a probe, also of a late response."""
+        if probe.has_paused:
+            self._record_delay(probe.delay_s)
+            return
+        instance, now = probe.server.instance, trio.current_time()
+        duration_s = probe.get_duration_s()
+        longest = self._longest.get(instance)
+        if longest is None or longest.get_duration_s(now) < duration_s:
+            self._longest[instance] = _Longest(duration_s, now)
+        self._latest_s[instance] = duration_s
+        self._latest_s.move_to_end(instance)
+        if len(self._latest_s) > MEDIAN_SERVERS:
+            self._latest_s.popitem(last=False)
+        # A slow process slows down the responses of most servers, and a slow
+        # server only its own.
+        median_s = statistics.median_low(self._latest_s.values())
+        self._update_mean_duration(min(median_s, PROBE_TIMEOUT_S))
+
+    def _record_delay(self, delay_s: float) -> None:
+        """Records the time by which this process noticed a timeout too late.
+
+        It may raise the mean but not lower it, since a missing response does
+        not show that this process is fast.
+        """
+        self._update_mean_duration(max(delay_s, self.mean_probe_duration_s))
+
+    def _update_mean_duration(self, duration_s: float) -> None:
         self.mean_probe_duration_s += PROBE_SMOOTHING * (
             duration_s - self.mean_probe_duration_s
         )
@@ -233,7 +321,7 @@
         self,
         server: fleet.Server,
         failures: list[ProbeFailure],
-        timeout_s: float = PROBE_TIMEOUT_S,
+        timeout_s: float | None = None,
     ) -> None:
         """Probes a server, unless it has responded just before.
 
@@ -242,7 +330,7 @@
         Args:
             server: The server.
             failures: Receives the server and the error if it does not respond.
-            timeout_s: Time limit of the response.
+            timeout_s: Time limit of the response; None for that of the server.
         """
         name = server.instance
         alive_at = self._alive_at.get(name, float("-inf"))
@@ -317,6 +405,7 @@
         self._reports = self._filter_listed(self._reports)
         self._probed_at = self._filter_listed(self._probed_at)
         self._alive_at = self._filter_listed(self._alive_at)
+        self._longest = self._filter_listed(self._longest)
 
     def _filter_listed(self, values: dict) -> dict:
         """Returns the values of servers that are still in the list."""
@@ -348,58 +437,81 @@
         self._view.record_slowness(server, report.slowness)
 
     async def _fetch_report(
-        self, server: fleet.Server, timeout_s: float
+        self, server: fleet.Server, timeout_s: float | None
     ) -> errors.PeridotyardError | None:
-        """Requests a report; returns the error if there is no response."""
-        async with self._limiter, self._open_nursery() as nursery:
-            self._count("probes")
-            probe = _Probe(server)
-            self._probed_at[server.instance] = probe.sent_at
-            nursery.start_soon(
-                probe.send, self._pool, self._codec.report_target
-            )
-            try:
-                await probe.wait_until(probe.sent_at + timeout_s)
-            finally:
-                if probe.outcome is None:
-                    self._await_late(probe)
-        duration_s = probe.get_duration_s()
-        response = probe.outcome
-        if response is None:
-            response = result.Failure(
-                upstreams.ResponseTimeoutError(
-                    f"{server.address}: no response within {timeout_s} s"
-                )
-            )
-        self._statements.record_fetched(server, self._codec, response)
-        match response:
-            case result.Success(upstreams.Response(status, body)):
-                # Any response shows that the process is running.
-                self._update_mean_duration(duration_s)
-                self._alive_at[server.instance] = trio.current_time()
-                self._view.clear_suspicion(server)
-                self._record_report(server, status, body)
-                _log.debug(
-                    "probe succeeded", instance=server.instance, status=status
-                )
+        """Requests a report; returns the error if the server seems lost.
+
+        Without a response in time, anything else that the server has sent
+        meanwhile shows that it is alive.
+
+        Args:
+            server: The server.
+            timeout_s: Time limit of the response; None for that of the server.
+        """
+        limit_s = timeout_s or self._get_timeout_s(server)
+        async with self._open_nursery() as nursery:
+            async with self._limiter:
+                probe = self._start_probe(server, nursery)
+                # A slow server takes no processor time of this process.
+                counted_s = timeout_s or PROBE_TIMEOUT_S
+                await probe.wait_until(probe.sent_at + counted_s)
+            await probe.wait_until(probe.sent_at + limit_s)
+            if probe.outcome is None:
+                self._await_late(probe)
+        match probe.outcome:
+            case result.Success(response):
+                self._record_response(probe, response)
                 return None
             case result.Failure(error):
                 pass
-        late_s = duration_s - timeout_s
-        # The delay may raise the mean but not lower it, since a missing
-        # response does not show that this process is fast.
-        self._update_mean_duration(max(late_s, self.mean_probe_duration_s))
-        if late_s > PROBE_TIMEOUT_S:
-            # This process did not run in time to read a response, so the
-            # missing response proves nothing.
+            case None:
+                error = upstreams.ResponseTimeoutError(
+                    f"{server.address}: no response within {limit_s:.3g} s"
+                )
+        self._record_delay(probe.get_duration_s() - limit_s)
+        if isinstance(error, upstreams.RefusedError):
+            return error
+        if probe.has_paused:
             _log.warning(
                 "probe ignored after a pause of this process",
                 instance=server.instance,
-                late_ms=round(1000 * late_s),
+                late_ms=round(1000 * probe.delay_s),
             )
             return None
+        if self._pool.get_heard_at(server.address) > probe.sent_at:
+            self._record_sign_of_life(server)
+            return None
         return error
 
+    def _start_probe(
+        self, server: fleet.Server, nursery: trio.Nursery
+    ) -> _Probe:
+        self._count("probes")
+        probe = _Probe(server)
+        self._probed_at[server.instance] = probe.sent_at
+        nursery.start_soon(probe.send, self._pool, self._codec.report_target)
+        return probe
+
+    def _record_response(
+        self, probe: _Probe, response: upstreams.Response
+    ) -> None:
+        """Records a response to a probe, in time or late."""
+        server = probe.server
+        self._statements.record_fetched(
+            server, self._codec, result.Success(response)
+        )
+        self._record_duration(probe)
+        # Any response shows that the process is running.
+        self._record_sign_of_life(server)
+        self._record_report(server, response.status, response.body)
+        _log.debug(
+            "probe succeeded", instance=server.instance, status=response.status
+        )
+
+    def _record_sign_of_life(self, server: fleet.Server) -> None:
+        self._alive_at[server.instance] = trio.current_time()
+        self._view.clear_suspicion(server)
+
     @contextlib.asynccontextmanager
     async def _open_nursery(self):
         """Yields the nursery of `run`, or a temporary one without that."""
@@ -434,13 +546,20 @@
         finally:
             self._late.discard(probe.server.instance)
             probe.scope.cancel()
+        view, server = self._view, probe.server
         match probe.outcome:
-            case result.Success():
+            case result.Success(response):
                 self._count("late_probe_responses")
                 _log.info(
                     "late response to a probe",
-                    instance=probe.server.instance,
+                    instance=server.instance,
                     ms=round(1000 * probe.get_duration_s()),
                     delay_ms=round(1000 * probe.delay_s),
-                    suspected=self._view.is_suspected(probe.server),
+                    suspected=view.is_suspected(server),
                 )
+                # A connection that was refused later than this one was made
+                # shows that the process has ended.
+                if not view.get_health(server).ended:
+                    self._record_response(probe, response)
+            case result.Failure(upstreams.RefusedError() as error):
+                self._suspect_failed([(server, error)])
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/runs.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/runs.py
@@ -10,6 +10,7 @@
 import typing
 
 import h11
+from peridotyard_core import addresses
 from peridotyard_core import crashes
 from peridotyard_core import events
 from peridotyard_core import exchanges
@@ -544,7 +545,7 @@
         async with self._path_lock:
             # The failed servers may have been replaced during the probes.
             failed &= paths.list_instances(self._path)
-            self._update_unresponsive(failed)
+            self._update_unresponsive(failed, stalled)
             if failed:
                 return await self._repair_path(failed, silent_s)
             if await self._replace_slow_servers(silent_s):
@@ -599,14 +600,35 @@
             return self._wait_or_abandon("path repair not accepted", failed)
         return None
 
-    def _update_unresponsive(self, failed: frozenset[str]) -> None:
-        """Records which servers of the path did not respond to probes."""
+    def _update_unresponsive(
+        self, failed: frozenset[str], stalled: addresses.Address | None
+    ) -> None:
+        """Records since when servers of the path have not responded.
+
+        A server that responds to probes after their timeout is not lost.
+
+        Args:
+            failed: Instances that did not respond to probes, or are stalled.
+            stalled: Address of the server that the first one waits for. What it
+                sends to this entry does not show that it serves the path.
+        """
         self._unresponsive_since = {
-            instance: self._unresponsive_since.get(instance, self._checked_at)
-            for instance in failed
+            stage.server.instance: self._get_unresponsive_since(
+                stage.server, stage.server.address == stalled
+            )
+            for stage in self._path
+            if stage.server.instance in failed
         }
         self._checked_at = trio.current_time()
 
+    def _get_unresponsive_since(
+        self, server: fleet.Server, is_stalled: bool
+    ) -> float:
+        since = self._unresponsive_since.get(server.instance, self._checked_at)
+        if is_stalled:
+            return since
+        return max(since, self._context.pool.get_heard_at(server.address))
+
     def _has_lost_server(self) -> bool:
         """Returns whether a server did not respond for too long."""
         limit = trio.current_time() - UNRESPONSIVE_LIMIT_S
--- a/tests/unit/test_probes.py
+++ b/tests/unit/test_probes.py
@@ -2,8 +2,10 @@
 
 import collections
 import contextlib
+import random
 
 from peridotyard_daemon.process import probes
+import pytest
 import trio
 import trio.testing
 
@@ -18,7 +20,14 @@
 
 
 def delay_reports(harness, names, delay_s):
-    """Delays the reports; returns the numbers of concurrent ones seen."""
+    """Delays the reports; returns the numbers of concurrent ones seen.
+
+    Args:
+        harness: The harness.
+        names: Instances of the servers.
+        delay_s: The delay, or a function that returns the next one; seconds.
+    """
+    draw_delay_s = delay_s if callable(delay_s) else lambda: delay_s
     seen = []
     running = collections.Counter()
 
@@ -27,7 +36,7 @@
             running[stand_in] += 1
             seen.append(running[stand_in])
             try:
-                await trio.sleep(delay_s)
+                await trio.sleep(draw_delay_s())
                 await send(responder)
             finally:
                 running[stand_in] -= 1
@@ -40,6 +49,23 @@
     return seen
 
 
+def record_suspicions(harness):
+    """Returns a list that receives begin and end of each suspicion, by name."""
+    view = harness.context.view
+    began = {}
+    ended = []
+
+    def begin(server):
+        began.setdefault(server.instance, trio.current_time())
+
+    def end(server):
+        at = began.pop(server.instance)
+        ended.append((server.instance, at, trio.current_time()))
+
+    view.notify_suspect, view.notify_cleared = begin, end
+    return ended
+
+
 @contextlib.asynccontextmanager
 async def open_running_harness(server_layers=SERVER_LAYERS):
     """Yields a harness whose prober runs."""
@@ -225,6 +251,17 @@
         assert harness.context.metrics.get_count("late_probe_responses") == 1
 
 
+@cases.run_on_virtual_clock
+async def test_probe_whose_caller_leaves_is_not_awaited():
+    # Guards against responses in time that are logged as late ones.
+    async with open_running_harness() as harness:
+        delay_reports(harness, ["s3"], 0.04)
+        with trio.move_on_after(0.02):
+            await harness.prober.find_unresponsive(list_servers(harness))
+        await trio.sleep(0.1)
+        assert harness.context.metrics.get_count("late_probe_responses") == 0
+
+
 @cases.run_on_virtual_clock
 async def test_server_has_one_late_probe_beside_a_timely_one():
     # Guards against probes that add up on an overloaded server.
@@ -264,3 +301,159 @@
         assert len(harness.prober._late) == probes.MAX_LATE_PROBES
         assert max(running) <= 2
     assert not harness.prober._late
+
+
+async def probe_for(harness, duration_s):
+    """Probes all servers twice a second, as silent streams do."""
+    until = trio.current_time() + duration_s
+    while trio.current_time() < until:
+        await harness.prober.find_unresponsive(list_servers(harness))
+        await trio.sleep(0.5)
+
+
+ALL_NAMES = [name for name, _, _ in SERVER_LAYERS]
+
+
+@pytest.mark.parametrize("delay_s", [0.06, 0.08, 0.25, 0.4])
+@pytest.mark.parametrize("names", [["s3"], ALL_NAMES], ids=["one", "all"])
+@cases.run_on_virtual_clock
+async def test_slow_servers_are_not_taken_for_unresponsive_ones(names, delay_s):
+    # Guards against sound servers that stay suspected, though they respond to
+    # each probe, because they are overloaded: their streams were cut.
+    async with open_running_harness() as harness:
+        delay_reports(harness, names, delay_s)
+        suspicions = record_suspicions(harness)
+        await probe_for(harness, 30)
+        view = harness.context.view
+        assert view.list_suspects() == []
+        counts = collections.Counter(name for name, _, _ in suspicions)
+        assert max(counts.values(), default=0) <= 1
+        for _, began, ended in suspicions:
+            assert ended - began <= delay_s
+
+
+@cases.run_on_virtual_clock
+async def test_servers_with_varying_response_times_are_seldom_suspected():
+    # Guards against a timeout that follows only the responses in time, or the
+    # mean of all: half of the slow ones would come after it.
+    async with open_running_harness() as harness:
+        source = random.Random(1)
+        delay_reports(harness, ALL_NAMES, lambda: source.uniform(0.06, 0.4))
+        suspicions = record_suspicions(harness)
+        await probe_for(harness, 30)
+        assert harness.context.view.list_suspects() == []
+        assert harness.context.metrics.get_count("probes") >= 300
+        assert len(suspicions) <= 0.1 * 300
+
+
+@cases.run_on_virtual_clock
+async def test_late_response_clears_a_suspicion_at_once():
+    # Guards against suspicions that last until the next round of probes.
+    async with open_running_harness() as harness:
+        delay_reports(harness, ["s3"], 0.08)
+        server = harness.context.view.servers["s3"]
+        began = trio.current_time()
+        assert await harness.prober.find_unresponsive([server]) == {"s3"}
+        await trio.sleep_until(began + 0.09)
+        assert not harness.context.view.is_suspected(server)
+        assert harness.context.metrics.get_count("probes") == 1
+
+
+@cases.run_on_virtual_clock
+async def test_slow_server_that_fails_is_found_within_half_a_second():
+    # Guards against a timeout without bound: streams need time to go on
+    # elsewhere.
+    async with open_running_harness() as harness:
+        delay_reports(harness, ["s3"], 1.5)
+        server = harness.context.view.servers["s3"]
+        await harness.prober.find_unresponsive([server])
+        await trio.sleep(2)
+        assert not harness.context.view.is_suspected(server)
+        harness.partition("s3")
+        began = trio.current_time()
+        assert await harness.prober.find_unresponsive([server]) == {"s3"}
+        assert 0.45 < trio.current_time() - began < 0.51
+
+
+@cases.run_on_virtual_clock
+async def test_timeout_of_a_server_that_was_slow_decreases():
+    # Guards against a failed server that is noticed late for good.
+    async with open_running_harness() as harness:
+        delay_reports(harness, ["s3"], 0.4)
+        server = harness.context.view.servers["s3"]
+        await harness.prober.find_unresponsive([server])
+        await trio.sleep(60)
+        harness.partition("s3")
+        began = trio.current_time()
+        assert await harness.prober.find_unresponsive([server]) == {"s3"}
+        assert trio.current_time() - began < 0.06
+
+
+@cases.run_on_virtual_clock
+async def test_one_slow_server_does_not_delay_the_detection_of_others():
+    # Guards against a slow server that is taken for a slow process: probes of
+    # failed servers would be repeated with a longer timeout.
+    async with open_running_harness() as harness:
+        delay_reports(harness, ["s3"], 0.4)
+        await probe_for(harness, 20)
+        harness.partition("s7")
+        began = trio.current_time()
+        servers = [harness.context.view.servers["s7"]]
+        assert await harness.prober.find_unresponsive(servers) == {"s7"}
+        assert trio.current_time() - began < 0.06
+
+
+@pytest.mark.parametrize("delay_s", [0.03, 0.2])
+@pytest.mark.parametrize("pause_at_s", [0.01, 0.1])
+@cases.run_on_virtual_clock
+async def test_pause_of_this_process_does_not_change_a_timeout(
+    delay_s, pause_at_s
+):
+    # Guards against response times that include a pause of this process.
+    async with open_running_harness() as harness:
+        delay_reports(harness, ["s3"], delay_s)
+        server = harness.context.view.servers["s3"]
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(harness.prober.find_unresponsive, [server])
+            await trio.sleep(pause_at_s)
+            trio.lowlevel.current_clock().jump(1.0)
+            await trio.sleep(3)
+        assert not harness.context.view.is_suspected(server)
+        limit_s = max(probes.PROBE_TIMEOUT_S, 1.25 * (delay_s + 0.01))
+        assert harness.prober._get_timeout_s(server) <= limit_s
+
+
+@cases.run_on_virtual_clock
+async def test_refused_connection_outweighs_a_late_response():
+    # Guards against a server that has ended and is used again.
+    async with open_running_harness() as harness:
+        delay_reports(harness, ["s3"], 0.2)
+        server = harness.context.view.servers["s3"]
+        await harness.prober.find_unresponsive([server])
+        harness.network.stop_serving(str(server.address))
+        await harness.prober.find_unresponsive([server])
+        await trio.sleep(0.25)
+        assert harness.context.metrics.get_count("late_probe_responses") == 1
+        assert harness.context.view.has_ended(server)
+
+
+@cases.run_on_virtual_clock
+async def test_server_that_sends_anything_else_is_not_suspected():
+    # Guards against servers that are suspected while their events arrive.
+    async with open_running_harness() as harness:
+        view, pool = harness.context.view, harness.context.pool
+        delay_reports(harness, ["s0", "s1"], 5.0)
+        stand_in = harness.servers["s0"]
+        stand_in.events = 100
+        connection = await pool.acquire(stand_in.server.address)
+        headers = [(b"X-Attempt-Id", b"r1"), (b"X-Hop-Count", b"")]
+        await connection.send("POST", "/chat/x", headers, b"{}")
+        async with trio.open_nursery() as nursery:
+            await connection.receive()
+            nursery.start_soon(connection.receive_body, 1 << 20)
+            await trio.sleep(0.2)
+            servers = [view.servers["s0"], view.servers["s1"]]
+            assert await harness.prober.find_unresponsive(servers) == {"s1"}
+            await trio.sleep(1)
+            assert not view.is_suspected(servers[0])
+            nursery.cancel_scope.cancel()
--- a/tests/unit/test_runs.py
+++ b/tests/unit/test_runs.py
@@ -116,6 +116,42 @@
         assert harness.servers["b0"].requests or harness.servers["c0"].requests
 
 
+@pytest.mark.parametrize("delay_s", [0.06, 0.08, 0.25, 0.4, 0.7])
+@cases.run_on_virtual_clock
+async def test_servers_that_respond_late_to_probes_are_not_lost(delay_s):
+    """Guards against streams cut while their servers are overloaded.
+
+    The servers responded to each probe, but after its timeout.
+    """
+    async with open_harness() as harness:
+        refuse_at(harness, "b0", "c0")
+        harness.servers["a0"].faults = [servers_module.Fault("pause", 5)]
+        harness.servers["a0"].pause_s = 3.0
+        for stand_in in harness.servers.values():
+
+            async def report(responder, send=stand_in._send_report):
+                await trio.sleep(delay_s)
+                await send(responder)
+
+            stand_in._send_report = report
+        recorder = gateways.ResponseRecorder()
+        request = harness.make_request()
+        # The caller waits for eight times the objective.
+        route = dataclasses.replace(request.route, event_gap_objective_s=0.5)
+        stream = relays.Stream(
+            harness.context,
+            harness.prober,
+            dataclasses.replace(request, route=route),
+            recorder,
+        )
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(harness.prober.run)
+            await stream.run()
+            nursery.cancel_scope.cancel()
+        assert recorder.finished
+        assert harness.servers["a0"].runs == ["r1"]
+
+
 @cases.run_on_virtual_clock
 async def test_slow_path_ends_once_another_has_begun():
     """Guards against work for a stream that has gone on elsewhere."""
@@ -371,6 +407,23 @@
         assert 2.0 < trio.current_time() - began < 3.3
 
 
+@cases.run_on_virtual_clock
+async def test_server_that_a_stream_waits_for_is_lost_though_it_responds():
+    """Guards against a stream held for a link that is cut between two servers.
+
+    The later server responds to the probes of the entry all the time.
+    """
+    async with open_harness() as harness:
+        refuse_at(harness, "b0", "c0")
+        harness.servers["a0"].faults = [servers_module.Fault("stall", 5)]
+        harness.servers["a0"].accepts_orders = False
+        address = str(harness.servers["a1"].server.address)
+        harness.servers["a0"].failed_server = address
+        began = trio.current_time()
+        check_complete(await relay_beside(harness, make_silence(harness, [])))
+        assert 2.0 < trio.current_time() - began < 5.0
+
+
 @cases.run_on_virtual_clock
 async def test_silent_path_is_not_probed_beside_a_newer_run():
     """Guards against probes and repairs of a path that another one replaces."""
--- a/tests/unit/test_upstreams.py
+++ b/tests/unit/test_upstreams.py
@@ -281,3 +281,19 @@
             async with open_pool([head[:length], how]) as (pool, _):
                 with pytest.raises(upstreams.LostError):
                     await exchange(pool)
+
+
+@cases.run_on_virtual_clock
+async def test_time_at_which_an_address_was_heard_is_known_for_a_time():
+    # Guards against servers without a sign of life that count as alive, and
+    # against times that are kept for addresses that are gone.
+    async with open_pool([0.5, encode(b"r1", b"one")]) as (pool, _):
+        assert pool.get_heard_at(ADDRESS) == float("-inf")
+        connection = await pool.acquire(ADDRESS)
+        await connection.send("GET", "/", [], b"")
+        assert pool.get_heard_at(ADDRESS) == float("-inf")
+        await connection.receive()
+        assert trio.current_time() - pool.get_heard_at(ADDRESS) < 0.01
+        await trio.sleep(upstreams.HEARD_LIFETIME_S + 1)
+        pool.close_expired()
+        assert pool.get_heard_at(ADDRESS) == float("-inf")
