Wait for an event as long as the callers of the route do

Seen by callers: a stream was cut, or ended with "stream-lost", two seconds after its last event although its caller waits longer: the longest of two seconds, four latency objectives and eight event gap objectives, 2.4 s on the present deployments and 20 s on a route whose first event may take 5 s.

Cause: UNRESPONSIVE_LIMIT_S, PATH_WAIT_S (2 s) and STREAM_SILENCE_LIMIT_S (1.5 s) were the same for all routes. The last one ends no run, but started a second one where a wait is within the objective; and since the path was checked each half a second only, the second run began up to half a second after the limit, with no time left for its first event.

Ruled out: to keep a run until its deadline in any case. A caller that stays would wait for a server that is gone; the run ends half a second after the event timeout, which leaves time for an event that was on its way to the caller.

A second run beside a slow one begins after three quarters of it, and the check is due at that time.

Conclusion: no silence ends a stream before its caller has left.

--- a/packages/peridotyard-core/src/peridotyard_core/fleet.py
+++ b/packages/peridotyard-core/src/peridotyard_core/fleet.py
@@ -225,6 +225,8 @@
         targets: Names of services with their weights.
         max_attempts: Largest number of servers on which one request may run.
         public: Whether the route needs no API key.
+        event_timeout_s: Time without an event after which callers abandon a
+            stream, also before its first event, seconds.
     """
 
     name: str
@@ -238,6 +240,7 @@
     targets: tuple[tuple[str, float], ...]
     max_attempts: int
     public: bool = False
+    event_timeout_s: float = 2.0
 
 
 @dataclasses.dataclass(frozen=True)
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/relays.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/relays.py
@@ -23,11 +23,9 @@
 
 # Attempts to send one request, including refusals and resumptions.
 SEND_LIMIT = 5
-# Time after the last event for which a stream that has begun waits for a path
-# or the retry budget. Lost layers are loaded again in one or two seconds, and
-# callers wait for two seconds at least.
-PATH_WAIT_S = 2.0
-# Time between two searches for a path meanwhile.
+# Time between two searches for a path, or for a retry of the budget, while a
+# stream that has begun waits. Lost layers are loaded again in one or two
+# seconds.
 PATH_SEARCH_INTERVAL_S = 0.25
 
 _log = logs.Logger("stream")
@@ -252,6 +250,12 @@
         """Whether a run has ended with the final response."""
         return isinstance(self._outcome, (runs.Completed, runs.Passed))
 
+    @property
+    def _abandoned_at(self) -> float:
+        """Time at which the caller has left unless it receives an event."""
+        wait_s = runs.compute_caller_wait_s(self._request.route)
+        return self._progress.last_event_at + wait_s
+
     def _take_lead(self, run: runs.Run) -> None:
         """Ends the other runs, since this one sends to the caller."""
         for other in self._runs:
@@ -376,7 +380,7 @@
         """
         if not self._responder.started:
             return False
-        with trio.move_on_at(self._progress.last_event_at + PATH_WAIT_S):
+        with trio.move_on_at(self._abandoned_at):
             while True:
                 await trio.sleep(PATH_SEARCH_INTERVAL_S)
                 self._responder.check_connected()
@@ -424,7 +428,7 @@
         Args:
             last: Outcome of the previous path.
         """
-        with trio.move_on_at(self._progress.last_event_at + PATH_WAIT_S):
+        with trio.move_on_at(self._abandoned_at):
             while True:
                 await trio.sleep(PATH_SEARCH_INTERVAL_S)
                 path = await self._reserve_path(last)
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/runs.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/runs.py
@@ -42,12 +42,12 @@
 PROBE_TIME_FACTOR = 3
 # Weight of the newest gap in the moving average of the gaps.
 GAP_SMOOTHING = 0.2
-# Silence after which a stream is tried on another path although all its servers
-# respond. Callers give up on a stream without events for two seconds.
-STREAM_SILENCE_LIMIT_S = 1.5
-# Time without a response to probes after which a server counts as lost: sound
-# ones may be silent for a second, and callers give up after two at least.
-UNRESPONSIVE_LIMIT_S = 2.0
+# Part of the route's event timeout after which a stream is tried on another
+# path although all its servers respond. The rest is for the first event there.
+STREAM_SILENCE_FRACTION = 0.75
+# Time by which a caller may abandon a stream later than its route's event
+# timeout after the last event was sent, since that may have been on its way.
+CALLER_DELAY_S = 0.5
 # Slowness (1 is normal) from which a server of a stream without events is
 # replaced. Rerunning the prefix on another server costs about three slow steps.
 SLOWNESS_LIMIT = 3.0
@@ -500,7 +500,16 @@
             self._check_interval_s = min(
                 2 * self._check_interval_s, SILENCE_MAX_S
             )
-            self._check_at = trio.current_time() + self._check_interval_s
+            now = trio.current_time()
+            self._check_at = now + self._check_interval_s
+            if now < self._slow_at:
+                self._check_at = min(self._check_at, self._slow_at)
+
+    @property
+    def _slow_at(self) -> float:
+        """Time from which the stream is tried elsewhere unless events come."""
+        timeout_s = self._request.route.event_timeout_s
+        return self._last_activity_at + STREAM_SILENCE_FRACTION * timeout_s
 
     def _record_activity(self) -> None:
         """Records an event or the start of a path."""
@@ -550,7 +559,7 @@
                 return await self._repair_path(failed, silent_s)
             if await self._replace_slow_servers(silent_s):
                 return None
-        if silent_s >= STREAM_SILENCE_LIMIT_S:
+        if trio.current_time() >= self._slow_at:
             # All servers respond, so the path is slow. It is kept until another
             # one has the next event: that one may refuse, or be slow as well.
             self._notify_silent(
@@ -567,7 +576,7 @@
 
         A server without a response to probes may only be silent for a time, so
         the path is lost only if the process of its first server has ended, or
-        after `UNRESPONSIVE_LIMIT_S`.
+        once the caller has left.
         """
         first = self._path[0].server
         self._record_ends(self._successions)
@@ -630,8 +639,9 @@
         return max(since, self._context.pool.get_heard_at(server.address))
 
     def _has_lost_server(self) -> bool:
-        """Returns whether a server did not respond for too long."""
-        limit = trio.current_time() - UNRESPONSIVE_LIMIT_S
+        """Returns whether a server did not respond while a caller waits."""
+        wait_s = compute_caller_wait_s(self._request.route)
+        limit = trio.current_time() - wait_s
         return any(at <= limit for at in self._unresponsive_since.values())
 
     def _wait_or_abandon(
@@ -754,6 +764,11 @@
         return Refused(f"status {head.status} at {head.failed_address}", avoid)
 
 
+def compute_caller_wait_s(route: fleet.Route) -> float:
+    """Returns the silence after which callers have left a stream, seconds."""
+    return route.event_timeout_s + CALLER_DELAY_S
+
+
 def _identify(server: fleet.Server) -> tuple[str, int]:
     return server.instance, server.started_at_ms
 
--- a/tests/support/gateways.py
+++ b/tests/support/gateways.py
@@ -113,11 +113,16 @@
             retry_policy: Retry policy of the route; SAFE and ONCE also select
                 the plain service instead of the model.
             **changes: `request_id`, `time_limit_ms`, `last_event_id`, `body`
-                or `prompt` (parts of the prompt) of the request.
+                or `prompt` (parts of the prompt) of the request, or
+                `event_timeout_s` of its route.
         """
         plain = retry_policy in (fleet.RetryPolicy.SAFE, fleet.RetryPolicy.ONCE)
         route = dataclasses.replace(
-            ROUTE, retry_policy=retry_policy or ROUTE.retry_policy
+            ROUTE,
+            retry_policy=retry_policy or ROUTE.retry_policy,
+            event_timeout_s=changes.get(
+                "event_timeout_s", ROUTE.event_timeout_s
+            ),
         )
         engine = None if plain else fleets.make_engine(layers=20)
         service = fleet.Service(
--- a/tests/unit/test_relays.py
+++ b/tests/unit/test_relays.py
@@ -39,12 +39,12 @@
     return recorder
 
 
-async def relay_while(harness, interfere):
+async def relay_while(harness, interfere, **changes):
     """Returns the response to a stream while `interfere` runs."""
     responses = []
 
     async def run():
-        responses.append(await relay(harness))
+        responses.append(await relay(harness, **changes))
 
     async with trio.open_nursery() as nursery:
         nursery.start_soon(run)
@@ -888,9 +888,12 @@
         assert b"\xa7" not in recorder.body
 
 
+@pytest.mark.parametrize(("timeout_s", "loaded_s"), [(2.0, 1.2), (4.0, 3.2)])
 @pytest.mark.parametrize("kind", ["crash", "stall"])
 @cases.run_on_virtual_clock
-async def test_stream_waits_for_lost_layers_to_be_loaded_again(kind):
+async def test_stream_waits_for_lost_layers_to_be_loaded_again(
+    kind, timeout_s, loaded_s
+):
     """Guards against streams that are cut while a repair is on its way.
 
     Load pattern: the only copy of some layers is lost under load. All streams
@@ -912,29 +915,34 @@
         async def repair():
             await trio.sleep(0.2)
             view.suspect(view.servers[lost], "test")
-            await trio.sleep(1.2)
+            await trio.sleep(loaded_s)
             view.apply_report("b0", fleet.LayerRange(0, 8))
             view.apply_report("b1", fleet.LayerRange(8, 20))
 
-        check_complete(await relay_while(harness, repair))
+        check_complete(
+            await relay_while(harness, repair, event_timeout_s=timeout_s)
+        )
 
 
+@pytest.mark.parametrize(("timeout_s", "after_s"), [(2.0, 0.8), (4.0, 3.8)])
 @cases.run_on_virtual_clock
-async def test_stream_that_has_begun_waits_for_the_retry_budget():
+async def test_stream_that_has_begun_waits_for_the_retry_budget(
+    timeout_s, after_s
+):
     """Guards against a stream that is cut although it could go on soon.
 
-    The share of an entry grows after its start, and callers wait for two
-    seconds after the last event.
+    The share of an entry grows after its start, and callers wait for the event
+    timeout of their route after the last event.
     """
     async with gateways.open_harness(
         gateways.make_servers(LAYER_RANGES)
     ) as harness:
         harness.servers["a0"].faults = [servers_module.Fault("crash", 4)]
-        available_at = trio.current_time() + 0.8
+        available_at = trio.current_time() + after_s
         harness.context.spend_retry = lambda *_: (
             trio.current_time() >= available_at
         )
-        check_complete(await relay(harness))
+        check_complete(await relay(harness, event_timeout_s=timeout_s))
 
 
 @cases.run_on_virtual_clock
--- a/tests/unit/test_runs.py
+++ b/tests/unit/test_runs.py
@@ -101,6 +101,59 @@
         check_complete(await relay_beside(harness, interfere))
 
 
+@pytest.mark.parametrize("timeout_s", [3.0, 5.0])
+@cases.run_on_virtual_clock
+async def test_silent_server_is_waited_for_as_long_as_the_caller_waits(
+    timeout_s,
+):
+    """Guards against streams cut by the entry while their callers wait.
+
+    A server counted as lost after two seconds on all routes.
+    """
+    async with open_harness() as harness:
+        refuse_at(harness, "b0", "c0")
+        silence = ("a0", 0.3, timeout_s - 0.1)
+        recorder = await relay_beside(
+            harness,
+            make_silence(harness, [silence]),
+            event_timeout_s=timeout_s,
+        )
+        check_complete(recorder)
+
+
+@cases.run_on_virtual_clock
+async def test_slow_path_is_left_in_time_for_the_first_event_elsewhere():
+    """Guards against a second run whose events come after the caller has left.
+
+    Between two checks of the path, up to half a second was lost.
+    """
+    async with open_harness() as harness:
+        harness.servers["a0"].faults = [servers_module.Fault("pause", 5)]
+        check_complete(await relay_beside(harness, make_silence(harness, [])))
+        (arrived_at,) = harness.servers["a0"].arrived_at
+        (resumed_at,) = harness.servers["b0"].arrived_at or (
+            harness.servers["c0"].arrived_at
+        )
+        silent_s = resumed_at - arrived_at - 5 * servers_module.EVENT_GAP_S
+        assert 1.5 <= silent_s < 1.6
+
+
+@cases.run_on_virtual_clock
+async def test_stream_within_its_objectives_has_no_second_run():
+    """Guards against runs in addition where callers expect to wait.
+
+    Load pattern: prompts that take seconds to read, on a route whose latency
+    objective allows for that.
+    """
+    async with open_harness() as harness:
+        harness.servers["a0"].faults = [servers_module.Fault("pause", 0)]
+        recorder = await relay_beside(
+            harness, make_silence(harness, []), event_timeout_s=20.0
+        )
+        check_complete(recorder)
+        assert sum(len(s.requests) for s in harness.servers.values()) == 1
+
+
 @cases.run_on_virtual_clock
 async def test_slow_path_is_kept_until_another_has_begun():
     """Guards against streams cut by the entry although their path is only slow.
@@ -190,11 +243,13 @@
         assert not any(loads.values())
 
 
+# Instance, start and duration of each silence, the times as parts of the event
+# timeout of the route.
 _SILENCES = strategies.lists(
     strategies.tuples(
         strategies.sampled_from([item[0] for item in LAYER_RANGES]),
-        strategies.floats(0, 1.5),
-        strategies.floats(0.2, 1.6),
+        strategies.floats(0, 0.75),
+        strategies.floats(0.1, 0.8),
     ),
     max_size=8,
     unique_by=lambda item: item[0],
@@ -207,21 +262,30 @@
     slow=strategies.dictionaries(
         strategies.sampled_from(["a0", "b0", "c0"]), strategies.integers(0, 9)
     ),
+    timeout_s=strategies.sampled_from([2.0, 2.4, 4.0]),
 )
-@hypothesis.settings(max_examples=60, deadline=None)
-def test_streams_outlast_any_silence_of_sound_servers(silences, refusing, slow):
+@hypothesis.settings(max_examples=120, deadline=None)
+def test_streams_outlast_any_silence_of_sound_servers(
+    silences, refusing, slow, timeout_s
+):
     """Guards against a stream that is cut while a server may still run it."""
 
     async def play():
         async with open_harness() as harness:
             refuse_at(harness, *refusing)
             for name, after in slow.items():
-                harness.servers[name].pause_s = 1.9
+                harness.servers[name].pause_s = 0.95 * timeout_s
                 harness.servers[name].faults.insert(
                     0, servers_module.Fault("pause", after)
                 )
+            scaled = [
+                (name, timeout_s * begin, timeout_s * duration)
+                for name, begin, duration in silences
+            ]
             recorder = await relay_beside(
-                harness, make_silence(harness, silences)
+                harness,
+                make_silence(harness, scaled),
+                event_timeout_s=timeout_s,
             )
             runs = sum(len(s.runs) for s in harness.servers.values())
             limit = gateways.ROUTE.max_attempts
@@ -391,8 +455,9 @@
         assert not harness.context.view.count_in_flight()
 
 
+@pytest.mark.parametrize("timeout_s", [2.0, 4.0])
 @cases.run_on_virtual_clock
-async def test_stream_whose_server_is_lost_ends_visibly_in_time():
+async def test_stream_whose_server_is_lost_ends_visibly_in_time(timeout_s):
     """Guards against a stream that is held for a server that never responds.
 
     A caller whose stream has ended resumes it at another entry.
@@ -401,10 +466,13 @@
         refuse_at(harness, "b0", "c0")
         interfere = make_silence(harness, [("a0", 0.3, 60.0)])
         began = trio.current_time()
-        recorder = await relay_beside(harness, interfere)
+        recorder = await relay_beside(
+            harness, interfere, event_timeout_s=timeout_s
+        )
         assert recorder.started
         assert not recorder.finished
-        assert 2.0 < trio.current_time() - began < 3.3
+        duration_s = trio.current_time() - began
+        assert timeout_s < duration_s < timeout_s + 1.3
 
 
 @cases.run_on_virtual_clock
--- a/tests/unit/test_schema.py
+++ b/tests/unit/test_schema.py
@@ -156,10 +156,33 @@
             check_routing(schema.Schema(2.5).decode_routing(value))
 
 
+@pytest.mark.parametrize(
+    ("objectives", "timeout_s"),
+    [
+        ({"targetLatencyMs": 100, "gapAimMs": 100}, 2.0),
+        ({"targetLatencyMs": 603, "gapAimMs": 250}, 2.412),
+        ({"targetLatencyMs": 500, "gapAimMs": 300}, 2.4),
+        ({"targetLatencyMs": 5000, "gapAimMs": None}, 20.0),
+        ({}, 4.0),
+    ],
+)
+def test_event_timeout_follows_from_the_objectives_of_a_route(
+    objectives, timeout_s
+):
+    """Guards against streams that are ended while their callers wait."""
+    (route,) = CONFIGURATION["routes"]
+    absent = ("targetLatencyMs", "gapAimMs")
+    kept = {key: route[key] for key in route if key not in absent}
+    value = CONFIGURATION | {"routes": [kept | objectives]}
+    routing = schema.Schema(2.5).decode_routing(json.dumps(value).encode())
+    assert routing.routes[0].event_timeout_s == pytest.approx(timeout_s)
+
+
 def check_routing(routing: fleet.Routing) -> None:
     assert 0 <= routing.version <= documents.MAX_INT64
     for route in routing.routes:
         assert 0 <= route.timeout_s <= schema.MAX_MS
+        assert 2.0 <= route.event_timeout_s < float("inf")
         assert sum(weight for _, weight in route.targets) > 0
         routing.match("x", "/a/")
     for service in routing.services.values():
