Count the sends of a stream since its last event

Seen by callers: a stream was cut 1.9 s after its last event, while its caller waited, since the paths tried next refused it ("stream given up" with reason "sends").

Cause: SEND_LIMIT bounds the attempts in one try to get an answer, but counted those of the whole stream. Refusals before the first event, or a second run that was not needed, left one or two attempts to a stream whose server ended seconds later.

Ruled out: a higher limit, which adds sends in an overload before the first event. The retry budget and the limit of attempts that may have run bound the sends as before.

Change: the limit counts the sends since the last event.

Evidence: test_refusals_before_the_first_event_end_no_stream_that_has_begun failed before and passes now (python -m pytest tests/unit/test_relays.py tests/unit/test_runs.py).

Conclusion: what a stream met before it began does not end it later.

--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/relays.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/relays.py
@@ -21,7 +21,7 @@
 from peridotyard_daemon.request import contexts
 from peridotyard_daemon.request import runs
 
-# Attempts to send one request, including refusals and resumptions.
+# Attempts to send one request between two of its events, including refusals.
 SEND_LIMIT = 5
 # Time between two searches for a path, or for a retry of the budget, while a
 # stream that has begun waits. Lost layers are loaded again in one or two
@@ -56,6 +56,8 @@
         self._error: Exception | None = None
         # Number of times that the request was sent or about to be sent.
         self._sends = 0
+        # The same since the last event.
+        self._sends_without_event = 0
         # Instances that refused the request or failed on an earlier path.
         self._avoid: frozenset[str] = frozenset()
         # Whether a path may have run a part of the request.
@@ -142,7 +144,7 @@
             if self._may_have_run and not self._may_resume(self._possible_runs):
                 self._log_given_up("attempts")
                 break
-            if self._sends >= SEND_LIMIT:
+            if self._sends_without_event >= SEND_LIMIT:
                 self._log_given_up("sends")
                 break
         return self._outcome or runs.Refused("no path", frozenset())
@@ -152,8 +154,8 @@
 
         Args:
             reason: What is missing: a path, a retry of the budget, an attempt
-                ("attempts": servers that may run the request, "sends": all), or
-                "quarantined".
+                ("attempts": servers that may run the request, "sends": all
+                since the last event), or "quarantined".
         """
         last_event_at = self._progress.last_event_at
         self._request.log(
@@ -223,6 +225,7 @@
                 path = await find_path()
                 if path is not None:
                     self._sends += 1
+                    self._sends_without_event += 1
                     outcome = await run.execute(path)
         except Exception as error:
             # Raised later, since the nursery would wrap it in a group.
@@ -258,6 +261,7 @@
 
     def _take_lead(self, run: runs.Run) -> None:
         """Ends the other runs, since this one sends to the caller."""
+        self._sends_without_event = 0
         for other in self._runs:
             if other is not run:
                 other.scope.cancel()
@@ -290,7 +294,7 @@
         """
         context, request = self._context, self._request
         # One send is left for the case that the other path refuses.
-        if len(self._runs) > 1 or self._sends + 1 >= SEND_LIMIT:
+        if len(self._runs) > 1 or self._sends_without_event + 1 >= SEND_LIMIT:
             return False
         return (
             self._may_resume(self._possible_runs + 1)
--- a/tests/unit/test_relays.py
+++ b/tests/unit/test_relays.py
@@ -971,6 +971,26 @@
         assert not harness.servers["a0"].faults
 
 
+@cases.run_on_virtual_clock
+async def test_refusals_before_the_first_event_end_no_stream_that_has_begun():
+    """Guards against a stream cut for the refusals that it met before it began.
+
+    Load pattern: an overloaded fleet, which refuses a stream several times. It
+    begins, its server crashes seconds later, and the next path refuses.
+    """
+    refusal = servers_module.Fault("refuse")
+    faults = [refusal] * 3 + [servers_module.Fault("crash", 4), refusal]
+    layer_ranges = [(f"s{n}", "a", (0, 20)) for n in range(8)]
+    async with gateways.open_harness(
+        gateways.make_servers(layer_ranges)
+    ) as harness:
+        for server in harness.servers.values():
+            # Whichever server is chosen next takes the next fault.
+            server.faults = faults
+        check_complete(await relay(harness))
+        assert not faults
+
+
 @cases.run_on_virtual_clock
 async def test_refused_callers_return_at_different_times():
     """Guards against callers that fill the servers at once again."""
