Return to servers that refused a stream earlier

Seen by callers: a stream whose server ended was cut when its caller's patience was over, with "no path", though a server was free that had refused it once; and a stream stayed on a silent path to its end beside a server that had refused it before its first event.

Cause: a server that refused was avoided for the rest of the stream. That is right for the next attempt, but a full server has room again within a second, and the view leaves it out for 0.4 s and more by itself.

Ruled out: no avoidance at all. A request that has not begun would be sent to the same full servers instead of being refused at once.

Change: refusals are kept apart from failures and dropped at the next event; a stream that has begun and waits for a path returns to servers that the view does not leave out. The retry budget and the limit of sends hold as before.

Evidence: test_stream_that_has_begun_returns_to_a_server_that_refused_it and test_server_that_refused_before_the_first_event_is_used_later (3.1 s instead of less than 2.2 s) failed before and pass now (python -m pytest tests/unit/test_relays.py tests/unit/test_runs.py).

Conclusion: one refusal excludes a server from one attempt, not from the stream.

--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/relays.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/relays.py
@@ -58,8 +58,10 @@
         self._sends = 0
         # The same since the last event.
         self._sends_without_event = 0
-        # Instances that refused the request or failed on an earlier path.
-        self._avoid: frozenset[str] = frozenset()
+        # Instances that failed on an earlier path.
+        self._failed: frozenset[str] = frozenset()
+        # Instances that refused the request since the last event.
+        self._refused: frozenset[str] = frozenset()
         # Whether a path may have run a part of the request.
         self._may_have_run = False
         # Number of paths that may still run a part of the request.
@@ -240,9 +242,9 @@
             case runs.Completed() | runs.Passed():
                 self._take_lead(run)
             case runs.Refused(avoid=avoid):
-                self._avoid |= avoid
+                self._refused |= avoid
             case runs.Broken(avoid=avoid, ended=ended):
-                self._avoid |= avoid
+                self._failed |= avoid
                 self._possible_runs += not ended
         if outcome is not None and not self._is_done:
             self._outcome = outcome
@@ -262,6 +264,7 @@
     def _take_lead(self, run: runs.Run) -> None:
         """Ends the other runs, since this one sends to the caller."""
         self._sends_without_event = 0
+        self._refused = frozenset()
         for other in self._runs:
             if other is not run:
                 other.scope.cancel()
@@ -282,7 +285,9 @@
             denied: Instances with which it must not begin.
         """
         return self._context.view.choose_path(
-            self._request.service, self._avoid | failed, denied | {first}
+            self._request.service,
+            self._failed | self._refused | failed,
+            denied | {first},
         )
 
     def _may_move(self, run: runs.Run, failed: frozenset[str]) -> bool:
@@ -419,11 +424,17 @@
             not_first: Instances with which the path must not begin.
         """
         view, service = self._context.view, self._request.service
-        path = view.choose_path(service, self._avoid, not_first)
-        if path is None and isinstance(last, runs.Broken):
-            # Without other servers, those that lost an earlier attempt may be
-            # used again. Servers that refused would refuse again.
+        avoid = self._failed | self._refused
+        path = view.choose_path(service, avoid, not_first)
+        if path is not None or last is None:
+            return path
+        # Without other servers, those that lost an earlier attempt may be used
+        # again. Servers that refused do so again at once, so only a stream that
+        # waits returns to them; the view leaves them out for a time.
+        if isinstance(last, runs.Broken):
             path = view.choose_path(service, last.avoid, not_first)
+        elif self._responder.started:
+            path = view.choose_path(service, frozenset(), not_first)
         return path
 
     async def _wait_for_path(self, last: runs.Outcome) -> paths.Path | None:
--- a/tests/unit/test_relays.py
+++ b/tests/unit/test_relays.py
@@ -991,6 +991,63 @@
         assert not faults
 
 
+@cases.run_on_virtual_clock
+async def test_stream_that_has_begun_returns_to_a_server_that_refused_it():
+    """Guards against a stream cut since the only other server was full once.
+
+    Load pattern: a server ends under load, and the next one is full for part of
+    a second.
+    """
+    layer_ranges = [(f"s{n}", "a", (0, 20)) for n in range(2)]
+    async with gateways.open_harness(
+        gateways.make_servers(layer_ranges)
+    ) as harness:
+
+        async def lose():
+            await trio.sleep(0.2)
+            (used,) = [n for n in harness.servers if harness.servers[n].runs]
+            (other,) = set(harness.servers) - {used}
+            harness.servers[other].faults = [servers_module.Fault("refuse")]
+            harness.kill(used)
+
+        check_complete(await relay_while(harness, lose))
+
+
+@cases.run_on_virtual_clock
+async def test_server_that_refused_before_the_first_event_is_used_later():
+    """Guards against a stream that stays on a silent path beside a free one.
+
+    The free server was full when the stream arrived.
+    """
+    faults = [servers_module.Fault("refuse")]
+    layer_ranges = [(f"s{n}", "a", (0, 20)) for n in range(2)]
+    async with gateways.open_harness(
+        gateways.make_servers(layer_ranges)
+    ) as harness:
+        for server in harness.servers.values():
+            # The server that is chosen first refuses.
+            server.faults = faults
+
+        async def fall_silent():
+            await trio.sleep(0.2)
+            (used,) = [s for s in harness.servers.values() if s.runs]
+            began = trio.current_time()
+            await used.fall_silent(60.0)
+            assert ended_at < began + gateways.ROUTE.event_timeout_s
+
+        ended_at = None
+
+        async def run():
+            nonlocal ended_at
+            check_complete(await relay(harness))
+            ended_at = trio.current_time()
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(run)
+            nursery.start_soon(fall_silent)
+        assert not faults
+
+
 @cases.run_on_virtual_clock
 async def test_refused_callers_return_at_different_times():
     """Guards against callers that fill the servers at once again."""
