Drop idle connections of streams and orders before the server does

Seen by callers: a stream sent on a kept connection at the moment at which its server closes that connection is lost; it counts as one that may have run, so with two attempts one is left, and a caller whose route allows one gets a failure. The same holds for orders and reports.

Cause: servers state in Keep-Alive when they close idle connections. Only the forwarder of plain requests passed that on to the pool. Connections that carried a stream, a report or an order were kept for four seconds whatever the server stated, and are used for requests of callers as well.

Ruled out: the check for unread bytes before a connection is used finds a close that has arrived, not one on its way.

Change: the connection reads the header of each response itself and the pool uses it, for all kinds of requests; the field of the codec is gone. test_codec's assertions on that field are replaced by test_idle_connection_of_a_fetch_is_dropped_in_time, which has the malformed values too.

Conclusion: what a server states about a connection holds whatever it carried.

--- a/packages/peridotyard-core/src/peridotyard_core/exchanges.py
+++ b/packages/peridotyard-core/src/peridotyard_core/exchanges.py
@@ -108,8 +108,6 @@
         not_run: Whether the server states that it did not run the request.
         failed_address: Address of the failed server of the path, None if the
             response does not name one.
-        keep_alive_s: Time for which the server keeps an idle connection open,
-            seconds; None if the response does not state it.
         headers: Headers to forward to the caller.
         statement: What the server states about itself.
     """
@@ -119,7 +117,6 @@
     signed: bool
     not_run: bool
     failed_address: addresses.Address | None
-    keep_alive_s: float | None
     headers: Headers
     statement: ServerStatement = ServerStatement()
 
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/connection/upstreams.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/connection/upstreams.py
@@ -10,6 +10,7 @@
 import collections.abc
 import contextlib
 import dataclasses
+import re
 import select
 import socket
 import struct
@@ -46,6 +47,10 @@
 FETCH_LIMIT_BYTES = 4 << 20
 # Headers that state where a body ends.
 FRAMING_HEADERS = frozenset((b"content-length", b"transfer-encoding"))
+# Timeout of idle connections in a Keep-Alive header, whole seconds.
+_KEEP_ALIVE_TIMEOUT = re.compile(
+    rb"(?:.*,)?\s*timeout=([0-9]{1,9})\s*(?:,.*)?", re.IGNORECASE
+)
 # Idle connections per server. More would use up connections that other entries
 # need, since the server limits the total of all entries.
 IDLE_LIMIT = 12
@@ -174,6 +179,8 @@
         is_framed: Whether the response has a length or chunks; otherwise, it
             ends with the connection.
         is_reused: Whether it has carried another request before.
+        keep_alive_s: Time for which the server keeps it open while idle,
+            seconds; None if the last response does not state it.
     """
 
     def __init__(
@@ -194,6 +201,7 @@
         self.address = address
         self.is_framed = True
         self.is_reused = False
+        self.keep_alive_s: float | None = None
         self._stream = stream
         self._notify_received = notify_received
         self._http = h11.Connection(h11.CLIENT)
@@ -250,6 +258,7 @@
             if isinstance(event, h11.Response):
                 names = {name for name, _ in event.headers}
                 self.is_framed = not names.isdisjoint(FRAMING_HEADERS)
+                self.keep_alive_s = _find_keep_alive(event.headers)
             if event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
                 raise LostError(f"{self.address}: the response ended early")
             return event
@@ -395,22 +404,15 @@
         with trio.move_on_after(REFUSAL_TIMEOUT_S):
             (await self.acquire(address, force_new=True)).abort()
 
-    def release(
-        self, connection: Connection, keep_alive_s: float | None = None
-    ) -> None:
-        """Returns a connection to the pool after a complete response.
-
-        Args:
-            connection: The connection.
-            keep_alive_s: The server's idle timeout; None if not stated.
-        """
+    def release(self, connection: Connection) -> None:
+        """Returns a connection to the pool after a complete response."""
         idle = self._idle[connection.address]
         if not connection.try_start_next_cycle() or len(idle) >= IDLE_LIMIT:
             connection.abort()
             return
         limit_s = IDLE_TIMEOUT_S
-        if keep_alive_s is not None:
-            limit_s = min(limit_s, keep_alive_s - IDLE_MARGIN_S)
+        if connection.keep_alive_s is not None:
+            limit_s = min(limit_s, connection.keep_alive_s - IDLE_MARGIN_S)
         if limit_s <= 0:
             connection.abort()
             return
@@ -509,3 +511,12 @@
             f"{address}: no response within {timeout_s} s"
         )
         return result.Failure(timeout)
+
+
+def _find_keep_alive(headers) -> float | None:
+    """Returns the timeout in a Keep-Alive header, None if there is none."""
+    for name, value in headers:
+        if name == b"keep-alive":
+            found = _KEEP_ALIVE_TIMEOUT.fullmatch(value)
+            return float(found[1]) if found else None
+    return None
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/forwards.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/forwards.py
@@ -310,7 +310,6 @@
         sent = False
         connection = None
         outcome: Outcome = TimedOut(sent=False)
-        keep_alive_s = None
         with request.answer_limit.move_on_at(trio.current_time() + limit_s):
             try:
                 connection = await context.pool.acquire(server.address)
@@ -328,7 +327,6 @@
                 )
                 context.statements.record(server, head)
                 body = await read_body(connection)
-                keep_alive_s = head.keep_alive_s
                 outcome = _classify_response(
                     head, body, request.head.request_id
                 )
@@ -339,7 +337,7 @@
             finally:
                 if connection is not None:
                     if isinstance(outcome, (Responded, Refused)):
-                        context.pool.release(connection, keep_alive_s)
+                        context.pool.release(connection)
                     else:
                         connection.abort()
         if isinstance(outcome, TimedOut):
--- a/tests/unit/test_codec.py
+++ b/tests/unit/test_codec.py
@@ -199,7 +199,6 @@
         ),
     )
     assert head.signed
-    assert head.keep_alive_s == 5
     assert head.headers == ((b"X-Server-Signature", b"s"),)
 
 
@@ -488,14 +487,7 @@
     assert head.time_limit_s is None
     assert head.last_event_id is None
     assert (head.prompt_tokens, head.response_tokens) == (0, 0)
-    answer = WIRE.decode_response(
-        503,
-        (
-            (b"Keep-Alive", b"timeout=" + value),
-            (b"At-Server", b"10.0.0.1:" + value),
-        ),
-    )
-    assert answer.keep_alive_s is None
+    answer = WIRE.decode_response(503, ((b"At-Server", b"10.0.0.1:" + value),))
     assert answer.failed_address is None
 
 
--- a/tests/unit/test_relays.py
+++ b/tests/unit/test_relays.py
@@ -1048,6 +1048,31 @@
         assert not faults
 
 
+@cases.run_on_virtual_clock
+async def test_idle_connection_of_a_stream_is_dropped_in_time():
+    """Guards against a stream sent on a connection that its server is closing.
+
+    It is lost with the connection, and counts as one that may have run.
+    """
+    async with gateways.open_harness(
+        gateways.make_servers([("s0", "a", (0, 20))])
+    ) as harness:
+        acquire = harness.context.pool.acquire
+        reused = []
+
+        async def acquire_recorded(address, *args, **options):
+            connection = await acquire(address, *args, **options)
+            reused.append(connection.is_reused)
+            return connection
+
+        harness.context.pool.acquire = acquire_recorded
+        harness.servers["s0"].stated = ((b"Keep-Alive", b"timeout=2"),)
+        for wait_s in (0.9, 1.1, 0.0):
+            check_complete(await relay(harness))
+            await trio.sleep(wait_s)
+        assert reused == [False, True, False]
+
+
 @cases.run_on_virtual_clock
 async def test_refused_callers_return_at_different_times():
     """Guards against callers that fill the servers at once again."""
--- a/tests/unit/test_statements.py
+++ b/tests/unit/test_statements.py
@@ -33,7 +33,6 @@
         signed=True,
         not_run=False,
         failed_address=None,
-        keep_alive_s=None,
         headers=(),
         statement=exchanges.ServerStatement(limit, **stated),
     )
--- a/tests/unit/test_upstreams.py
+++ b/tests/unit/test_upstreams.py
@@ -72,9 +72,9 @@
 async def exchange(pool, request_id="r1"):
     connection = await pool.acquire(ADDRESS)
     await connection.send("POST", "/x", [(b"Host", b"a")], b"body")
-    head = await forwards.receive_head(connection, codec.Codec(), request_id)
+    await forwards.receive_head(connection, codec.Codec(), request_id)
     body = await forwards.read_body(connection)
-    pool.release(connection, head.keep_alive_s)
+    pool.release(connection)
     return body
 
 
@@ -168,6 +168,37 @@
         assert len(dialed) == 2
 
 
+@pytest.mark.parametrize(
+    ("stated", "idle_s"),
+    [
+        (b"timeout=3", 2.0),
+        (b"max=5, timeout=3", 2.0),
+        (b"Timeout=2", 1.0),
+        (b"timeout=100", 4.0),
+        (b"max=2", 4.0),
+        (b"timeout=", 4.0),
+        (b"timeout=-3", 4.0),
+        (b"timeout=" + b"9" * 5000, 4.0),
+        (b"timeout=\xb2", 4.0),
+    ],
+)
+@cases.run_on_virtual_clock
+async def test_idle_connection_of_a_fetch_is_dropped_in_time(stated, idle_s):
+    """Guards against a request on a connection that the server is closing.
+
+    The timeout that servers state was used for plain requests alone, and
+    requests are sent on the connections of reports and orders too.
+    """
+    stated = b"Keep-Alive: " + stated + b"\r\n"
+    for wait_s, connections in ((idle_s - 0.1, 1), (idle_s + 0.1, 2)):
+        responses = [[encode(b"", b"one", stated)]] * 2
+        async with open_pool(*responses) as (pool, dialed):
+            await pool.fetch(ADDRESS, "GET", "/report")
+            await trio.sleep(wait_s)
+            await pool.fetch(ADDRESS, "GET", "/report")
+            assert len(dialed) == connections
+
+
 @cases.run_on_virtual_clock
 async def test_informational_responses_are_skipped():
     """Guards against a 1xx response taken for the final one."""
