Go on with a skipped response after a check of the path

Seen by callers: a stream was lost, and counted as one that may have run, though its server was about to answer.

Cause: the head of a response is awaited with pauses, since the path of a stream is checked after a silence; each check cancels the wait, which then begins again. If the wait was skipping a late response to an earlier request, the new one took the rest of that response's body for bytes ahead of the head ("bytes ahead of the response's head").

Ruled out: a wait that no check interrupts. A server that pauses within the stray response would hold the stream without a check of its path.

Change: the connection knows that it skips a response, and the next wait goes on with it.

Evidence: test_response_that_is_skipped_may_pause failed before (LostError) and passes now, with the modules of upstreams, relays, runs and forwards.

Conclusion: a wait for a head may be cancelled at any byte.

--- a/packages/peridotyard-daemon/src/peridotyard_daemon/connection/upstreams.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/connection/upstreams.py
@@ -179,6 +179,8 @@
         is_framed: Whether the response has a length or chunks; otherwise, it
             ends with the connection.
         is_reused: Whether it has carried another request before.
+        is_skipping: Whether the response in progress belongs to another
+            request, see `skip_response`.
         keep_alive_s: Time for which the server keeps it open while idle,
             seconds; None if the last response does not state it.
     """
@@ -201,6 +203,7 @@
         self.address = address
         self.is_framed = True
         self.is_reused = False
+        self.is_skipping = False
         self.keep_alive_s: float | None = None
         self._stream = stream
         self._notify_received = notify_received
@@ -279,15 +282,20 @@
                 raise LostError(f"{self.address}: response body is too long")
         return bytes(body)
 
-    def skip_response(self) -> None:
-        """Prepares to read another response to the request that was sent.
+    async def skip_response(self, limit_bytes: int) -> None:
+        """Receives the rest of a response to another request.
 
         A server may send a second response to an earlier request before the
-        expected one. Call this after the end of the response to skip.
+        expected one. If this is cancelled, call it again.
+
+        Args:
+            limit_bytes: Largest length of the rest of the body.
 
         Raises:
-            LostError: The server closes the connection after that response.
+            LostError: The response ended early or is longer than the limit, or
+                the server closes the connection after it.
         """
+        await self.receive_body(limit_bytes)
         trailing, closed = self._http.trailing_data
         if self._http.their_state is not h11.DONE or closed:
             raise LostError(
@@ -304,6 +312,7 @@
         if trailing:
             next_http.receive_data(trailing)
         self._http = next_http
+        self.is_skipping = False
 
     def try_start_next_cycle(self) -> bool:
         """Prepares for another request; returns whether one can be sent."""
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/forwards.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/forwards.py
@@ -81,10 +81,14 @@
     ahead of the awaited response. Without a name, a response on a reused
     connection may be one to an earlier request.
 
+    If it is cancelled, a later call goes on.
+
     Raises:
         LostError: There is no such response.
     """
     while True:
+        if connection.is_skipping:
+            await connection.skip_response(RESPONSE_LIMIT_BYTES)
         event = await connection.receive()
         if not isinstance(event, h11.Response):
             raise upstreams.LostError("bytes ahead of the response's head")
@@ -105,8 +109,7 @@
             answer=head.request_id,
             address=connection.address,
         )
-        await read_body(connection)
-        connection.skip_response()
+        connection.is_skipping = True
 
 
 async def read_body(connection: upstreams.Connection) -> bytes:
--- a/tests/unit/test_upstreams.py
+++ b/tests/unit/test_upstreams.py
@@ -100,6 +100,29 @@
         assert await exchange(pool, "r2") == b"two"
 
 
+@cases.run_on_virtual_clock
+async def test_response_that_is_skipped_may_pause():
+    """Guards against a sound run lost to a pause within a stray response.
+
+    While a stream waits for the head of its response, each check of its path
+    cancels the wait, which then begins again.
+    """
+    stray = encode(b"r1", b"one")
+    steps = [step for byte in stray for step in (bytes([byte]), 0.02)]
+    async with open_pool([stray], [*steps, encode(b"r2", b"two")]) as (pool, _):
+        assert await exchange(pool) == b"one"
+        connection = await pool.acquire(ADDRESS)
+        await connection.send("POST", "/x", [(b"Host", b"a")], b"body")
+        head = None
+        while head is None:
+            with trio.move_on_after(0.05):
+                head = await forwards.receive_head(
+                    connection, codec.Codec(), "r2"
+                )
+        assert head.request_id == "r2"
+        assert await forwards.read_body(connection) == b"two"
+
+
 @cases.run_on_virtual_clock
 async def test_connection_with_bytes_after_the_response_is_not_reused():
     """Guards against stray bytes that are read as the next response."""
