Log the known and the stated limit of each request

What callers saw: nothing.

Change: 'request sent on a path' has the known limit of the first server, 'path ended' the stated one, the line of an attempt of a plain request both. No new lines.

Evidence: test_log_of_a_run_shows_the_known_and_the_stated_limit (relays) and test_log_of_an_attempt_shows_the_known_and_the_stated_limit (forwards); without the change both fail (fields missing).

Conclusion: each request of a limited server can be traced in the logs.

--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/forwards.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/forwards.py
@@ -257,6 +257,7 @@
         health = context.view.get_health(server)
         health.in_flight += 1
         successions = context.parts.get_successions(request.shared_parts)
+        known_limit_per_s = context.statements.find_limit(server)
         started = trio.current_time()
         try:
             outcome = await self._exchange(request, server, limit_s)
@@ -286,6 +287,8 @@
             outcome=_describe(outcome),
             ms=round(1000 * duration_s),
             attempt=len(tried) + 1,
+            limit_per_s=known_limit_per_s,
+            stated_limit_per_s=_get_stated_limit(outcome),
             routing=request.version,
             fleet_age_ms=context.get_fleet_age_ms(),
         )
@@ -396,6 +399,13 @@
     return True
 
 
+def _get_stated_limit(outcome: Outcome) -> float | None:
+    match outcome:
+        case Responded(head=head):
+            return head.statement.limit_per_s
+    return None
+
+
 def _describe(outcome: Outcome) -> str:
     match outcome:
         case Responded(head=head):
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/runs.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/runs.py
@@ -176,6 +176,8 @@
         self.scope = trio.CancelScope()
         # Whether a server may have received the request.
         self._is_sent = False
+        # Limit in the head of the response; None without one.
+        self._stated_limit_per_s: float | None = None
         # Known crashes for the parts of the prompt when the path was set.
         self._successions: tuple[int, ...] = ()
         # Number of the last event before this run.
@@ -211,6 +213,7 @@
             path=describe_path(path),
             after=self._progress.sequence.last,
             prompt=",".join(request.head.prompt_parts),
+            limit_per_s=context.statements.find_limit(first_server),
             routing=request.version,
             fleet_age_ms=context.get_fleet_age_ms(),
         )
@@ -257,6 +260,7 @@
                 ended=getattr(outcome, "ended", False),
                 last_event=self._progress.sequence.last,
                 longest_gap_ms=round(1000 * self._progress.longest_gap_s),
+                stated_limit_per_s=self._stated_limit_per_s,
             )
         return outcome
 
@@ -425,6 +429,7 @@
         """
         statements = self._context.statements
         statements.record(self._path[0].server, head)
+        self._stated_limit_per_s = head.statement.limit_per_s
         for stage in self._path[1:]:
             if head.not_run and stage.server.address == head.failed_address:
                 statements.record_wait(stage.server, head.statement)
--- a/tests/unit/test_forwards.py
+++ b/tests/unit/test_forwards.py
@@ -2,6 +2,7 @@
 
 import hypothesis
 from hypothesis import strategies
+import logbook
 from peridotyard_core import fleet
 from peridotyard_daemon.request import forwards
 import pytest
@@ -449,6 +450,23 @@
             assert recorder.status == 200
 
 
+@cases.run_on_virtual_clock
+async def test_log_of_an_attempt_shows_the_known_and_the_stated_limit():
+    """Guards against a limit that ends without a trace of the response."""
+    async with gateways.open_harness(gateways.make_plain_servers(1)) as harness:
+        with logbook.TestHandler().applicationbound() as handler:
+            for stated in [((b"Server-Limit", b"50"),), ()]:
+                harness.servers["p1"].stated = stated
+                await forward(harness, fleet.RetryPolicy.ONCE)
+                await trio.sleep(0.1)
+        fields = [
+            (record.extra["limit_per_s"], record.extra["stated_limit_per_s"])
+            for record in handler.records
+            if record.message == "server responded"
+        ]
+        assert fields == [(None, 50.0), (50.0, None)]
+
+
 @pytest.mark.parametrize("kind", ["", "error", "refuse"])
 @cases.run_on_virtual_clock
 async def test_server_that_states_that_it_leaves_gets_no_more_requests(kind):
--- a/tests/unit/test_relays.py
+++ b/tests/unit/test_relays.py
@@ -7,6 +7,7 @@
 
 import hypothesis
 from hypothesis import strategies
+import logbook
 from peridotyard_core import budgets
 from peridotyard_core import fleet
 from peridotyard_core import verdicts
@@ -1101,6 +1102,30 @@
         assert len(limited.runs) + len(harness.servers["spare"].runs) == 10
 
 
+@cases.run_on_virtual_clock
+async def test_log_of_a_run_shows_the_known_and_the_stated_limit():
+    """Guards against a limit that ends without a trace of the response."""
+    layers = [("a0", "a", (0, 20))]
+    async with gateways.open_harness(
+        gateways.make_servers(layers), EVENTS
+    ) as harness:
+        with logbook.TestHandler().applicationbound() as handler:
+            for stated in [((b"Server-Limit", b"50"),), ()]:
+                harness.servers["a0"].stated = stated
+                check_complete(await relay(harness))
+                await trio.sleep(0.1)
+        fields = [
+            record.extra.get(name)
+            for record in handler.records
+            for message, name in (
+                ("request sent on a path", "limit_per_s"),
+                ("path ended", "stated_limit_per_s"),
+            )
+            if record.message == message
+        ]
+        assert fields == [None, 50.0, 50.0, None]
+
+
 @cases.run_on_virtual_clock
 async def test_limited_server_still_runs_later_stages():
     layers = [("a0", "a", (0, 10)), ("a1", "a", (0, 20))]
