Date the absence of a limit by the time at which the request was sent

In tests: a response that a server sent before it stated its limit, and that is received after it, ended the limit on all entries, which then sent freely (LIMIT).

Cause: the order in which responses arrive was taken for the order in which the server sent them. Responses overtake each other on connections of one entry and of several, and a paused entry reads them late.

Change: a limit counts from the receipt of its response, its absence from the time at which the request was sent, on the wire too (age_ms). The later one is in force. An announced absence no longer overrides a limit that another entry has heard after that. Reports and responses to orders, which state no absence, have no such time.

Conclusion: an absence has to be newer than every known limit.

--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/statements.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/statements.py
@@ -44,7 +44,9 @@
         started_at_ms: Start time of the server's process, see `fleet.Server`.
         limit_per_s: Requests per second that it accepts from all entries; None
             if it states no limit any more.
-        heard_at: Time of the newest response with this statement.
+        heard_at: Time at which the newest response with a limit was received.
+            Without a limit, the time at which the request was sent: the
+            server may have responded long before its response was received.
         changed_at: Time at which the statement was last changed.
         source: Entry that announced it; empty for a response to this entry.
         is_leaving: Whether it shuts down. It does not come back from that.
@@ -108,19 +110,20 @@
         self,
         server: fleet.Server,
         head: exchanges.ResponseHead,
-        is_request: bool = True,
+        sent_at: float | None = None,
     ) -> None:
         """Records the statement in a response to this entry.
 
         The absence of a limit counts only in a successful response to a
         request: other responses may come from a part of the server that states
-        nothing.
+        nothing. The request must have been sent after the limit was last
+        heard, since responses may overtake each other.
 
         Args:
             server: Server that sent the response.
             head: Head of the response.
-            is_request: Whether it is the response to a request of a caller, and
-                not a report or the response to an order.
+            sent_at: Time at which the request of a caller was sent, seconds;
+                None for a report or the response to an order.
         """
         statement = head.statement
         if statement.malformed:
@@ -128,18 +131,24 @@
         self.record_wait(server, statement)
         known = self._find(server.instance, server.started_at_ms)
         limit_per_s = statement.limit_per_s
-        may_end = (
-            is_request and 200 <= head.status < 300 and not statement.malformed
-        )
-        if limit_per_s is None and known is not None and not may_end:
-            limit_per_s = known.limit_per_s
         if known is None and limit_per_s is None and not statement.is_leaving:
             return
         now = trio.current_time()
+        heard_at = now
+        if limit_per_s is None and known is not None:
+            if (
+                sent_at is not None
+                and sent_at >= known.heard_at
+                and 200 <= head.status < 300
+                and not statement.malformed
+            ):
+                heard_at = sent_at
+            else:
+                limit_per_s, heard_at = known.limit_per_s, known.heard_at
         record = Record(
             server.started_at_ms,
             limit_per_s,
-            now,
+            heard_at,
             now,
             is_leaving=statement.is_leaving,
         )
@@ -159,7 +168,7 @@
         match outcome:
             case result.Success(response):
                 head = codec.decode_response(response.status, response.headers)
-                self.record(server, head, is_request=False)
+                self.record(server, head)
 
     def apply_peer(self, instance: str, record: Record) -> bool:
         """Applies a statement that another entry has heard.
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/forwards.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/forwards.py
@@ -313,7 +313,7 @@
         self, request: contexts.Request, server: fleet.Server, limit_s: float
     ) -> Outcome:
         context = self._context
-        sent = False
+        sent_at: float | None = None
         connection = None
         outcome: Outcome = TimedOut(sent=False)
         with request.answer_limit.move_on_at(trio.current_time() + limit_s):
@@ -321,7 +321,7 @@
                 connection = await context.pool.acquire(server.address)
                 dispatch = request.make_dispatch(server, ())
                 headers = context.codec.encode_request(request.head, dispatch)
-                sent = True
+                sent_at = trio.current_time()
                 await connection.send(
                     request.head.method,
                     request.head.target,
@@ -331,7 +331,7 @@
                 head = await receive_head(
                     connection, context.codec, request.head.request_id
                 )
-                context.statements.record(server, head)
+                context.statements.record(server, head, sent_at)
                 body = await read_body(connection)
                 outcome = _classify_response(
                     head, body, request.head.request_id
@@ -347,7 +347,7 @@
                     else:
                         connection.abort()
         if isinstance(outcome, TimedOut):
-            return TimedOut(sent)
+            return TimedOut(sent=sent_at is not None)
         return outcome
 
     async def _respond(
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/runs.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/runs.py
@@ -174,8 +174,8 @@
         self._path_lock = trio.Lock()
         # Ends the run.
         self.scope = trio.CancelScope()
-        # Whether a server may have received the request.
-        self._is_sent = False
+        # Time at which the request was sent; None before.
+        self._sent_at: float | None = None
         # Limit in the head of the response; None without one.
         self._stated_limit_per_s: float | None = None
         # Known crashes for the parts of the prompt when the path was set.
@@ -227,7 +227,7 @@
                 first_server, path, self._progress.sequence.last
             )
             successions = context.parts.get_successions(request.shared_parts)
-            self._is_sent = True
+            self._sent_at = trio.current_time()
             await connection.send(
                 request.head.method,
                 request.head.target,
@@ -295,7 +295,7 @@
 
     def describe_cancelled(self) -> Broken | None:
         """Returns the outcome of a cancelled run; None if it was not sent."""
-        if self._is_sent:
+        if self._sent_at is not None:
             return Broken("cancelled", frozenset(), False)
         return None
 
@@ -428,7 +428,7 @@
         that it states applies to both.
         """
         statements = self._context.statements
-        statements.record(self._path[0].server, head)
+        statements.record(self._path[0].server, head, self._sent_at)
         self._stated_limit_per_s = head.statement.limit_per_s
         for stage in self._path[1:]:
             if head.not_run and stage.server.address == head.failed_address:
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/wire/peridotyard.thrift
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/wire/peridotyard.thrift
@@ -282,7 +282,10 @@
   /** Whether it limits the requests of all entries together. */
   3: bool is_limited = false,
   4: double limit_per_s = 0,
-  /** Time since the sender, or another entry, heard it. */
+  /**
+   * Time since the sender, or another entry, heard it. Without a limit, the
+   * time since the request was sent.
+   */
   5: i64 age_ms = 0,
   /** Whether the server shuts down. */
   6: bool is_leaving = false,
--- a/tests/unit/test_relays.py
+++ b/tests/unit/test_relays.py
@@ -1102,6 +1102,24 @@
         assert len(limited.runs) + len(harness.servers["spare"].runs) == 10
 
 
+@cases.run_on_virtual_clock
+async def test_stream_without_a_limit_in_its_response_ends_the_limit():
+    layers = [("a0", "a", (0, 20))]
+    async with gateways.open_harness(
+        gateways.make_servers(layers), EVENTS
+    ) as harness:
+        server = harness.servers["a0"]
+        for stated, limit_per_s in [
+            (((b"Server-Limit", b"50"),), 50.0),
+            ((), None),
+        ]:
+            server.stated = stated
+            check_complete(await relay(harness))
+            table = harness.context.statements
+            assert table.find_limit(server.server) == limit_per_s
+            await trio.sleep(0.1)
+
+
 @cases.run_on_virtual_clock
 async def test_log_of_a_run_shows_the_known_and_the_stated_limit():
     """Guards against a limit that ends without a trace of the response."""
--- a/tests/unit/test_statements.py
+++ b/tests/unit/test_statements.py
@@ -42,15 +42,20 @@
     return statements.Record(started_at_ms, limit, heard_at, heard_at, "e2")
 
 
+def record_answer(table, head):
+    """Records the response to a request of a caller that was just sent."""
+    table.record(SERVER, head, trio.current_time())
+
+
 @cases.run_on_virtual_clock
 async def test_limit_holds_until_a_success_without_one(table, counts):
     announced = []
     table.notify = lambda *news: announced.append(news)
-    table.record(SERVER, make_head(2.0))
-    table.record(SERVER, make_head(2.0))
-    table.record(SERVER, make_head(None, status=500))
+    record_answer(table, make_head(2.0))
+    record_answer(table, make_head(2.0))
+    record_answer(table, make_head(None, status=500))
     assert table.find_limit(SERVER) == 2.0
-    table.record(SERVER, make_head(None))
+    record_answer(table, make_head(None))
     assert table.find_limit(SERVER) is None
     assert [record.limit_per_s for _, record in announced] == [2.0, None]
     assert counts == ["statement_changes", "statement_changes"]
@@ -79,8 +84,8 @@
 
 @cases.run_on_virtual_clock
 async def test_malformed_statement_changes_nothing(table, counts):
-    table.record(SERVER, make_head(2.0))
-    table.record(SERVER, make_head(None, malformed=("server-limit: x",)))
+    record_answer(table, make_head(2.0))
+    record_answer(table, make_head(None, malformed=("server-limit: x",)))
     assert table.find_limit(SERVER) == 2.0
     assert counts[-1] == "malformed_statements"
 
@@ -150,9 +155,44 @@
 
 @cases.run_on_virtual_clock
 async def test_report_without_a_limit_does_not_end_it(table):
-    table.record(SERVER, make_head(2.0), is_request=False)
-    table.record(SERVER, make_head(), is_request=False)
+    table.record(SERVER, make_head(2.0))
+    table.record(SERVER, make_head())
+    assert table.find_limit(SERVER) == 2.0
+
+
+@pytest.mark.parametrize("is_heard_by_other", [False, True])
+@cases.run_on_virtual_clock
+async def test_late_response_from_before_a_limit_does_not_end_it(
+    table, is_heard_by_other
+):
+    """Guards against LIMIT: order of arrival taken for the server's order."""
+    sent_at = trio.current_time()
+    await trio.sleep(1)
+    if is_heard_by_other:
+        table.apply_peer("x", make_record(2.0, trio.current_time()))
+    else:
+        record_answer(table, make_head(2.0))
+    await trio.sleep(1)
+    table.record(SERVER, make_head(), sent_at)
     assert table.find_limit(SERVER) == 2.0
+    record_answer(table, make_head())
+    assert table.find_limit(SERVER) is None
+
+
+@cases.run_on_virtual_clock
+async def test_late_response_from_before_a_limit_ends_it_at_no_entry(table):
+    """Guards against LIMIT: its absence is announced with too late a time."""
+    other = statements.Statements(lambda _: None, random.Random(1))
+    table.notify = other.apply_peer
+    record_answer(table, make_head(2.0))
+    await trio.sleep(1)
+    sent_at = trio.current_time()
+    await trio.sleep(1)
+    # Unchanged, so it is not announced.
+    record_answer(other, make_head(2.0))
+    await trio.sleep(1)
+    table.record(SERVER, make_head(), sent_at)
+    assert other.find_limit(SERVER) == 2.0
 
 
 @hypothesis.settings(**cases.DERANDOMIZED)
@@ -182,7 +222,7 @@
             head = make_head(
                 limit, status, is_leaving=is_leaving, wait_s=wait_s
             )
-            (other if at_other else own).record(SERVER, head)
+            record_answer(other if at_other else own, head)
             assert own.find_limit(SERVER) == other.find_limit(SERVER)
             assert own.is_leaving(SERVER) == other.is_leaving(SERVER)
             assert own.get_wait_s(SERVER) <= statements.WAIT_MAX_S + 1
