Write less often to a store that fails writes

Change: after the second failed write in a row an entry that does not hold the lease pauses for 0.8 s, doubling up to 3.2 s. A read that fails resets it: an outage is no queue, and its end must be noticed soon.

Evidence: test_entries_write_less_often_to_a_store_that_fails_writes failed before (75 writes in 20 s, 21 allowed).

Conclusion: the load of writes falls with the number of failures.

--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/presence.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/presence.py
@@ -44,6 +44,9 @@
 LEASE_DURATION_S = 2.4
 # Time between two renewals of the lease by its holder.
 LEASE_RENEWAL_INTERVAL_S = 0.8
+# Longest pause after failed writes; it doubles with each of them. The writes of
+# all entries would else keep the queue of a slow store full.
+FAILURE_PAUSE_MAX_S = 3.2
 # Shortest pause between two reads of the lease while another entry holds it.
 LEASE_READ_PAUSE_MIN_S = 0.3
 # Time after the end of the connection to the holder in which another entry may
@@ -60,6 +63,8 @@
 # Time after the last heartbeat of a holder, which sends one each half second,
 # at which the other entries read the lease again.
 HOLDER_HEARTBEAT_TIMEOUT_S = 1.1
+# Bound of the exponent in the pause after failed writes.
+MAX_DOUBLINGS = 10
 # Entries of one write that the store accepts.
 WRITE_LIMIT = 100
 # Largest processor capacity that a row may state, in cores.
@@ -138,6 +143,8 @@
         self._written_at = float("-inf")
         self._clock_offset_s = 0.0
         self._failing = False
+        # Number of consecutive failed writes between successful reads.
+        self._failed_writes = 0
         # Name of the connected entry that holds the lease, until when it counts
         # as lost, and the time of its last heartbeat as the holder.
         self._holder = ""
@@ -156,7 +163,10 @@
     async def run(self) -> None:
         """Renews row and lease until cancelled."""
         while True:
-            await self._wait_next_refresh(await self._refresh_rows())
+            pause_s = await self._refresh_rows()
+            if not self.is_lease_holder():
+                await trio.sleep(self._compute_failure_pause_s())
+            await self._wait_next_refresh(pause_s)
 
     def update_holder(self, entry: str, holds: bool) -> None:
         """Records from a heartbeat whether an entry holds the lease.
@@ -302,6 +312,16 @@
         """Returns whether this process may act as the lease holder."""
         return self.lease.is_held(self._clock())
 
+    def _compute_failure_pause_s(self) -> float:
+        """Returns the pause after failed writes, seconds; 0 after the first.
+
+        A single write may have been lost, and the next one claims the lease.
+        """
+        if self._failed_writes < 2:
+            return 0.0
+        doublings = min(self._failed_writes - 2, MAX_DOUBLINGS)
+        return min(LEASE_RENEWAL_INTERVAL_S * 2**doublings, FAILURE_PAUSE_MAX_S)
+
     async def _refresh_rows(self) -> float:
         """Reads and writes the rows; returns the seconds to the next time."""
         # The lease is counted from before the request is sent, so that it ends
@@ -317,6 +337,7 @@
             return LEASE_RENEWAL_INTERVAL_S
         outcome = await self._store.scan(TABLE)
         if not isinstance(outcome, result.Success):
+            self._failed_writes = 0
             self._record_failure(
                 "entry and lease rows not read", outcome.failure()
             )
@@ -439,6 +460,13 @@
     ) -> None:
         """Updates lease and revision after a write."""
         was_held = self.is_lease_holder()
+        match outcome:
+            case result.Failure(failure) if not isinstance(
+                failure, stores.Conflict
+            ):
+                self._failed_writes += 1
+            case _:
+                self._failed_writes = 0
         match outcome:
             case result.Success(committed) if claim is not None:
                 self._revision = committed.revision
--- a/tests/unit/test_gateway.py
+++ b/tests/unit/test_gateway.py
@@ -8,6 +8,7 @@
 from peridotyard_core import addresses
 from peridotyard_core import prompts
 from peridotyard_daemon.process import gateway
+from peridotyard_daemon.process import presence
 from peridotyard_platform import codec
 import pytest
 import trio
@@ -715,6 +716,29 @@
         )
 
 
+@cases.run_on_virtual_clock
+async def test_entries_write_less_often_to_a_store_that_fails_writes():
+    """Guards against a store whose queue the retries of all entries keep full.
+
+    The lease is granted soon after it accepts writes again.
+    """
+    async with deployments.open_deployment(entries=3) as deployment:
+        await trio.sleep(6)
+        deployment.rows.fault = "full"
+        await trio.sleep(10)
+        before = deployment.rows.calls["/rows-tx"]
+        await trio.sleep(20)
+        writes = deployment.rows.calls["/rows-tx"] - before
+        longest_s = presence.FAILURE_PAUSE_MAX_S
+        assert writes <= 3 * (20 / longest_s + 1)
+        deployment.rows.fault = ""
+        await trio.sleep(longest_s + 0.5)
+        held = [
+            entry._presence.is_lease_holder() for entry in deployment.entries
+        ]
+        assert sum(held) == 1
+
+
 @cases.run_on_virtual_clock
 async def test_entry_that_was_paused_does_not_act_for_the_lease_holder():
     """Guards against orders of an entry whose knowledge is as old as its pause.
