Count only answers of a plain server as fast

What callers saw: a plain server that fails all calls at once gets nearly all calls of its service; so does one that hangs, if its callers leave before the entry's own time limit, as they do: their time began earlier.

Cause: the mean response time, by which a server is chosen, took the short time until an error or a reset for a response time, and took no notice of attempts that ended when the caller left. It learned only from what was fast, as the time limit of probes did.

Ruled out: the weight of the failure rate. It raises the cost at most elevenfold, and an error after 1 ms instead of 200 ms lowers it further.

Change: a failure or a cancelled attempt may raise the mean but not lower it, since it only shows that an answer takes longer.

Evidence (virtual clock; three servers, one of them fails after 30 calls served), calls without an answer before and after: error or reset after 1 ms, 30 callers: 1,780 and 10 of 1,800; hangs, one caller that leaves after 0.5 s: 60 and 1 of 60. The three cases fail before. Tests of forwards, views and calls pass.

Conclusion: a failing plain server is left after a few calls.

--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/views.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/views.py
@@ -68,8 +68,8 @@
     Attributes:
         in_flight: Requests of this entry in progress on the server.
         failure_rate: Exponential moving average of failures, from 0 to 1.
-        mean_duration_s: Exponential moving average of the response time; 0
-            before the first response.
+        mean_duration_s: Exponential moving average of the response time, which
+            failures and cancelled requests only raise; 0 before the first.
         suspected_since: Time at which the last suspicion began.
         suspected_until: Time until which the server is suspected of failure.
         reason: Why it is suspected.
@@ -709,8 +709,9 @@
         Args:
             server: The server.
             success: Whether the request succeeded.
-            duration_s: Response time; None for a refusal, which does not
-                show it.
+            duration_s: Response time, or time until the failure, which only
+                shows that a success takes longer; None for a refusal, which
+                does not show that either.
         """
         if server.instance not in self.servers:
             return
@@ -719,11 +720,28 @@
         health.failure_rate += FAILURE_SMOOTHING * (
             failed - health.failure_rate
         )
-        if duration_s is not None:
-            if not health.mean_duration_s:
-                health.mean_duration_s = duration_s
-            change = duration_s - health.mean_duration_s
-            health.mean_duration_s += DURATION_SMOOTHING * change
+        if success and duration_s is not None:
+            _update_mean_duration(health, duration_s)
+        elif duration_s is not None:
+            _update_mean_duration(
+                health, max(duration_s, health.mean_duration_s)
+            )
+
+    def record_cancelled(self, server: fleet.Server, duration_s: float) -> None:
+        """Raises the response time of a server by a cancelled request.
+
+        Callers leave servers that take too long, so without this the mean would
+        be that of the short response times.
+
+        Args:
+            server: The server.
+            duration_s: Time after which the request was cancelled, seconds.
+        """
+        if server.instance in self.servers:
+            health = self._health[server.instance]
+            _update_mean_duration(
+                health, max(duration_s, health.mean_duration_s)
+            )
 
     def choose_path(
         self,
@@ -856,6 +874,13 @@
         _log.info("server restarted", instance=instance, reason=reason)
 
 
+def _update_mean_duration(health: Health, duration_s: float) -> None:
+    if not health.mean_duration_s:
+        health.mean_duration_s = duration_s
+    change = duration_s - health.mean_duration_s
+    health.mean_duration_s += DURATION_SMOOTHING * change
+
+
 def _has_changed(old: fleet.Server, new: fleet.Server) -> bool:
     return (old.ready, old.layer_range, old.address, old.started_at_ms) != (
         new.ready,
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/forwards.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/forwards.py
@@ -262,11 +262,13 @@
         try:
             outcome = await self._exchange(request, server, limit_s)
         except trio.Cancelled:
+            duration_s = trio.current_time() - started
+            context.view.record_cancelled(server, duration_s)
             request.log(
                 _log,
                 "attempt cancelled",
                 instance=server.instance,
-                ms=round(1000 * (trio.current_time() - started)),
+                ms=round(1000 * duration_s),
             )
             raise
         finally:
--- a/tests/unit/test_forwards.py
+++ b/tests/unit/test_forwards.py
@@ -521,3 +521,57 @@
         wait_s = float(dict(recorder.headers)[b"retry-after"])
         assert 3.9 <= wait_s <= 1.3 * 4.4
         assert [len(s.requests) for s in harness.servers.values()] == [1, 1]
+
+
+async def count_failures(fault, work_s, callers, leave_after_s):
+    """Returns the numbers of calls and of those that got no answer.
+
+    One of three servers fails all calls, after all three have served some.
+
+    Args:
+        fault: Kind of the fault.
+        work_s: Time until the fault, seconds.
+        callers: Number of callers, each with one call at a time.
+        leave_after_s: Time after which a caller leaves, seconds.
+    """
+    async with gateways.open_harness(gateways.make_plain_servers(3)) as harness:
+        for item in harness.servers.values():
+            item.work_s = 0.2
+        # The fastest one until then.
+        failing = harness.servers["p1"]
+        failing.work_s = 0.19
+        for _ in range(30):
+            await forward(harness, fleet.RetryPolicy.ONCE)
+        failing.work_s = work_s
+        failing.faults = [servers_module.Fault(fault)] * 10000
+        statuses = []
+
+        async def call():
+            for _ in range(60):
+                status = 0
+                with trio.move_on_after(leave_after_s):
+                    recorder = await forward(harness, fleet.RetryPolicy.ONCE)
+                    status = recorder.status
+                statuses.append(status)
+                await trio.sleep(0.01)
+
+        async with trio.open_nursery() as nursery:
+            for _ in range(callers):
+                nursery.start_soon(call)
+        return len(statuses), sum(status != 200 for status in statuses)
+
+
+@cases.run_on_virtual_clock
+async def test_server_that_hangs_is_avoided_after_its_callers_have_left():
+    # Guards against a server that gets all calls although it answers none: the
+    # calls that callers gave up did not count as slow.
+    calls, failures = await count_failures("hang", 0.2, 1, 0.5)
+    assert failures < 0.1 * calls
+
+
+@pytest.mark.parametrize("fault", ["error", "crash"])
+@cases.run_on_virtual_clock
+async def test_server_that_fails_at_once_does_not_attract_calls(fault):
+    # Guards against a server that seems fast, as it fails without any work.
+    calls, failures = await count_failures(fault, 0.001, 30, 5.0)
+    assert failures < 0.1 * calls
