Try a further path beside two silent ones

Seen by callers: on a route with three attempts or more, a stream whose first two paths are silent waited until one of them counted as lost, after its caller had left.

Cause: a run was started beside a silent one only if it was the only run.

Ruled out: to end the older silent run in its place. It may respond at any time, and its attempt is used up all the same.

Change: the newest run, if silent, starts another one as long as the runs in progress and those that may have run are fewer than the attempts of the route. The new path avoids the servers for which the others are silent, and begins at another server than they do.

Evidence: test_third_path_is_tried_beside_two_silent_ones[3] failed before (6.3 s instead of less than 4 s) and passes now; with two attempts there are two runs as before (python -m pytest tests/unit/test_relays.py tests/unit/test_runs.py).

Conclusion: all attempts of a route are used while its caller waits.

--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/relays.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/relays.py
@@ -46,9 +46,9 @@
         self._request = request
         self._responder = responder
         self._progress = runs.Progress(request.head.last_event_id)
-        # The runs in progress: one, and a second one while that is silent.
+        # The runs in progress: one, and others while that is silent.
         self._runs: list[runs.Run] = []
-        # Runs the second one; set while a run is in progress.
+        # Runs the others; set while a run is in progress.
         self._nursery: trio.Nursery | None = None
         # Outcome of the run that ended last.
         self._outcome: runs.Outcome | None = None
@@ -62,6 +62,8 @@
         self._failed: frozenset[str] = frozenset()
         # Instances that refused the request since the last event.
         self._refused: frozenset[str] = frozenset()
+        # Instances because of which the runs in progress are silent.
+        self._silent: frozenset[str] = frozenset()
         # Whether a path may have run a part of the request.
         self._may_have_run = False
         # Number of paths that may still run a part of the request.
@@ -200,7 +202,7 @@
             self._take_lead,
             lambda: len(self._runs) == 1,
             lambda run: self._runs[-1] is run,
-            self._start_second_run,
+            self._start_other_run,
         )
         self._runs.append(run)
         return run
@@ -265,20 +267,21 @@
         """Ends the other runs, since this one sends to the caller."""
         self._sends_without_event = 0
         self._refused = frozenset()
+        self._silent = frozenset()
         for other in self._runs:
             if other is not run:
                 other.scope.cancel()
 
     def _choose_other_path(
         self,
-        first: str,
+        firsts: frozenset[str],
         failed: frozenset[str],
         denied: frozenset[str] = frozenset(),
     ) -> paths.Path | None:
-        """Returns a path for a run beside another one, None if there is none.
+        """Returns a path for a run beside others, None if there is none.
 
         Args:
-            first: Instance at which the other run begins. Orders name a run by
+            firsts: Instances at which the others begin. Orders name a run by
                 its first server and the request, so two runs must not begin at
                 the same server.
             failed: Instances that the path must not use.
@@ -287,34 +290,40 @@
         return self._context.view.choose_path(
             self._request.service,
             self._failed | self._refused | failed,
-            denied | {first},
+            denied | firsts,
         )
 
-    def _may_move(self, run: runs.Run, failed: frozenset[str]) -> bool:
+    def _list_first_instances(self) -> frozenset[str]:
+        """Returns the instances at which the runs in progress begin."""
+        firsts = (run.first_instance for run in self._runs)
+        return frozenset(first for first in firsts if first is not None)
+
+    def _may_move(self, failed: frozenset[str]) -> bool:
         """Returns whether the stream can be sent on another path now.
 
+        The runs in progress count as attempts.
+
         Args:
-            run: The only run in progress, which counts as an attempt.
             failed: Instances that the other path must not use.
         """
         context, request = self._context, self._request
         # One send is left for the case that the other path refuses.
-        if len(self._runs) > 1 or self._sends_without_event + 1 >= SEND_LIMIT:
+        if self._sends_without_event + 1 >= SEND_LIMIT:
             return False
         return (
-            self._may_resume(self._possible_runs + 1)
+            self._may_resume(self._possible_runs + len(self._runs))
             and not context.is_quarantined(request)
             and context.has_retry(request, not self._responder.started)
             and context.can_answer_in_time(request)
             and self._choose_other_path(
-                run.first_instance,
+                self._list_first_instances(),
                 failed,
                 context.list_exhausted(request.service.name),
             )
             is not None
         )
 
-    def _start_second_run(
+    def _start_other_run(
         self, silent: runs.Run, reason: str, failed: frozenset[str]
     ) -> None:
         """Starts a run on another path while one is silent, if allowed.
@@ -324,12 +333,15 @@
         continues the stream.
 
         Args:
-            silent: The silent run.
+            silent: The silent run, the newest one.
             reason: Why it does not continue, for the log.
             failed: Instances that the other path must not use.
         """
-        if not self._may_move(silent, failed):
+        if len(self._runs) > 1:
+            failed |= self._silent
+        if not self._may_move(failed):
             return
+        self._silent = failed
         context = self._context
         self._request.log(
             _log,
@@ -337,14 +349,14 @@
             reason=reason,
             last_event=self._progress.sequence.last,
         )
-        # The silent run may end while the other one waits for its path.
-        first = silent.first_instance
+        # The silent runs may end while the other one waits for its path.
+        firsts = self._list_first_instances()
 
         async def find_path() -> paths.Path | None:
             path = await context.reserve(
                 self._request,
-                lambda denied: self._choose_other_path(first, failed, denied),
-                lambda: self._choose_other_path(first, failed),
+                lambda denied: self._choose_other_path(firsts, failed, denied),
+                lambda: self._choose_other_path(firsts, failed),
                 lambda path: path[0].server,
             )
             self._responder.check_connected()
@@ -355,7 +367,7 @@
         async def execute() -> None:
             outcome = await self._execute(run, find_path)
             if isinstance(outcome, runs.Refused) and silent in self._runs:
-                self._start_second_run(silent, reason, failed)
+                self._start_other_run(silent, reason, failed)
 
         run = self._make_run()
         self._nursery.start_soon(execute)
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/runs.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/runs.py
@@ -300,9 +300,9 @@
         return None
 
     @property
-    def first_instance(self) -> str:
-        """Instance of the first server of the path in progress."""
-        return self._path[0].server.instance
+    def first_instance(self) -> str | None:
+        """Instance of the first server of its path; None without a path."""
+        return self._path[0].server.instance if self._path else None
 
     async def _classify_loss(
         self, server: fleet.Server, reason: str, successions: tuple[int, ...]
--- a/tests/support/gateways.py
+++ b/tests/support/gateways.py
@@ -113,8 +113,8 @@
             retry_policy: Retry policy of the route; SAFE and ONCE also select
                 the plain service instead of the model.
             **changes: `request_id`, `time_limit_ms`, `last_event_id`, `body`
-                or `prompt` (parts of the prompt) of the request, or
-                `event_timeout_s` of its route.
+                or `prompt` (parts of the prompt) of the request;
+                `event_timeout_s` or `max_attempts` of its route.
         """
         plain = retry_policy in (fleet.RetryPolicy.SAFE, fleet.RetryPolicy.ONCE)
         route = dataclasses.replace(
@@ -123,6 +123,7 @@
             event_timeout_s=changes.get(
                 "event_timeout_s", ROUTE.event_timeout_s
             ),
+            max_attempts=changes.get("max_attempts", ROUTE.max_attempts),
         )
         engine = None if plain else fleets.make_engine(layers=20)
         service = fleet.Service(
--- a/tests/unit/test_runs.py
+++ b/tests/unit/test_runs.py
@@ -299,6 +299,43 @@
     virtual_clock.run(play)
 
 
+@pytest.mark.parametrize(("attempts", "is_complete"), [(2, False), (3, True)])
+@cases.run_on_virtual_clock
+async def test_third_path_is_tried_beside_two_silent_ones(
+    attempts, is_complete
+):
+    """Guards against a stream that waits although its route allows a third run.
+
+    The first two paths are silent and the third one is not.
+    """
+    async with open_harness() as harness:
+
+        async def interfere(nursery):
+            await trio.sleep(0.3)
+            (used,) = [s for s in harness.servers.values() if s.runs]
+            nursery.start_soon(used.fall_silent, 60.0)
+            while sum(len(s.requests) for s in harness.servers.values()) < 2:
+                await trio.sleep(0.001)
+            (second,) = [
+                s
+                for s in harness.servers.values()
+                if s.requests and s is not used
+            ]
+            nursery.start_soon(second.fall_silent, 60.0)
+
+        began = trio.current_time()
+        recorder = await relay_beside(
+            harness, interfere, max_attempts=attempts, event_timeout_s=4.0
+        )
+        runs = sum(len(s.requests) for s in harness.servers.values())
+        assert runs == attempts
+        assert recorder.finished == is_complete
+        if is_complete:
+            check_complete(recorder)
+            assert trio.current_time() - began < 4.0
+        assert not any(harness.context.view.count_in_flight().values())
+
+
 @cases.run_on_virtual_clock
 async def test_stream_that_must_run_once_has_no_second_run():
     """Guards against a non-idempotent stream that runs on two servers."""
