Let an error of a second run end that run alone

Seen by callers: nothing so far; no log shows an internal error of a run. Found while looking for ways in which the entry ends a sound answer.

Cause: an unexpected exception in one run of a stream cancelled the other one, so that a stream was cut by an error in the run that was started to save it.

Ruled out: to go on after an error of the run that sends to the caller. What it has sent is not certain then, and it has cancelled the others.

Change: the error is logged as "run ended by an internal error" and counted in internal_errors if another run may still continue the stream; else it ends the stream as before. A caller that has left ends it in any case.

Evidence: test_internal_error_of_a_second_run_ends_no_run_in_progress failed before (KeyError) and passes now; test_internal_error_of_the_only_run_ends_the_stream passes before and after.

Conclusion: the run beside a silent one cannot harm it.

--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/relays.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/relays.py
@@ -231,10 +231,11 @@
                     self._sends += 1
                     self._sends_without_event += 1
                     outcome = await run.execute(path)
+        except (OSError, trio.BrokenResourceError) as error:
+            # The caller has disconnected.
+            self._raise_later(error)
         except Exception as error:
-            # Raised later, since the nursery would wrap it in a group.
-            self._error = error
-            self._nursery.cancel_scope.cancel()
+            self._handle_error(run, error)
         finally:
             self._runs.remove(run)
             # Also if the run was cancelled, by a time limit for example.
@@ -252,6 +253,27 @@
             self._outcome = outcome
         return outcome
 
+    def _raise_later(self, error: Exception) -> None:
+        """Ends all runs; the nursery would wrap the error in a group."""
+        self._error = error
+        self._nursery.cancel_scope.cancel()
+
+    def _handle_error(self, run: runs.Run, error: Exception) -> None:
+        """Handles an internal error of a run.
+
+        It ends the stream, unless another run may still continue it. The run
+        that sends to the caller has cancelled the others.
+        """
+        if all(r is run or r.scope.cancel_called for r in self._runs):
+            self._raise_later(error)
+            return
+        self._context.metrics.increment("internal_errors.run")
+        _log.error(
+            "run ended by an internal error",
+            request=self._request.head.request_id,
+            **logs.describe_error(error),
+        )
+
     @property
     def _is_done(self) -> bool:
         """Whether a run has ended with the final response."""
--- a/tests/unit/test_runs.py
+++ b/tests/unit/test_runs.py
@@ -397,6 +397,43 @@
         check_complete(await relay_beside(harness, interfere))
 
 
+@cases.run_on_virtual_clock
+async def test_internal_error_of_a_second_run_ends_no_run_in_progress():
+    """Guards against a sound stream cut by an error in the run beside it."""
+    async with open_harness() as harness:
+        context = harness.context
+        encode = context.codec.encode_request
+
+        def fail_elsewhere(head, dispatch):
+            if dispatch.server.instance != "a0":
+                raise KeyError("test")
+            return encode(head, dispatch)
+
+        context.codec.encode_request = fail_elsewhere
+        interfere = make_silence(harness, [("a0", 0.3, 1.2)])
+        check_complete(await relay_beside(harness, interfere))
+        assert 'internal_errors_total{kind="run"}' in context.metrics.render()
+
+
+@cases.run_on_virtual_clock
+async def test_internal_error_of_the_only_run_ends_the_stream():
+    """Guards against a caller that waits for a run that has failed."""
+    async with open_harness() as harness:
+
+        def fail(head, dispatch):
+            raise KeyError("test")
+
+        harness.context.codec.encode_request = fail
+        stream = relays.Stream(
+            harness.context,
+            harness.prober,
+            harness.make_request(),
+            gateways.ResponseRecorder(),
+        )
+        with pytest.raises(KeyError):
+            await stream.run()
+
+
 @cases.run_on_virtual_clock
 async def test_two_runs_that_end_at_once_end_the_response_once():
     """Guards against two ends, or none, if both runs end in the same step."""
