Count no wait for the caller as silence of the servers

Seen by callers: behind a slow link, a stream whose next events had arrived was run on a second path, which used up an attempt: if its server ended later, the stream was cut.

Cause: the time of the last event was taken before the event was written. If the caller read it late, the check of the path was due when the write ended, and a due check cancels the next read even if events are waiting. After three quarters of the event timeout the path counted as slow.

Ruled out: a pause of the process while it waits for an event. Data that has arrived is delivered before the time limit is handled, so that an event in time is not lost.

Change: the time is taken again after the write. The wait of the caller is counted from there as well.

Evidence: test_caller_that_reads_late_is_no_silence_of_the_servers (start, send) failed before (the path was probed twice) and passes now (python -m pytest tests/unit/test_runs.py tests/unit/test_relays.py).

Conclusion: only the servers' time counts as their silence.

--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/runs.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/runs.py
@@ -472,13 +472,18 @@
             self._progress.mean_gap_s += GAP_SMOOTHING * (
                 gap_s - self._progress.mean_gap_s
             )
-        self._record_activity()
-        self._progress.last_event_at = self._last_activity_at
+        self._record_event()
         if begins:
             self._context.parts.record_answer(self._request.shared_parts)
         if self._responder.started:
             await self._responder.send(data)
-            return
+        else:
+            await self._start_response(head, data)
+        # The next events may have arrived while the caller did not read.
+        self._record_event()
+
+    async def _start_response(self, head, data: bytes) -> None:
+        """Sends the first events to the caller."""
         for stage in self._path:
             self._context.view.record_acceptance(stage.server)
         self._context.metrics.record(
@@ -516,6 +521,11 @@
         timeout_s = self._request.route.event_timeout_s
         return self._last_activity_at + STREAM_SILENCE_FRACTION * timeout_s
 
+    def _record_event(self) -> None:
+        """Records an event that is sent to the caller."""
+        self._record_activity()
+        self._progress.last_event_at = self._last_activity_at
+
     def _record_activity(self) -> None:
         """Records an event or the start of a path."""
         self._last_activity_at = trio.current_time()
--- a/tests/unit/test_runs.py
+++ b/tests/unit/test_runs.py
@@ -205,6 +205,41 @@
         assert harness.servers["a0"].runs == ["r1"]
 
 
+@pytest.mark.parametrize("operation", ["start", "send"])
+@cases.run_on_virtual_clock
+async def test_caller_that_reads_late_is_no_silence_of_the_servers(operation):
+    """Guards against a second run, and an attempt used up, for a sound stream.
+
+    Load pattern: callers behind a slow link. Each write waits for them, and the
+    next events have arrived meanwhile.
+    """
+    async with open_harness() as harness:
+        recorder = gateways.ResponseRecorder()
+        write = getattr(recorder, operation)
+        delays = [1.9, 1.9]
+
+        async def write_late(*args):
+            await trio.sleep(delays.pop() if delays else 0)
+            await write(*args)
+
+        setattr(recorder, operation, write_late)
+        probed = []
+        probe = harness.prober.find_unresponsive
+
+        async def record(servers):
+            probed.append(trio.current_time())
+            return await probe(servers)
+
+        harness.prober.find_unresponsive = record
+        stream = relays.Stream(
+            harness.context, harness.prober, harness.make_request(), recorder
+        )
+        await stream.run()
+        check_complete(recorder)
+        assert not probed
+        assert sum(len(s.requests) for s in harness.servers.values()) == 1
+
+
 @cases.run_on_virtual_clock
 async def test_slow_path_ends_once_another_has_begun():
     """Guards against work for a stream that has gone on elsewhere."""
