Do not apply the layers of an earlier process of a server to a later one

In tests: layers that a server reported before it started again, and that an entry reads or receives late, apply to the new process, which holds none, for up to 3 s (REPORT_PRECEDENCE_S), on all entries if the holder of the lease publishes them. Paths over them would be refused.

Cause: reports and announcements of layers name the server, not its process; the time of arrival was taken for that of the report. A paused entry reads them after the list.

Change: View.apply_report takes the start time of the process and ignores an earlier one; announcements carry it in the field 'sequence' of an offer, which was not used for layers. Entries of an earlier version send 0, for unknown, and are treated as before.

Tests that failed before (check removed): test_report_of_an_earlier_process_is_ignored, test_announced_layers_are_those_of_one_process_of_a_server.

Evidence: tests/unit/test_views, test_placement, test_relays, test_mesh and test_gateway pass.

Conclusion: layers hold for one process of a server.

--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/mesh.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/mesh.py
@@ -287,8 +287,11 @@
 
     def announce_layers(self, layer_ranges: layouts.LayerRanges) -> None:
         """Announces the layers that servers have reported."""
+        servers = self._view.servers
         for instance, layer_range in layer_ranges.items():
             offer = ttypes.Offer(instance=instance, kind="model", ready=True)
+            if instance in servers:
+                offer.sequence = servers[instance].started_at_ms
             if layer_range is not None:
                 offer.first_layer, offer.end_layer = (
                     layer_range.first,
@@ -447,7 +450,9 @@
             return
         layer_range = fleet.LayerRange(message.first_layer, message.end_layer)
         is_new = self._view.apply_report(
-            message.instance, layer_range if layer_range.size > 0 else None
+            message.instance,
+            layer_range if layer_range.size > 0 else None,
+            message.sequence,
         )
         if is_new:
             self.forward(ttypes.Frame(offer=message), connection)
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/placement.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/placement.py
@@ -283,15 +283,19 @@
         self, servers
     ) -> dict[str, exchanges.ServerReport]:
         """Returns the reports of the servers that respond, by instance."""
+        servers = list(servers)
         reports: dict[str, exchanges.ServerReport] = {}
         async with trio.open_nursery() as nursery:
             for server in servers:
                 nursery.start_soon(self._fetch_report, server, reports)
+        started_at_ms = {s.instance: s.started_at_ms for s in servers}
         changed = {
             name: report.layer_range
             for name, report in reports.items()
             if not self._is_outdated(name, report)
-            and self._view.apply_report(name, report.layer_range)
+            and self._view.apply_report(
+                name, report.layer_range, started_at_ms[name]
+            )
         }
         if changed:
             self._publish(changed)
@@ -388,7 +392,9 @@
         if outcome.startswith("status 2"):
             # Released layers accept no new work from now on.
             remaining = _intersect(report.layer_range, layer_range)
-            if self._view.apply_report(server.instance, remaining):
+            if self._view.apply_report(
+                server.instance, remaining, server.started_at_ms
+            ):
                 self._publish({server.instance: remaining})
         if not outcome.startswith("status 4"):
             # An order without a response may still be carried out.
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/views.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/views.py
@@ -370,19 +370,27 @@
         )
 
     def apply_report(
-        self, instance: str, layer_range: fleet.LayerRange | None
+        self,
+        instance: str,
+        layer_range: fleet.LayerRange | None,
+        started_at_ms: int = 0,
     ) -> bool:
         """Applies the layers that a server has just reported.
 
+        A server starts again without layers, so the report of an earlier
+        process, which may have been read late, does not apply to a later one.
+
         Args:
             instance: The server's instance.
             layer_range: The layers; None if it holds none.
+            started_at_ms: Start time of the process that reported, see
+                `fleet.Server`; 0 if unknown.
 
         Returns:
             Whether the layers differ from the known ones.
         """
         server = self.servers.get(instance)
-        if server is None:
+        if server is None or 0 < started_at_ms < server.started_at_ms:
             return False
         self._reports[instance] = (layer_range, trio.current_time())
         return self._change_layers(server, layer_range)
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/wire/peridotyard.thrift
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/wire/peridotyard.thrift
@@ -58,6 +58,7 @@
   13: i32 limit = 0,
   /** Measured tokens a second of the backend server, 0 if unknown. */
   14: double tokens_per_s = 0,
+  /** Of the layers of a backend server, the start time of its process. */
   15: i64 sequence = 0,
   16: string accelerator = "",
 }
--- a/tests/unit/test_mesh.py
+++ b/tests/unit/test_mesh.py
@@ -8,6 +8,7 @@
 from hypothesis import strategies
 from peridotyard_core import addresses
 from peridotyard_core import crashes
+from peridotyard_core import fleet
 from peridotyard_daemon.connection import frames
 from peridotyard_daemon.connection import peers
 from peridotyard_daemon.process import mesh
@@ -384,6 +385,30 @@
         assert not deployment.entries[4].view.servers["x"].ready
 
 
+@cases.run_on_virtual_clock
+async def test_announced_layers_are_those_of_one_process_of_a_server():
+    """Guards against layers from before a restart that are announced late."""
+    async with deployments.open_deployment(2) as deployment:
+        await trio.sleep(8)
+        sender, receiver = (entry.view for entry in deployment.entries)
+        server = dataclasses.replace(sender.servers["x"], started_at_ms=5)
+        sender.apply_server(server)
+        receiver.apply_server(server)
+
+        async def announce(layer_range):
+            deployment.entries[0]._mesh.announce_layers({"x": layer_range})
+            # Shorter than the time until the server's next report.
+            await trio.sleep(0.02)
+            return receiver.servers["x"].layer_range
+
+        moved = fleet.LayerRange(0, 9)
+        assert await announce(moved) == moved
+        receiver.apply_server(
+            dataclasses.replace(server, started_at_ms=6, layer_range=None)
+        )
+        assert await announce(fleet.LayerRange(0, 8)) is None
+
+
 @cases.run_on_virtual_clock
 async def test_layers_of_a_server_that_states_that_it_leaves_are_placed():
     async with deployments.open_deployment(
--- a/tests/unit/test_views.py
+++ b/tests/unit/test_views.py
@@ -87,6 +87,20 @@
     assert not view.is_suspected(view.servers["y"])
 
 
+@cases.run_on_virtual_clock
+async def test_report_of_an_earlier_process_is_ignored():
+    """Guards against paths over the layers of a server before its restart."""
+    view = make_view()
+    before = view.servers["y"].layer_range
+    restarted = dataclasses.replace(
+        view.servers["y"], layer_range=None, started_at_ms=99, revision=2
+    )
+    view.apply_server(restarted)
+    assert not view.apply_report("y", before, 98)
+    assert view.servers["y"].layer_range is None
+    assert view.apply_report("y", before, 99)
+
+
 @cases.run_on_virtual_clock
 async def test_older_row_does_not_replace_a_newer_one():
     view = make_view()
