Keep entries connected while the store fails the writes of their rows

Cause: an entry counted as ended 12 s after the last write of its row, also if it was connected, and if it was the store that failed all writes. In the new tests all entries lost all connections within 12 s; nobody placed layers for some seconds, then all of them did. An entry that only the store rejected lost its connections as well, and with them new configurations.

Ruled out: a longer lifetime of rows, which delays the replacement of hubs that ended.

Change: for the topology, entries stay that are connected, and for 12 s after a failed write of this entry those whose row expired. The retry budget counts rows as before. A restore of the store had relied on such a lost connection: refresh_rows woke an entry that went on waiting for the former time of its heartbeat. It now reads the new one.

Beside it, the longest pause after failed writes is 2.4 s, so that rows are written again within 8 s of the end of the failures (3.2 s was too long for 17 entries in the new test).

Evidence: test_members_write_seldom_while_the_store_fails_writes, too; it passed before, since members became hubs. test_entries_stay_connected_while_the_store_fails_writes (both cases) and test_entry_that_loses_the_store_stays_connected failed before.

Conclusion: a row that the store does not write shows nothing about its entry.

--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/mesh.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/mesh.py
@@ -780,9 +780,16 @@
             for hub, until in self._avoided_until.items()
             if now < until
         }
+        # An entry that is connected is alive, also if its row has expired.
+        known = {
+            entry.address: entry
+            for entry in self._known_entries or ()
+            if self._peers.find(str(entry.address)) is not None
+        }
+        known |= {entry.address: entry for entry in self._list_entries()}
         others = frozenset(
             entry
-            for entry in self._list_entries()
+            for entry in known.values()
             if entry.address not in self._avoided_until
         )
         if others == self._known_entries:
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/presence.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/presence.py
@@ -46,7 +46,7 @@
 LEASE_RENEWAL_INTERVAL_S = 0.8
 # Longest pause after failed writes; it doubles with each of them. The writes of
 # all entries would else keep the queue of a slow store full.
-FAILURE_PAUSE_MAX_S = 3.2
+FAILURE_PAUSE_MAX_S = 2.4
 # Shortest pause between two reads of the lease while another entry holds it.
 LEASE_READ_PAUSE_MIN_S = 0.3
 # Time after the end of the connection to the holder in which another entry may
@@ -87,7 +87,8 @@
 
     Attributes:
         lease: State of the placement lease.
-        entries: The other live entries, as last read.
+        entries: The other live entries, as last read. While the store fails
+            writes, entries stay whose rows expire.
         may_claim: Returns whether this entry may claim the lease. Otherwise it
             leaves the lease to entries that it is connected to, and reads the
             rows only with its own heartbeat.
@@ -145,6 +146,8 @@
         self._failing = False
         # Number of consecutive failed writes between successful reads.
         self._failed_writes = 0
+        # Time of the last write that the store failed.
+        self._write_failed_at = float("-inf")
         # Name of the connected entry that holds the lease, until when it counts
         # as lost, and the time of its last heartbeat as the holder.
         self._holder = ""
@@ -274,9 +277,9 @@
         self._holder_lost_event = trio.Event()
         with trio.move_on_after(pause_s):
             await self._holder_lost_event.wait()
-        heartbeat_at = self._written_at + HEARTBEAT_INTERVAL_S
         while not self.is_lease_holder():
             now = self._clock()
+            heartbeat_at = self._written_at + HEARTBEAT_INTERVAL_S
             if self.may_claim():
                 until = min(
                     heartbeat_at,
@@ -392,6 +395,9 @@
     def _update_entries(self, listing: stores.Listing) -> None:
         live = {self._name}
         others = {}
+        # If the store fails the writes of this entry, a row that has not been
+        # written does not show that its entry has ended.
+        writes_fail = self._clock() < self._write_failed_at + ENTRY_TTL_S
         for row in listing.rows:
             if not row.key.startswith(ENTRY_PREFIX):
                 continue
@@ -405,7 +411,7 @@
                 continue
             if age_s < ENTRY_COUNT_S:
                 live.add(row.key.removeprefix(ENTRY_PREFIX))
-            if age_s < ENTRY_TTL_S:
+            if age_s < ENTRY_TTL_S or (writes_fail and entry in self.entries):
                 others[entry.address] = entry
         others.pop(self._own.address, None)
         self.entries = frozenset(others.values())
@@ -478,6 +484,7 @@
                 # The rows may have been written nevertheless, so the revision
                 # of the lease has to be read before the next claim.
                 self._scanned_at = float("-inf")
+                self._write_failed_at = self._clock()
                 self._record_failure(
                     "entry and lease rows not written", failure
                 )
--- a/tests/unit/test_mesh.py
+++ b/tests/unit/test_mesh.py
@@ -125,6 +125,61 @@
             assert {e.view.entry_count for e in others} == {ENTRIES}
 
 
+# Guards against entries that take each other for ended, close all connections
+# and place layers side by side, since the store fails the writes of their rows.
+@pytest.mark.parametrize("entries", [3, ENTRIES])
+@cases.run_on_virtual_clock
+async def test_entries_stay_connected_while_the_store_fails_writes(entries):
+    async with deployments.open_deployment(entries=entries) as deployment:
+        await trio.sleep(11)
+        connections = [count_connections(entry) for entry in deployment.entries]
+        members = list_members(deployment)
+        deployment.rows.fault = "full"
+        await trio.sleep(5)
+        for _ in range(30):
+            await trio.sleep(1)
+            assert connections == [
+                count_connections(entry) for entry in deployment.entries
+            ]
+            assert list_members(deployment) == members
+            assert sum(e._may_place() for e in deployment.entries) == 1
+        deployment.rows.fault = ""
+        await trio.sleep(8)
+        assert connections == [
+            count_connections(entry) for entry in deployment.entries
+        ]
+        assert {e.view.entry_count for e in deployment.entries} == {entries}
+
+
+# Guards against an entry that loses its connections, and with them new
+# configurations, since the store responds to all entries but this one.
+@cases.run_on_virtual_clock
+async def test_entry_that_loses_the_store_stays_connected():
+    async with deployments.open_deployment(entries=3) as deployment:
+        await trio.sleep(11)
+        deployment.cut_from_store(3)
+        await trio.sleep(30)
+        deployment.rows.put("op", "config", deployments.encode_routing(5))
+        await trio.sleep(2)
+        versions = [e.view.routing.version for e in deployment.entries]
+        assert versions == [5] * 3
+        assert [count_connections(e) for e in deployment.entries] == [2] * 3
+
+
+# Guards against members that fill the queue of a slow store with retries.
+@cases.run_on_virtual_clock
+async def test_members_write_seldom_while_the_store_fails_writes():
+    async with open_large_deployment() as deployment:
+        deployment.rows.fault = "full"
+        await trio.sleep(10)
+        before = deployment.rows.calls["/rows-tx"]
+        await trio.sleep(10)
+        writes = deployment.rows.calls["/rows-tx"] - before
+        hubs, members = list_hubs(deployment), list_members(deployment)
+        # Of each hub one each 0.8 s, which claims the lease.
+        assert writes <= len(hubs) * 13 + len(members) * 5
+
+
 @cases.run_on_virtual_clock
 async def test_only_hubs_hold_the_lease():
     async with open_large_deployment() as deployment:
