Test each half of the rule for a vacant lease

Found by the review: three conditions of is_lease_vacant could be taken out without a failing test (a valid row of a connected entry that does not hold the lease, one of an entry without a connection, and the age of the read).

Conclusion: no change of behaviour.

--- a/tests/unit/test_placement.py
+++ b/tests/unit/test_placement.py
@@ -6,6 +6,7 @@
 from peridotyard_core import addresses
 from peridotyard_core import fleet
 from peridotyard_core import layouts
+from peridotyard_core import leases
 from peridotyard_core import topologies
 from peridotyard_daemon.connection import upstreams
 from peridotyard_daemon.process import placement
@@ -238,6 +239,52 @@
         assert sum(h.presence.is_lease_holder() for h in holders) == 1
 
 
+def read_lease(entry, holder, times=3):
+    """Lets an entry read a valid lease of a holder, now and each second."""
+
+    async def read():
+        for _ in range(times):
+            now = trio.current_time()
+            record = leases.Record(holder, now + 2.0)
+            entry.presence._record_vacancy(record, now)
+            await trio.sleep(1.0)
+
+    return read()
+
+
+# Guards against layers that nobody places, since the row of a claim whose
+# response was lost names an entry that does not know that it holds the lease.
+@cases.run_on_virtual_clock
+async def test_lease_of_a_connected_entry_that_does_not_hold_it_is_vacant():
+    entry = PlacingEntry(memory.MemoryNetwork(), "first", trio.current_time)
+    entry.presence.is_connected = lambda name: name == "second"
+    await read_lease(entry, "second")
+    assert entry.presence.is_lease_vacant()
+    entry.presence.update_holder("second", True)
+    assert not entry.presence.is_lease_vacant()
+    await read_lease(entry, "second")
+    assert not entry.presence.is_lease_vacant()
+
+
+# Guards against a second entry that places layers beside a partitioned holder.
+@cases.run_on_virtual_clock
+async def test_lease_of_an_entry_without_a_connection_is_not_vacant():
+    entry = PlacingEntry(memory.MemoryNetwork(), "first", trio.current_time)
+    await read_lease(entry, "second")
+    assert not entry.presence.is_lease_vacant()
+
+
+# Guards against an entry that acts for a holder on what it read long ago.
+@cases.run_on_virtual_clock
+async def test_old_read_of_the_lease_shows_no_vacancy():
+    entry = PlacingEntry(memory.MemoryNetwork(), "first", trio.current_time)
+    entry.presence.is_connected = lambda name: True
+    await read_lease(entry, "second")
+    assert entry.presence.is_lease_vacant()
+    await trio.sleep(presence.VACANCY_LIFETIME_S)
+    assert not entry.presence.is_lease_vacant()
+
+
 @cases.run_on_virtual_clock
 async def test_refused_orders_are_sent_again():
     # Guards against an order that is not repeated: a server refuses one that is
