Send new streams only where there is known room

Three refusals in a row counted as "leaving", so that placement replaced full servers in the overload and zones lost layers. - Without a complete zone, all new streams took paths over several zones. Their prompts saturate the links: of the paths with one zone change or more that were sent from 18 to 34 s, nearly none was completed (0 of 156, 0 of 189), and they held memory on servers that sound paths use as well. - Refusals by servers used up the retry budget.

Ruled out: room by memory alone.

Change: a new stream needs a path with room: memory and slots of its servers, and the entry's share of the links. Otherwise it waits for an eighth of its objective and is refused as overloaded. A second path for a stream without an event needs room, too. Full servers that refuse are not leaving.

--- a/packages/peridotyard-core/src/peridotyard_core/admission.py
+++ b/packages/peridotyard-core/src/peridotyard_core/admission.py
@@ -21,7 +21,7 @@
 
     Attributes:
         workspace: Name of the workspace.
-        priority: Index in `PRIORITIES`.
+        priority: Its level; 0 is the most urgent.
         weight: Weight of the workspace among those of the same priority.
         deadline: Time after which the request need not be started, seconds.
         cost: Work of the request relative to other requests.
@@ -85,14 +85,17 @@
 class Queue:
     """Requests that wait for one model, owned by the entry."""
 
-    def __init__(self, limit: int = DEFAULT_LIMIT):
+    def __init__(
+        self, limit: int = DEFAULT_LIMIT, levels: int = len(PRIORITIES)
+    ):
         """Creates an empty queue.
 
         Args:
             limit: Largest number of requests that wait.
+            levels: Number of priorities.
         """
         self._limit = limit
-        self._queues = [_FairQueue() for _ in PRIORITIES]
+        self._queues = [_FairQueue() for _ in range(levels)]
         self._waiting: set[Ticket] = set()
         self._mean_interval_s: float | None = None
         self._last_pop_at: float | None = None
@@ -127,10 +130,13 @@
         self._waiting.add(ticket)
         return None
 
+    def count_ahead(self, priority: int) -> int:
+        """Returns the number of requests that a new one would wait for."""
+        return sum(queue.size for queue in self._queues[: priority + 1])
+
     def estimate_wait(self, priority: int) -> float:
         """Returns the expected time until a new ticket is next, seconds."""
-        ahead = sum(queue.size for queue in self._queues[: priority + 1])
-        return ahead * (self._mean_interval_s or 0.0)
+        return self.count_ahead(priority) * (self._mean_interval_s or 0.0)
 
     def peek(self) -> Ticket | None:
         """Returns the next ticket, None if the queue is empty."""
@@ -164,3 +170,25 @@
                 change = interval_s - self._mean_interval_s
                 self._mean_interval_s += SMOOTHING * change
         self._last_pop_at = now if self._waiting else None
+
+
+class Returns:
+    """Times at which refused callers return, owned by the entry.
+
+    Callers that all return at once are refused again, so each of them gets a
+    time of its own, at the rate at which places become free.
+    """
+
+    def __init__(self):
+        self._last_at = float("-inf")
+
+    def reserve(self, now: float, interval_s: float, limit_s: float) -> float:
+        """Returns the time until the next refused caller returns, seconds.
+
+        Args:
+            now: Current time, seconds.
+            interval_s: Mean time between two places that become free, seconds.
+            limit_s: Longest time, seconds.
+        """
+        self._last_at = min(max(now, self._last_at) + interval_s, now + limit_s)
+        return self._last_at - now
--- a/packages/peridotyard-core/src/peridotyard_core/paths.py
+++ b/packages/peridotyard-core/src/peridotyard_core/paths.py
@@ -8,6 +8,8 @@
 import collections.abc
 import dataclasses
 import heapq
+import itertools
+import math
 
 from peridotyard_core import fleet
 
@@ -55,6 +57,12 @@
     return frozenset(stage.server.instance for stage in path)
 
 
+def count_zone_changes(path: Path) -> int:
+    """Returns how often consecutive stages of a path are in other zones."""
+    zones = [stage.server.zone for stage in path]
+    return sum(a != b for a, b in itertools.pairwise(zones))
+
+
 @dataclasses.dataclass(frozen=True)
 class Planner:
     """Finds paths for the streams of one engine.
@@ -160,6 +168,33 @@
                 return None
         return tuple(stages)
 
+    def estimate_stream_capacity(self, server: fleet.Server) -> float:
+        """Returns the streams in progress from which a server is surely full.
+
+        Its memory bounds them, and its slots if paths begin at it. Infinite if
+        the room in its memory is unknown.
+
+        Args:
+            server: A server that holds layers.
+        """
+        engine = self.engine
+        accelerator_type = engine.find_accelerator_type(server.accelerator_type)
+        if accelerator_type is None:
+            return float("inf")
+        # Streams in progress have half of their response on average.
+        tokens = engine.prompt_tokens + engine.response_tokens / 2
+        streams = engine.compute_kv_capacity(
+            accelerator_type, server.layer_range.size
+        ) / max(1.0, tokens)
+        if not streams:
+            return float("inf")
+        # Their lengths vary about as much as the mean, so that the number that
+        # fits has a standard deviation of its square root.
+        capacity = streams + math.sqrt(streams)
+        if server.layer_range.first == 0 and engine.slots:
+            capacity = min(capacity, engine.slots)
+        return max(1.0, capacity)
+
     def estimate_cost(
         self, server: fleet.Server, layers: int, load: float
     ) -> float:
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/gateway.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/gateway.py
@@ -160,7 +160,7 @@
         self._read_settings = read_settings
         self._network = network or network_module.TcpNetwork()
         self._lifecycle = lifecycle.Lifecycle()
-        self.view = views.View(settings.zone)
+        self.view = views.View(settings.zone, random)
         metrics = metrics_module.Metrics.from_config(settings)
         count = metrics.increment
         pool = upstreams.Pool(
@@ -229,6 +229,7 @@
         self.view.notify_suspect = self._mesh.announce_suspect
         self.view.notify_cleared = self._mesh.announce_cleared
         self.view.notify_leaving = self._move_streams
+        self.view.notify_load = self.context.offer_room
         self._connections: set[callers.CallerConnection] = set()
         self._nursery: trio.Nursery | None = None
         self._is_refusing = False
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/views.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/views.py
@@ -11,9 +11,11 @@
 import collections
 import collections.abc
 import dataclasses
+import random as random_module
 
 from peridotyard_core import addresses
 from peridotyard_core import fleet
+from peridotyard_core import links
 from peridotyard_core import paths
 import trio
 
@@ -38,6 +40,10 @@
 # Consecutive refusals, each after such a pause, from which a server is treated
 # as leaving although the platform's list does not say so.
 REFUSALS_UNTIL_LEAVING = 3
+# Share of its capacity in streams from which a server that refuses work is
+# taken to have no room. Its streams may be longer than the mean, and those that
+# other entries began last are not known yet.
+FULL_SHARE = 0.7
 # Time for which a reported slowness is used. It is reported again when a
 # stream over the server receives no events.
 SLOWNESS_LIFETIME_S = 3.0
@@ -159,6 +165,7 @@
         notify_cleared: Called with each server whose suspicion was cleared.
         notify_leaving: Called with the instance of each server that takes no
             new work or releases layers, so that streams can move away.
+        notify_load: Called when the load of another entry has changed.
         is_stated_leaving: Returns whether a server has stated that it shuts
             down, whatever the platform's list says.
         get_stated_wait_s: Returns how long a server wants no request from this
@@ -167,8 +174,15 @@
             included; 0 until known.
     """
 
-    def __init__(self, zone: str):
+    def __init__(self, zone: str, random: random_module.Random | None = None):
+        """Creates the view of an entry that knows no servers yet.
+
+        Args:
+            zone: Zone of the entry.
+            random: Source of random choices; None for fixed ones.
+        """
         self.zone = zone
+        self._random = random or random_module.Random(0)
         self.routing: fleet.Routing | None = None
         self.routing_at = float("-inf")
         self.rejected_routing: RejectedRouting | None = None
@@ -182,6 +196,7 @@
             _ignore
         )
         self.notify_leaving: collections.abc.Callable[[str], None] = _ignore
+        self.notify_load: collections.abc.Callable[[], None] = _ignore
         self.is_stated_leaving: collections.abc.Callable[
             [fleet.Server], bool
         ] = lambda _: False
@@ -190,6 +205,7 @@
         ] = lambda _: 0.0
         self._changed = trio.Event()
         self._no_path_since: dict[str, float] = {}
+        self._link_shares: dict[str, links.LinkShare] = {}
         self._health: dict[str, Health] = collections.defaultdict(Health)
         self._peer_loads: dict[str, dict[str, int]] = {}
         self._reports: dict[str, tuple[fleet.LayerRange | None, float]] = {}
@@ -589,10 +605,29 @@
             self.notify_cleared(server)
         return was_suspected
 
-    def record_refusal(self, server: fleet.Server) -> None:
-        """Gives no new work for a time to a server that refused work."""
+    def record_refusal(
+        self, server: fleet.Server, service: fleet.Service | None = None
+    ) -> None:
+        """Gives no new work for a time to a server that refused work.
+
+        Args:
+            server: The server.
+            service: Its service, if that runs a model. A server without room
+                refuses work although it is not leaving.
+        """
         health = self._health[server.instance]
         now = trio.current_time()
+        if service is not None and self._is_nearly_full(service, server):
+            if now >= health.refused_until:
+                health.refused_until = now + REFUSAL_PAUSE_MIN_S
+                _log.info(
+                    "server has no room",
+                    instance=server.instance,
+                    address=server.address,
+                    streams=round(self.get_load(server)),
+                    pause_ms=round(1000 * REFUSAL_PAUSE_MIN_S),
+                )
+            return
         # Refusals of requests that were sent concurrently count once.
         if now < health.refused_until:
             return
@@ -662,6 +697,22 @@
         health = self._health.get(name)
         return peer_requests + (health.in_flight if health else 0)
 
+    def _is_full(self, planner: paths.Planner, server: fleet.Server) -> bool:
+        """Returns whether a server has no room for another stream."""
+        if server.layer_range is None:
+            return False
+        load = self.get_load(server)
+        return load + 1 > planner.estimate_stream_capacity(server)
+
+    def _is_nearly_full(
+        self, service: fleet.Service, server: fleet.Server
+    ) -> bool:
+        """Returns whether a refusal of a server may be for want of room."""
+        if service.engine is None or server.layer_range is None:
+            return False
+        capacity = self.make_planner(service).estimate_stream_capacity(server)
+        return self.get_load(server) >= FULL_SHARE * capacity
+
     def count_in_flight(self) -> dict[str, int]:
         """Returns this entry's requests in flight by instance."""
         return {
@@ -697,6 +748,7 @@
             self._peer_loads.pop(entry, None)
         else:
             self._peer_loads[entry] = counts
+        self.notify_load()
 
     def estimate_cost(self, server: fleet.Server) -> float:
         """Estimates the cost of a request to a server of a plain service.
@@ -756,6 +808,7 @@
         service: fleet.Service,
         avoid: frozenset[str] = frozenset(),
         not_first: frozenset[str] = frozenset(),
+        needs_room: bool = False,
     ) -> paths.Path | None:
         """Chooses servers that together run all layers of a service's model.
 
@@ -763,21 +816,31 @@
             service: The service.
             avoid: Instances that are not used.
             not_first: Instances with which the path must not begin.
+            needs_room: Whether each server must have room for the stream.
 
         Returns:
             The path; None if some layer is on no usable server.
         """
+        planner = self.make_planner(service)
         servers = [
             server
             for server in self.list_usable(service.name)
             if server.instance not in avoid
+            and not (needs_room and self._is_full(planner, server))
         ]
-        path = self.make_planner(service).choose_path(
-            servers, self.get_load, not_first
-        )
+        path = planner.choose_path(servers, self.get_load, not_first)
+        if (
+            needs_room
+            and path is not None
+            and paths.count_zone_changes(path)
+            and not self._find_link_share(service).has_room(
+                self._compute_link_rate(service), trio.current_time()
+            )
+        ):
+            return None
         if path is not None:
             self._no_path_since.pop(service.name, None)
-        elif not avoid and not not_first:
+        elif not avoid and not not_first and not needs_room:
             now = trio.current_time()
             if self._no_path_since.setdefault(service.name, now) == now:
                 _log.warning(
@@ -785,6 +848,23 @@
                 )
         return path
 
+    def record_path(self, service: fleet.Service, path: paths.Path) -> None:
+        """Records that a stream is sent on a path."""
+        changes = paths.count_zone_changes(path)
+        if changes:
+            self._find_link_share(service).record_changes(
+                changes, self._compute_link_rate(service), trio.current_time()
+            )
+
+    def _find_link_share(self, service: fleet.Service) -> links.LinkShare:
+        return self._link_shares.setdefault(
+            service.name, links.LinkShare(self._random)
+        )
+
+    def _compute_link_rate(self, service: fleet.Service) -> float:
+        """Returns this entry's share of zone changes per second."""
+        return links.compute_rate(service.engine) / max(1, self.entry_count)
+
     def get_no_path_duration_s(self, service: str) -> float:
         """Returns the seconds for which a service has had no path."""
         now = trio.current_time()
@@ -921,7 +1001,7 @@
     return None if age_s == float("inf") else round(age_s, 3)
 
 
-def _ignore(_subject: fleet.Server | str) -> None:
+def _ignore(*_arguments) -> None:
     """Default notification function, which does nothing."""
 
 
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/contexts.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/contexts.py
@@ -24,6 +24,7 @@
 from peridotyard_daemon.process import metrics as metrics_module
 from peridotyard_daemon.process import prompts as prompts_module
 from peridotyard_daemon.process import reservations as reservations_module
+from peridotyard_daemon.process import rooms
 from peridotyard_daemon.process import statements as statements_module
 from peridotyard_daemon.process import views
 
@@ -47,6 +48,9 @@
 # the servers allow it. Requests that wait longer would only be served later:
 # the limit determines how many are served.
 QUEUE_OBJECTIVE_SHARE = 0.25
+# The same for room on the servers. Callers that are refused soon can still be
+# served elsewhere in time.
+ROOM_OBJECTIVE_SHARE = 0.125
 
 # Weight of the newest duration in the mean duration of a route's requests.
 DURATION_SMOOTHING = 0.2
@@ -137,6 +141,15 @@
             return self.workspace.priority
         return self.route.priority
 
+    @property
+    def relative_size(self) -> float:
+        """Tokens of prompt and answer, relative to the mean of the model."""
+        engine = self.service.engine
+        tokens = self.head.prompt_tokens + self.head.response_tokens
+        if engine is None or not tokens:
+            return 1.0
+        return tokens / max(1, engine.prompt_tokens + engine.response_tokens)
+
     def log(self, logger: logs.Logger, message: str, **fields) -> None:
         """Logs a message with the id of this request."""
         logger.info(message, request=self.head.request_id, **fields)
@@ -193,6 +206,10 @@
     _budgets: dict[str, budgets.WindowBudget] = dataclasses.field(
         default_factory=dict
     )
+    # Requests that wait for room, by service.
+    _queues: dict[str, rooms.RoomQueue] = dataclasses.field(
+        default_factory=dict
+    )
     # Means of the durations of successful requests, seconds, by route.
     _mean_durations: dict[str, float] = dataclasses.field(default_factory=dict)
     # Checks in progress, by instance.
@@ -211,6 +228,17 @@
             self._budgets[service] = self.make_budget()
         return self._budgets[service]
 
+    def find_queue(self, service: str) -> rooms.RoomQueue:
+        """Returns the queue for room in a service; creates it on first use."""
+        if service not in self._queues:
+            self._queues[service] = rooms.RoomQueue()
+        return self._queues[service]
+
+    def offer_room(self) -> None:
+        """Lets requests that wait go on, if the servers have room again."""
+        for queue in self._queues.values():
+            queue.offer()
+
     def adjust_budgets(
         self, fraction: float, reserve: float, window_s: float
     ) -> None:
@@ -504,6 +532,34 @@
             wait_s,
         )
 
+    def refuse_without_room(self, request: Request) -> verdicts.Failure:
+        """Returns the failure of a request for which no server has room.
+
+        Its caller is told to return when places that become free at the present
+        rate are not taken by those that were refused before.
+        """
+        queue = self.find_queue(request.service.name)
+        duration_s = queue.mean_duration_s or request.route.latency_objective_s
+        wait_s = queue.returns.reserve(
+            trio.current_time(),
+            duration_s / max(1, queue.in_progress),
+            RETRY_AFTER_MAX_S,
+        )
+        wait_s = max(RETRY_AFTER_BUSY_S, wait_s)
+        wait_s *= 1 + RETRY_AFTER_SPREAD * self.random.random()
+        self.metrics.increment("refused_without_room")
+        request.log(
+            _log,
+            "no server has room for the request",
+            in_progress=queue.in_progress,
+            waiting=len(queue),
+            waited_ms=round(1000 * (trio.current_time() - request.arrived_at)),
+            retry_after_ms=round(1000 * wait_s),
+        )
+        return verdicts.make_not_run_failure(
+            "overloaded", "No backend server has room.", round(wait_s, 3)
+        )
+
     async def send_response(
         self,
         request: Request,
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/relays.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/relays.py
@@ -11,6 +11,7 @@
 import collections.abc
 import dataclasses
 
+from peridotyard_core import admission
 from peridotyard_core import paths
 from peridotyard_core import verdicts
 import trio
@@ -66,6 +67,12 @@
         self._silent: frozenset[str] = frozenset()
         # Whether a path may have run a part of the request.
         self._may_have_run = False
+        # Requests that wait for room in the service.
+        self._queue = context.find_queue(request.service.name)
+        # Time at which it was sent first.
+        self._began_at: float | None = None
+        # Whether it was not sent since servers had no room for it.
+        self._is_without_room = False
         # Number of paths that may still run a part of the request.
         self._possible_runs = 0
 
@@ -80,6 +87,10 @@
         finally:
             self._context.streams.discard(self)
             self._context.announce_crashes(self._request)
+            if self._began_at is not None:
+                duration_s = trio.current_time() - self._began_at
+                self._queue.end_stream(duration_s)
+                self._context.offer_room()
         if not scope.cancelled_caught:
             # Outside of the time limit, which could cut off the answer.
             await self._finish_response(outcome)
@@ -230,6 +241,9 @@
                 if path is not None:
                     self._sends += 1
                     self._sends_without_event += 1
+                    if self._began_at is None:
+                        self._began_at = trio.current_time()
+                        self._queue.in_progress += 1
                     outcome = await run.execute(path)
         except (OSError, trio.BrokenResourceError) as error:
             # The caller has disconnected.
@@ -313,6 +327,7 @@
             self._request.service,
             self._failed | self._refused | failed,
             denied | firsts,
+            self._needs_room,
         )
 
     def _list_first_instances(self) -> frozenset[str]:
@@ -400,6 +415,8 @@
         Args:
             last: Outcome of the previous path, None for the first path.
         """
+        if self._needs_room:
+            return await self._wait_for_room(last)
         path = await self._reserve_path(last)
         if (
             path is None
@@ -409,6 +426,54 @@
             path = await self._wait_for_path(last)
         return path
 
+    async def _wait_for_room(
+        self, last: runs.Outcome | None
+    ) -> paths.Path | None:
+        """Returns a path over servers with room; waits for it if there is none.
+
+        Args:
+            last: Outcome of the previous path, None for the first path.
+        """
+        request = self._request
+        queue = self._queue
+        self._is_without_room = False
+        if not queue.has_precedence(request.priority):
+            path = await self._reserve_path(last)
+            if path is not None or not self._lacks_room(last):
+                return path
+        wait_s = (
+            contexts.ROOM_OBJECTIVE_SHARE * request.route.latency_objective_s
+        )
+        ticket = admission.Ticket(
+            request.workspace_name,
+            request.priority,
+            1.0,
+            min(request.arrived_at + wait_s, request.deadline),
+            request.relative_size,
+        )
+        if await queue.wait(
+            ticket, lambda: self._choose_path(last) is not None
+        ):
+            self._responder.check_connected()
+            path = await self._reserve_path(last)
+            if path is not None:
+                return path
+        self._is_without_room = self._lacks_room(last)
+        return None
+
+    def _lacks_room(self, last: runs.Outcome | None) -> bool:
+        """Returns whether there are paths, but none with room.
+
+        Args:
+            last: Outcome of the previous path, None for the first path.
+        """
+        view, service = self._context.view, self._request.service
+        return (
+            self._choose_path(last) is None
+            and view.choose_path(service, self._failed | self._refused)
+            is not None
+        )
+
     def _spend_retry(self) -> bool:
         """Spends a retry; returns False if the budget has none left."""
         return self._context.spend_retry(
@@ -459,18 +524,31 @@
         """
         view, service = self._context.view, self._request.service
         avoid = self._failed | self._refused
-        path = view.choose_path(service, avoid, not_first)
+        path = view.choose_path(service, avoid, not_first, self._needs_room)
         if path is not None or last is None:
             return path
         # Without other servers, those that lost an earlier attempt may be used
         # again. Servers that refused do so again at once, so only a stream that
         # waits returns to them; the view leaves them out for a time.
         if isinstance(last, runs.Broken):
-            path = view.choose_path(service, last.avoid, not_first)
+            path = view.choose_path(
+                service, last.avoid, not_first, self._needs_room
+            )
         elif self._responder.started:
             path = view.choose_path(service, frozenset(), not_first)
         return path
 
+    @property
+    def _needs_room(self) -> bool:
+        """Whether the stream is new, so that it needs a path with room.
+
+        Others continue also on full servers, which then decide by themselves.
+        """
+        return (
+            not self._responder.started
+            and self._request.head.last_event_id is None
+        )
+
     async def _wait_for_path(self, last: runs.Outcome) -> paths.Path | None:
         """Waits for a path of a stream that has begun; None if there is none.
 
@@ -508,7 +586,11 @@
                     request, self._responder, head, body
                 )
             case runs.Refused(reason=reason) | runs.Broken(reason=reason):
-                failure = context.refuse_unavailable(request, reason)
+                failure = (
+                    context.refuse_without_room(request)
+                    if self._is_without_room
+                    else context.refuse_unavailable(request, reason)
+                )
                 if self._may_have_run:
                     failure = dataclasses.replace(
                         failure,
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/runs.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/runs.py
@@ -204,6 +204,7 @@
         """
         request, context = self._request, self._context
         first_server = path[0].server
+        context.view.record_path(request.service, path)
         self._set_path(path)
         self._record_activity()
         self._start_event = self._progress.sequence.last
@@ -771,7 +772,7 @@
             if stage.server.address == head.failed_address
         ] or [self._path[0].server]
         for server in at_fault:
-            self._context.view.record_refusal(server)
+            self._context.view.record_refusal(server, self._request.service)
         # The server at fault may have failed instead of refusing work.
         await self._prober.find_unresponsive(at_fault)
         self._record_ends(self._successions, is_refused=True)
--- a/tests/unit/test_relays.py
+++ b/tests/unit/test_relays.py
@@ -11,6 +11,7 @@
 from peridotyard_core import budgets
 from peridotyard_core import fleet
 from peridotyard_core import verdicts
+from peridotyard_daemon.request import contexts
 from peridotyard_daemon.request import relays
 import pytest
 import trio
@@ -1327,3 +1328,87 @@
         assert not recorder.finished
         assert trio.current_time() - began == pytest.approx(2)
         assert harness.servers["b0"].requests == []
+
+
+def fill_servers(harness, streams=1000, names=None):
+    """Reports streams of another entry on servers, by default on all."""
+    names = harness.servers if names is None else names
+    harness.context.view.apply_peer_load("other", dict.fromkeys(names, streams))
+
+
+@cases.run_on_virtual_clock
+async def test_new_stream_without_room_is_refused_before_it_is_sent():
+    """Guards against sends that full servers reject, at the cost of retries."""
+    async with gateways.open_harness(
+        gateways.make_servers(LAYER_RANGES)
+    ) as harness:
+        fill_servers(harness)
+        began = trio.current_time()
+        recorder = await relay(harness)
+        assert recorder.status == 503
+        assert b"overloaded" in recorder.body
+        assert b"not-run" in recorder.body
+        headers = dict(recorder.headers)
+        assert float(headers[b"retry-after"]) >= contexts.RETRY_AFTER_BUSY_S
+        waited_s = trio.current_time() - began
+        objective_s = gateways.ROUTE.latency_objective_s
+        assert waited_s <= contexts.ROOM_OBJECTIVE_SHARE * objective_s
+        assert not any(item.requests for item in harness.servers.values())
+        assert harness.context.metrics.get_count("retries") == 0
+
+
+@cases.run_on_virtual_clock
+async def test_new_stream_is_sent_when_servers_have_room_again():
+    """Guards against a refusal just before a place becomes free."""
+    async with gateways.open_harness(
+        gateways.make_servers(LAYER_RANGES)
+    ) as harness:
+        harness.context.view.notify_load = harness.context.offer_room
+        fill_servers(harness)
+
+        async def free():
+            await trio.sleep(0.05)
+            fill_servers(harness, 0)
+
+        check_complete(await relay_while(harness, free))
+
+
+@cases.run_on_virtual_clock
+async def test_stream_that_has_begun_continues_on_full_servers():
+    """Guards against streams that are cut to make room for new ones."""
+    async with gateways.open_harness(
+        gateways.make_servers(LAYER_RANGES)
+    ) as harness:
+        harness.servers["a0"].faults = [servers_module.Fault("crash", 4)]
+
+        async def fill():
+            await trio.sleep(0.1)
+            fill_servers(harness)
+
+        check_complete(await relay_while(harness, fill))
+
+
+@cases.run_on_virtual_clock
+async def test_stream_that_its_caller_resumes_is_sent_to_full_servers():
+    """Guards against refusals of streams of which callers have a part."""
+    async with gateways.open_harness(
+        gateways.make_servers(LAYER_RANGES)
+    ) as harness:
+        fill_servers(harness)
+        check_complete(await relay(harness, last_event_id=4), after=4)
+
+
+@cases.run_on_virtual_clock
+async def test_silent_stream_without_an_event_gets_no_full_second_path():
+    """Guards against second runs that double the load of full servers."""
+    async with gateways.open_harness(
+        gateways.make_servers(LAYER_RANGES)
+    ) as harness:
+        harness.servers["a0"].faults = [servers_module.Fault("pause", 0)]
+
+        async def fill():
+            await trio.sleep(0.1)
+            fill_servers(harness, names=["b0", "b1"])
+
+        check_complete(await relay_while(harness, fill))
+        assert not harness.servers["b0"].requests
--- a/tests/unit/test_views.py
+++ b/tests/unit/test_views.py
@@ -6,6 +6,7 @@
 from hypothesis import strategies
 from peridotyard_core import addresses
 from peridotyard_core import fleet
+from peridotyard_core import links
 from peridotyard_daemon.process import views
 import pytest
 import trio
@@ -224,6 +225,72 @@
     assert view.get_load(view.servers["z"]) == 0
 
 
+@cases.run_on_virtual_clock
+async def test_full_server_gets_no_new_streams():
+    """Guards against sends that servers without memory reject."""
+    view = make_view()
+    full = {"y": 1000, "z": 1000}
+    view.apply_peer_load("other", full)
+    assert view.choose_path(SERVICE, needs_room=True) is None
+    # It is no failure of the service, and streams that have begun may use it.
+    assert view.get_no_path_duration_s("model") == 0
+    assert list_used(view) is not None
+    view.apply_peer_load("other", full | {"z": 1})
+    path = view.choose_path(SERVICE, needs_room=True)
+    assert [stage.server.instance for stage in path] == ["x", "z"]
+
+
+@cases.run_on_virtual_clock
+async def test_server_whose_memory_seems_too_small_is_not_taken_to_be_full():
+    """Guards against a service that refuses all streams on a wrong estimate."""
+    view = make_view()
+    for server in list(view.servers.values()):
+        view.apply_report(server.instance, fleet.LayerRange(0, 20))
+    view.apply_peer_load("other", {"x": 10, "y": 10, "z": 10})
+    assert view.choose_path(SERVICE, needs_room=True) is not None
+
+
+@cases.run_on_virtual_clock
+async def test_full_server_that_refuses_work_is_not_leaving():
+    """Guards against a full server that is replaced as if it were leaving."""
+    view = make_view()
+    server = view.servers["y"]
+    view.apply_peer_load("other", {"y": 1000})
+    for _ in range(2 * views.REFUSALS_UNTIL_LEAVING):
+        view.record_refusal(server, SERVICE)
+        assert server not in view.list_usable("model")
+        await trio.sleep(views.REFUSAL_PAUSE_MIN_S)
+        assert server in view.list_usable("model")
+    assert not view.is_leaving(server)
+    view.apply_peer_load("other", {"y": 1})
+    for _ in range(views.REFUSALS_UNTIL_LEAVING):
+        view.record_refusal(server, SERVICE)
+        await trio.sleep(views.REFUSAL_PAUSE_MAX_S)
+    assert view.is_leaving(server)
+
+
+@cases.run_on_virtual_clock
+async def test_new_streams_change_zones_only_within_the_share_of_the_links():
+    """Guards against links between zones that new streams saturate."""
+    view = make_view()
+    for name in ("y", "z"):
+        server = view.servers[name]
+        view.apply_server(dataclasses.replace(server, zone="b", revision=2))
+    view.entry_count = 1
+    rate_per_s = links.compute_rate(SERVICE.engine)
+    sent = 0
+    while trio.current_time() < 5.0:
+        path = view.choose_path(SERVICE, needs_room=True)
+        if path is not None:
+            view.record_path(SERVICE, path)
+            sent += 1
+        # A stream that has begun may always change zones.
+        assert view.choose_path(SERVICE) is not None
+        await trio.sleep(0.01)
+    most = (5.0 + links.SAVED_S) * rate_per_s
+    assert 0.8 * 5.0 * rate_per_s <= sent <= most + 2
+
+
 @cases.run_on_virtual_clock
 async def test_slow_server_has_a_higher_cost_for_a_time():
     view = make_view()
