--- a/tests/unit/test_gateway.py
+++ b/tests/unit/test_gateway.py
@@ -644,18 +644,34 @@
         assert deployment.entries[1].view.get_load(server) == 0
 
 
+SPARE_LAYERS = [
+    ("x", "a", (0, 10)),
+    ("y", "a", (10, 20)),
+    ("z", "a", (0, 10)),
+]
+
+
+async def check_layers_of_y_are_placed(deployment):
+    """Stops the server that alone holds layers; the spare replaces it."""
+    address = str(deployment.servers["y"].server.address)
+    deployment.network.stop_serving(address)
+    deployment.network.reset(address)
+    for entry in deployment.entries:
+        entry.view.suspect(entry.view.servers["y"], "test")
+    await trio.sleep(2)
+    layer_ranges = [
+        deployment.servers[name].server.layer_range for name in ("x", "z")
+    ]
+    assert {layer_range.first for layer_range in layer_ranges} == {0, 10}
+
+
 @cases.run_on_virtual_clock
 async def test_layers_are_placed_during_an_outage_of_the_store():
     # Guards against a service without a complete path while no lease can be
     # renewed. Three servers left during an outage of the store, and there was
     # no path for eight seconds.
-    server_layers = [
-        ("x", "a", (0, 10)),
-        ("y", "a", (10, 20)),
-        ("z", "a", (0, 10)),
-    ]
     async with deployments.open_deployment(
-        entries=2, server_layers=server_layers
+        entries=2, server_layers=SPARE_LAYERS
     ) as deployment:
         await trio.sleep(6)
         deployment.rows.fault = "refuse"
@@ -664,16 +680,7 @@
             entry._mesh.is_acting_holder() for entry in deployment.entries
         ]
         assert acting == [True, False]
-        address = str(deployment.servers["y"].server.address)
-        deployment.network.stop_serving(address)
-        deployment.network.reset(address)
-        for entry in deployment.entries:
-            entry.view.suspect(entry.view.servers["y"], "test")
-        await trio.sleep(2)
-        layer_ranges = [
-            deployment.servers[name].server.layer_range for name in ("x", "z")
-        ]
-        assert {layer_range.first for layer_range in layer_ranges} == {0, 10}
+        await check_layers_of_y_are_placed(deployment)
         deployment.rows.fault = ""
         await trio.sleep(6)
         assert not any(
@@ -686,28 +693,14 @@
 @pytest.mark.parametrize("fault", ["full", "late"])
 @cases.run_on_virtual_clock
 async def test_layers_are_placed_while_the_store_fails_writes(fault):
-    server_layers = [
-        ("x", "a", (0, 10)),
-        ("y", "a", (10, 20)),
-        ("z", "a", (0, 10)),
-    ]
     async with deployments.open_deployment(
-        entries=3, server_layers=server_layers
+        entries=3, server_layers=SPARE_LAYERS
     ) as deployment:
         await trio.sleep(6)
         deployment.rows.fault = fault
         await trio.sleep(6)
         assert sum(entry._may_place() for entry in deployment.entries) == 1
-        address = str(deployment.servers["y"].server.address)
-        deployment.network.stop_serving(address)
-        deployment.network.reset(address)
-        for entry in deployment.entries:
-            entry.view.suspect(entry.view.servers["y"], "test")
-        await trio.sleep(2)
-        layer_ranges = [
-            deployment.servers[name].server.layer_range for name in ("x", "z")
-        ]
-        assert {layer_range.first for layer_range in layer_ranges} == {0, 10}
+        await check_layers_of_y_are_placed(deployment)
         deployment.rows.fault = ""
         await trio.sleep(6)
         assert sum(entry._may_place() for entry in deployment.entries) == 1
