Count a run on a server that refuses connections as an attempt

Cause: a refused connection counts as the end of the server's process, so that the run on it did not count as an attempt. The server was alive: more than twenty streams of each entry had moved to it within 0.1 s, and it refused further connections of all entries while it ran what it had received. Ruled out: the third path beside two silent ones (the route allows two, and the runs in progress were counted).

Change: a run whose connection is open when it is left counts as one that may still run the request. A server whose process has ended closes its connections, which is another way in the code and is unchanged.

Evidence: test_run_on_a_server_that_refuses_connections_is_an_attempt failed before (three servers instead of two); test_runs, test_relays and test_gateway pass.

Conclusion: what a server refuses to others shows nothing about what it runs.

--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/runs.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/runs.py
@@ -607,7 +607,9 @@
         if first.instance in failed:
             reason = "first server failed"
             if self._has_ended(first):
-                return Broken(reason, failed, True)
+                # The connection of the run is still open, so the server may
+                # run the request: a full one refuses further connections.
+                return Broken(reason, failed, False)
             return self._wait_or_abandon(reason, failed)
         path = self._plan_replacement(failed)
         if path is None:
--- a/tests/unit/test_runs.py
+++ b/tests/unit/test_runs.py
@@ -371,6 +371,31 @@
         assert not any(harness.context.view.count_in_flight().values())
 
 
+# Guards against a request that runs on more servers than its route allows: a
+# full server refuses further connections and runs what it has received.
+@cases.run_on_virtual_clock
+async def test_run_on_a_server_that_refuses_connections_is_an_attempt():
+    async with open_harness() as harness:
+
+        async def interfere(nursery):
+            await trio.sleep(0.3)
+            (used,) = [s for s in harness.servers.values() if s.runs]
+            nursery.start_soon(used.fall_silent, 1.0)
+            while sum(len(s.requests) for s in harness.servers.values()) < 2:
+                await trio.sleep(0.001)
+            (second,) = [
+                s
+                for s in harness.servers.values()
+                if s.requests and s is not used
+            ]
+            nursery.start_soon(second.fall_silent, 60.0)
+            harness.network.stop_serving(str(second.server.address))
+
+        recorder = await relay_beside(harness, interfere)
+        check_complete(recorder)
+        assert sum(len(s.requests) for s in harness.servers.values()) == 2
+
+
 @cases.run_on_virtual_clock
 async def test_stream_that_must_run_once_has_no_second_run():
     """Guards against a non-idempotent stream that runs on two servers."""
