--- a/tests/unit/test_runs.py
+++ b/tests/unit/test_runs.py
@@ -334,6 +334,20 @@
     virtual_clock.run(play)
 
 
+async def silence_two_paths(harness, nursery, first_s):
+    """Silences the server in use and the next one; returns the latter."""
+    await trio.sleep(0.3)
+    (used,) = [s for s in harness.servers.values() if s.runs]
+    nursery.start_soon(used.fall_silent, first_s)
+    while sum(len(s.requests) for s in harness.servers.values()) < 2:
+        await trio.sleep(0.001)
+    (second,) = [
+        s for s in harness.servers.values() if s.requests and s is not used
+    ]
+    nursery.start_soon(second.fall_silent, 60.0)
+    return second
+
+
 @pytest.mark.parametrize(("attempts", "is_complete"), [(2, False), (3, True)])
 @cases.run_on_virtual_clock
 async def test_third_path_is_tried_beside_two_silent_ones(
@@ -346,17 +360,7 @@
     async with open_harness() as harness:
 
         async def interfere(nursery):
-            await trio.sleep(0.3)
-            (used,) = [s for s in harness.servers.values() if s.runs]
-            nursery.start_soon(used.fall_silent, 60.0)
-            while sum(len(s.requests) for s in harness.servers.values()) < 2:
-                await trio.sleep(0.001)
-            (second,) = [
-                s
-                for s in harness.servers.values()
-                if s.requests and s is not used
-            ]
-            nursery.start_soon(second.fall_silent, 60.0)
+            await silence_two_paths(harness, nursery, 60.0)
 
         began = trio.current_time()
         recorder = await relay_beside(
@@ -378,17 +382,7 @@
     async with open_harness() as harness:
 
         async def interfere(nursery):
-            await trio.sleep(0.3)
-            (used,) = [s for s in harness.servers.values() if s.runs]
-            nursery.start_soon(used.fall_silent, 1.0)
-            while sum(len(s.requests) for s in harness.servers.values()) < 2:
-                await trio.sleep(0.001)
-            (second,) = [
-                s
-                for s in harness.servers.values()
-                if s.requests and s is not used
-            ]
-            nursery.start_soon(second.fall_silent, 60.0)
+            second = await silence_two_paths(harness, nursery, 1.0)
             harness.network.stop_serving(str(second.server.address))
 
         recorder = await relay_beside(harness, interfere)
