Bound what callers make an entry keep

Callers saw: with 100 clients that stop just short of the end of a body of 1 MiB, the entry grew from 33 to 140 MB (304 MB with chunks of one byte) and would have been ended on its machine of 96 MB; with chunks of one byte, no ordinary request was answered within 60 s; 400 silent connections opened 416 descriptors of 400.

Cause: each connection had limits of its own, and nothing bounded their sum: bodies, responses that are not read, connections. An announced body over the limit was received up to the limit, also without a valid key or route. h11 decodes each chunk by itself, and a read of 64 KiB with 11,000 chunks had no checkpoint.

Change: one budget for bodies and responses, which follows from the memory of the machine (core.bodies decides whose data is given up); a bound on connections, which evicts idle ones; key, route and announced length are checked on the head; the whole body has a time limit; chunks are decoded in steps, by one connection at a time once a body has more than 1,024 of them; the receive buffer of a connection does not grow.

--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/gateway.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/gateway.py
@@ -26,6 +26,7 @@
 from peridotyard_daemon.connection import upstreams
 from peridotyard_daemon.process import delays
 from peridotyard_daemon.process import duties
+from peridotyard_daemon.process import intake as intake_module
 from peridotyard_daemon.process import lifecycle
 from peridotyard_daemon.process import logs
 from peridotyard_daemon.process import mesh
@@ -68,6 +69,11 @@
     "retry_window_s",
     "seeds",
 )
+# Limits for the connections of readiness checks, and of readers of metrics: a
+# few machines of the platform and operators.
+ADMIN_LIMITS = intake_module.Limits(connections=64, data_bytes=1 << 20)
+# Largest head and body of their requests.
+ADMIN_CALLER_LIMITS = fleet.CallerLimits(body_bytes=1 << 16)
 # Request target at the metrics address that returns the known fleet as JSON.
 FLEET_TARGET = "/admin/v1/fleet"
 
@@ -94,6 +100,8 @@
         retry_window_s: Length of the window of the retry budget, seconds.
         capacity: Processor capacity of the machine, in cores of normal speed;
             0 if unknown. The entries with the most forward messages of others.
+        memory_mb: Memory of the process, megabytes; more ends it.
+        descriptors: Largest number of open descriptors of the process.
         log_level: Lowest level that is logged.
         log_format: "text" or "json".
         debug: Names of the parts of the process that log at debug level, see
@@ -115,6 +123,8 @@
     retry_reserve: float
     retry_window_s: float
     capacity: float = 0.0
+    memory_mb: float = intake_module.DEFAULT_MEMORY_MB
+    descriptors: int = intake_module.DEFAULT_DESCRIPTORS
     log_level: str = "info"
     log_format: str = "json"
     debug: tuple[str, ...] = ()
@@ -231,6 +241,14 @@
         self.view.notify_leaving = self._move_streams
         self.view.notify_load = self.context.offer_room
         self._connections: set[callers.CallerConnection] = set()
+        self._intake = intake_module.Intake(
+            intake_module.Limits.from_machine(
+                settings.memory_mb, settings.descriptors
+            ),
+            count,
+        )
+        self._readiness_intake = intake_module.Intake(ADMIN_LIMITS, count)
+        self._metrics_intake = intake_module.Intake(ADMIN_LIMITS, count)
         self._nursery: trio.Nursery | None = None
         self._is_refusing = False
         self._started_at = float("-inf")
@@ -393,26 +411,53 @@
         return sum(connection.busy for connection in self._connections)
 
     async def _serve_caller(self, stream: trio.abc.Stream) -> None:
-        await self._run_connection(stream, self._handle, self._connections)
+        connection = callers.CallerConnection(
+            stream,
+            self._handle,
+            self._read_limits,
+            self._lifecycle.draining.is_set,
+            self._intake,
+            self._check_head,
+        )
+        self._connections.add(connection)
+        try:
+            await self._run_connection(stream, connection, self._intake)
+        finally:
+            self._connections.discard(connection)
 
     async def _serve_readiness(self, stream: trio.abc.Stream) -> None:
-        await self._run_connection(stream, self._send_readiness, set())
+        await self._serve_admin(
+            stream, self._send_readiness, self._readiness_intake
+        )
 
     async def _serve_metrics(self, stream: trio.abc.Stream) -> None:
-        await self._run_connection(stream, self._send_metrics, set())
+        await self._serve_admin(
+            stream, self._send_metrics, self._metrics_intake
+        )
 
-    async def _run_connection(
-        self, stream, handler, open_connections: set
+    async def _serve_admin(
+        self, stream, handler, intake: intake_module.Intake
     ) -> None:
         connection = callers.CallerConnection(
             stream,
             handler,
-            self._read_limits,
+            lambda: ADMIN_CALLER_LIMITS,
             self._lifecycle.draining.is_set,
+            intake,
         )
-        upstreams.set_socket_options(stream)
-        open_connections.add(connection)
+        await self._run_connection(stream, connection, intake)
+
+    async def _run_connection(
+        self,
+        stream: trio.abc.Stream,
+        connection: callers.CallerConnection,
+        intake: intake_module.Intake,
+    ) -> None:
         try:
+            if not intake.add_connection(connection):
+                await trio.aclose_forcefully(stream)
+                return
+            upstreams.set_socket_options(stream)
             await connection.run()
         except Exception as error:
             # An error in one connection must not end all others.
@@ -422,7 +467,7 @@
                 **logs.describe_error(error),
             )
         finally:
-            open_connections.discard(connection)
+            intake.remove_connection(connection)
 
     def _read_limits(self) -> fleet.CallerLimits:
         routing = self.view.routing
@@ -443,6 +488,7 @@
                 "ready": self.is_ready,
                 "holds_duty": self._may_place(),
                 "quarantined_parts": self.context.parts.list_quarantined(),
+                "callers": self._intake.describe(),
             }
             headers = [(b"content-type", http.JSON_TYPE)]
             await responder.send_complete(
@@ -481,17 +527,9 @@
         arrived_at = trio.current_time()
         head = self.context.codec.decode_request(method, target, headers)
         await self._wait_initialized()
-        admitted = self._admit(head, body, arrived_at)
+        admitted = self._admit(head, body, arrived_at, responder)
         if isinstance(admitted, verdicts.Failure):
-            self.context.metrics.increment(f"outcome.{admitted.code}")
-            _log.info(
-                "request refused",
-                request=head.request_id,
-                code=admitted.code,
-                target=head.target,
-                host=head.host,
-                routing=self.view.routing and self.view.routing.version,
-            )
+            self._record_refusal(head, admitted)
             await contexts.send_failure(responder, admitted, head.request_id)
             return
         if self.context.is_quarantined(admitted):
@@ -518,6 +556,33 @@
             self.context.record_end(admitted, "internal-error")
             raise trio.BrokenResourceError from error
 
+    async def _check_head(self, method: str, target: str, headers: tuple):
+        """Checks a request before its body is received.
+
+        Returns:
+            None, or the status, headers and body of the refusal.
+        """
+        head = self.context.codec.decode_request(method, target, headers)
+        await self._wait_initialized()
+        failure = self._find_failure(head)
+        if failure is None:
+            return None
+        self._record_refusal(head, failure)
+        return http.encode_failure(failure, head.request_id)
+
+    def _record_refusal(
+        self, head: exchanges.RequestHead, failure: verdicts.Failure
+    ) -> None:
+        self.context.metrics.increment(f"outcome.{failure.code}")
+        _log.info(
+            "request refused",
+            request=head.request_id,
+            code=failure.code,
+            target=head.target,
+            host=head.host,
+            routing=self.view.routing and self.view.routing.version,
+        )
+
     async def _wait_initialized(self) -> None:
         """Waits for the first configuration and server list after a start."""
         until = self._started_at + START_WAIT_S
@@ -534,10 +599,10 @@
         stream = relays.Stream(self.context, self._prober, request, responder)
         await stream.run()
 
-    def _admit(
-        self, head: exchanges.RequestHead, body: bytes, arrived_at: float
-    ) -> contexts.Request | verdicts.Failure:
-        """Returns a request that may run, or the reason of its refusal."""
+    def _find_failure(
+        self, head: exchanges.RequestHead
+    ) -> verdicts.Failure | None:
+        """Returns why a request may not run, None if it may."""
         if self._is_refusing:
             # A request that starts now could be interrupted by the end of the
             # process.
@@ -554,13 +619,29 @@
             return verdicts.make_not_run_failure(
                 "not-found", "No route matches."
             )
+        needs_key = routing.needs_keys and not route.public
+        if needs_key and routing.authenticate(head.key) is None:
+            return verdicts.make_not_run_failure(
+                "unauthorized", "The API key is unknown."
+            )
+        return None
+
+    def _admit(
+        self,
+        head: exchanges.RequestHead,
+        body: bytes,
+        arrived_at: float,
+        responder: callers.Responder,
+    ) -> contexts.Request | verdicts.Failure:
+        """Returns a request that may run, or the reason of its refusal."""
+        failure = self._find_failure(head)
+        if failure is not None:
+            return failure
+        routing = self.view.routing
+        route = routing.match(head.host, head.path)
         workspace = None
         if routing.needs_keys and not route.public:
             workspace = routing.authenticate(head.key)
-            if workspace is None:
-                return verdicts.make_not_run_failure(
-                    "unauthorized", "The API key is unknown."
-                )
         names = [name for name, _ in route.targets]
         weights = [weight for _, weight in route.targets]
         chosen = self.context.random.choices(names, weights)[0]
@@ -582,4 +663,5 @@
             arrived_at=arrived_at,
             deadline=arrived_at + limit_s,
             answer_limit=self.context.answer_limit,
+            hold=responder.hold,
         )
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/contexts.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/contexts.py
@@ -75,6 +75,8 @@
         arrived_at: Time of arrival.
         deadline: Time at which the complete response is due.
         answer_limit: Time until which this entry can answer.
+        hold: Returns whether the entry may keep a number of further bytes for
+            the caller, those of a response.
     """
 
     head: exchanges.RequestHead
@@ -88,6 +90,7 @@
     answer_limit: lifecycle.AnswerLimit = dataclasses.field(
         default_factory=lifecycle.AnswerLimit
     )
+    hold: collections.abc.Callable[[int], bool] = lambda _: True
 
     def get_remaining_s(self) -> float:
         """Returns the seconds for which an answer can be awaited."""
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/forwards.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/forwards.py
@@ -5,6 +5,7 @@
 
 import h11
 from peridotyard_core import crashes
+from peridotyard_core import errors
 from peridotyard_core import exchanges
 from peridotyard_core import fleet
 from peridotyard_core import verdicts
@@ -67,7 +68,16 @@
     sent: bool
 
 
-Outcome = Responded | Refused | Lost | TimedOut
+@dataclasses.dataclass(frozen=True)
+class Discarded:
+    """The response does not fit into the memory for the data of callers."""
+
+
+Outcome = Responded | Refused | Lost | TimedOut | Discarded
+
+
+class NoMemoryError(errors.PeridotyardError):
+    """The entry must not keep the response of a server."""
 
 
 async def receive_head(
@@ -112,13 +122,28 @@
         connection.is_skipping = True
 
 
-async def read_body(connection: upstreams.Connection) -> bytes:
+async def read_body(
+    connection: upstreams.Connection,
+    hold: collections.abc.Callable[[int], bool] = lambda _: True,
+) -> bytes:
     """Returns the body of a response.
 
+    Args:
+        connection: The connection, after the head of the response.
+        hold: Returns whether the entry may keep a number of further bytes.
+
     Raises:
         LostError: It ended early or is longer than `RESPONSE_LIMIT_BYTES`.
+        NoMemoryError: The entry must not keep it.
     """
-    return await connection.receive_body(RESPONSE_LIMIT_BYTES)
+    body = bytearray()
+    while not isinstance(event := await connection.receive(), h11.EndOfMessage):
+        body += event.data
+        if len(body) > RESPONSE_LIMIT_BYTES:
+            raise upstreams.LostError("response body is too long")
+        if not hold(len(event.data)):
+            raise NoMemoryError("no memory for the response")
+    return bytes(body)
 
 
 class Forwarder:
@@ -220,6 +245,9 @@
             case Responded(head=head):
                 if head.status < 500:
                     return False
+            case Discarded():
+                # Another response would not fit either.
+                return False
             case Lost() | TimedOut():
                 pass
         idempotent = request.route.retry_policy.is_idempotent
@@ -334,7 +362,7 @@
                     connection, context.codec, request.head.request_id
                 )
                 context.statements.record(server, head, sent_at)
-                body = await read_body(connection)
+                body = await read_body(connection, request.hold)
                 outcome = _classify_response(
                     head, body, request.head.request_id
                 )
@@ -342,6 +370,8 @@
                 outcome = Refused(str(error), sent=False)
             except upstreams.LostError as error:
                 outcome = Lost(str(error))
+            except NoMemoryError:
+                outcome = Discarded()
             finally:
                 if connection is not None:
                     if isinstance(outcome, (Responded, Refused)):
@@ -369,6 +399,10 @@
                 failure = self._context.refuse_unavailable(request, reason)
             case TimedOut(sent=False) if not possible_runs:
                 failure = self._context.refuse_unsent(request)
+            case Discarded():
+                failure = verdicts.make_may_have_run_failure(
+                    "backend-lost", "The response does not fit into memory."
+                )
             case TimedOut():
                 failure = verdicts.make_may_have_run_failure(
                     "backend-timeout", "The server did not respond in time."
@@ -416,5 +450,7 @@
             return f"not run ({'sent' if sent else 'not sent'}): {reason}"
         case Lost(reason=reason):
             return f"lost: {reason}"
+        case Discarded():
+            return "discarded: no memory for the response"
         case TimedOut(sent=sent):
             return f"timed out ({'sent' if sent else 'not sent'})"
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/runs.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/runs.py
@@ -381,12 +381,12 @@
             return head
         self._record_statement(head)
         if head.not_run:
-            await forwards.read_body(connection)
+            await forwards.read_body(connection, request.hold)
             return await self._classify_refusal(head)
         if not head.signed or head.request_id != request.head.request_id:
             raise upstreams.LostError("response lacks a signature or id")
         if head.status != 200:
-            body = await forwards.read_body(connection)
+            body = await forwards.read_body(connection, request.hold)
             # Another run in progress may still succeed.
             is_final = head.status < 500 or self._is_alone()
             if not self._responder.started and is_final:
--- a/tests/unit/test_callers.py
+++ b/tests/unit/test_callers.py
@@ -6,6 +6,7 @@
 from peridotyard_core import addresses
 from peridotyard_core import fleet
 from peridotyard_daemon.connection import callers
+from peridotyard_daemon.process import intake
 import pytest
 import trio
 import trio.testing
@@ -28,6 +29,10 @@
         self.cancelled = 0
         self.draining = False
         self.connections = []
+        self.intake = intake.Intake()
+        self.network = memory.MemoryNetwork()
+        self.refusal = None
+        self.checked = []
         self._handler = handler or self._respond
 
     async def handle(self, method, target, headers, body, responder):
@@ -38,20 +43,31 @@
             self.cancelled += 1
             raise
 
+    async def check_head(self, method, target, _headers):
+        self.checked.append((method, target))
+        return self.refusal
+
     async def _respond(self, responder):
         await responder.send_complete(200, [], b"ok")
 
 
 @contextlib.asynccontextmanager
 async def open_connection(entry):
-    network = memory.MemoryNetwork()
+    network = entry.network
 
     async def serve(stream):
         connection = callers.CallerConnection(
-            stream, entry.handle, lambda: LIMITS, lambda: entry.draining
+            stream,
+            entry.handle,
+            lambda: LIMITS,
+            lambda: entry.draining,
+            entry.intake,
+            entry.check_head,
         )
         entry.connections.append(connection)
-        await connection.run()
+        if entry.intake.add_connection(connection):
+            await connection.run()
+        entry.intake.remove_connection(connection)
 
     async with trio.open_nursery() as nursery:
         host = network.join(str(ADDRESS))
@@ -61,6 +77,11 @@
         nursery.cancel_scope.cancel()
 
 
+async def open_further(entry):
+    """Returns another connection to an entry."""
+    return await entry.network.join("caller").dial(ADDRESS)
+
+
 async def receive(stream, seconds=30.0):
     """Returns what arrives until the end of the stream or the time limit."""
     data = b""
@@ -71,6 +92,8 @@
 
 
 GET = b"GET /x HTTP/1.1\r\nHost: a\r\n\r\n"
+POST = b"POST /x HTTP/1.1\r\nHost: a\r\n"
+CHUNKED = POST + b"Transfer-Encoding: chunked\r\n\r\n"
 
 
 @cases.run_on_virtual_clock
@@ -294,3 +317,148 @@
     async with open_connection(entry) as stream:
         await stream.send_all(GET)
         assert b"connection: close" in (await receive(stream, 1)).lower()
+
+
+@cases.run_on_virtual_clock
+async def test_announced_body_over_the_limit_is_refused_by_its_head():
+    """Guards against a body that is read, or asked for, to be refused."""
+    entry = Entry()
+    async with open_connection(entry) as stream:
+        await stream.send_all(
+            POST + b"Content-Length: 60\r\nExpect: 100-continue\r\n\r\n"
+        )
+        data = await receive(stream, 1)
+        assert data.startswith(b"HTTP/1.1 413")
+        assert entry.requests == []
+
+
+@cases.run_on_virtual_clock
+async def test_body_that_is_asked_for_is_served():
+    """Guards against a caller that waits for leave to send its body."""
+    entry = Entry()
+    async with open_connection(entry) as stream:
+        await stream.send_all(
+            POST + b"Content-Length: 5\r\nExpect: 100-continue\r\n\r\n"
+        )
+        assert (await receive(stream, 1)).startswith(b"HTTP/1.1 100")
+        await stream.send_all(b"abcde")
+        assert b"200" in await receive(stream, 1)
+        assert entry.requests == [("POST", "/x", b"abcde")]
+
+
+@pytest.mark.parametrize("framing", [b"Content-Length: 9\r\n\r\n1234", b""])
+@cases.run_on_virtual_clock
+async def test_refused_head_ends_the_request_before_its_body(framing):
+    """Guards against bodies that are received for nobody."""
+    entry = Entry()
+    entry.refusal = (401, [(b"X-Reason", b"key")], b"unknown key")
+    async with open_connection(entry) as stream:
+        await stream.send_all((POST + framing) if framing else CHUNKED)
+        data = await receive(stream, 1)
+        assert data.startswith(b"HTTP/1.1 401")
+        assert b"X-Reason: key" in data
+        assert data.endswith(b"unknown key")
+        assert entry.requests == []
+        assert entry.checked == [("POST", "/x")]
+
+
+@cases.run_on_virtual_clock
+async def test_body_without_progress_is_given_up_for_another_one():
+    """Guards against stalled bodies that keep those of others out.
+
+    The refusal promises that the request has not run, and says when to return.
+    """
+    entry = Entry()
+    # The configuration allows bodies of 50 bytes, each of which counts twice.
+    entry.intake = intake.Intake(intake.Limits(10, 132))
+    async with open_connection(entry) as stalled:
+        await stalled.send_all(CHUNKED + b"28\r\n" + b"x" * 40 + b"\r\n")
+        await trio.sleep(3)
+        other = await open_further(entry)
+        await other.send_all(POST + b"Content-Length: 50\r\n\r\n" + b"y" * 50)
+        assert b"200" in await receive(other, 1)
+        refused = await receive(stalled, 1)
+        assert refused.startswith(b"HTTP/1.1 503")
+        assert b"Retry-After: 1" in refused
+        assert [body for _, _, body in entry.requests] == [b"y" * 50]
+        assert entry.intake.describe()["data_bytes"] == 0
+
+
+@cases.run_on_virtual_clock
+async def test_body_ends_within_its_time():
+    """Guards against a body that is kept open by a byte now and then."""
+    entry = Entry()
+    async with open_connection(entry) as stream:
+        await stream.send_all(POST + b"Content-Length: 50\r\n\r\n")
+        began = trio.current_time()
+        with contextlib.suppress(trio.BrokenResourceError):
+            for _ in range(20):
+                await stream.send_all(b"x")
+                await trio.sleep(5)
+        assert b"408" in await receive(stream, 1)
+        assert trio.current_time() - began < 2 * callers.BODY_TIMEOUT_S
+        assert entry.requests == []
+
+
+@cases.run_on_virtual_clock
+async def test_many_connections_leave_room_for_a_new_one():
+    """Guards against silent connections that keep new callers out."""
+    entry = Entry()
+    entry.intake = intake.Intake(intake.Limits(3, 1000))
+    async with open_connection(entry) as first:
+        await first.send_all(GET)
+        await receive(first, 1)
+        silent = [await open_further(entry) for _ in range(5)]
+        await trio.sleep(1)
+        other = await open_further(entry)
+        await other.send_all(GET)
+        assert b"200" in await receive(other, 1)
+        assert entry.intake.describe()["connections"] == 3
+        # The one that has carried a request is kept.
+        await first.send_all(GET)
+        assert b"200" in await receive(first, 1)
+        assert await receive(silent[0], 1) == b""
+
+
+@cases.run_on_virtual_clock
+async def test_connections_in_use_make_room_after_their_response():
+    """Guards against callers that occupy all connections for good."""
+
+    async def work(responder):
+        await trio.sleep(1)
+        await responder.send_complete(200, [], b"ok")
+
+    entry = Entry(work)
+    entry.intake = intake.Intake(intake.Limits(4, 1000))
+    async with open_connection(entry) as first:
+        streams = [first] + [await open_further(entry) for _ in range(3)]
+        for stream in streams:
+            await stream.send_all(GET * 3)
+        await trio.sleep(1.5)
+        other = await open_further(entry)
+        await other.send_all(GET)
+        # All others have their second request in progress; the one of the
+        # first connection is its last.
+        assert b"200" in await receive(other, 3)
+        data = [await receive(stream, 3) for stream in streams]
+        counts = sorted(answers.count(b"HTTP/1.1 200") for answers in data)
+        assert counts == [2, 3, 3, 3]
+        closed = [b"connection: close" in answers.lower() for answers in data]
+        assert closed.count(True) == 1
+
+
+@cases.run_on_virtual_clock
+async def test_large_response_arrives_whole():
+    """Guards against pieces of a response that are lost or repeated."""
+    body = bytes(range(256)) * 1000
+
+    async def respond(responder):
+        await responder.send_complete(200, [], body)
+
+    entry = Entry(respond)
+    async with open_connection(entry) as stream:
+        await stream.send_all(GET)
+        data = await receive(stream, 1)
+        assert data.endswith(b"\r\n\r\n" + body)
+        await stream.send_all(GET)
+        assert (await receive(stream, 1)).endswith(body)
