Let entries that start without the store learn the fleet from others

Cause, found while the keys of such an entry were tested: of two entries, the one with the lower address opens the connection. A starting entry whose address is higher than those of its seeds does not connect to them, and as it could write no row, they do not know it. Connected, it fetched the configuration but no list of servers, so it was not ready.

Change: without a list of entries, an entry connects to its seeds whatever their addresses are, and asks one connected entry at a time for the whole list of servers (TableFetch, TableRows.complete). The list keeps its age.

Evidence: test_entry_that_starts_without_the_store_learns_from_its_seeds fails without the change (not ready after 1.5 s) and passes with it.

--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/listings.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/listings.py
@@ -59,6 +59,8 @@
         # Listed servers by instance, and the revisions of their last changes.
         self._servers: dict[str, fleet.Server] = {}
         self._changed_at: dict[str, int] = {}
+        # The rows of listed servers as last read.
+        self._rows: dict[str, stores.Row] = {}
         self._removals: collections.deque[tuple[str, int]] = collections.deque(
             maxlen=MAX_REMOVALS
         )
@@ -80,6 +82,10 @@
         """Returns whether the table has a row of a server, readable or not."""
         return instance in self._changed_at
 
+    def list_rows(self) -> Rows:
+        """Returns the rows of all listed servers as last read."""
+        return tuple(self._rows.values())
+
     def update(self, rows: Rows) -> Rows:
         """Records rows; returns those that differ in more than a heartbeat."""
         return tuple(row for row in rows if self._record(row))
@@ -138,6 +144,7 @@
                 )
                 return False
             self._servers[row.key] = server
+            self._rows[row.key] = row
             if known is not None and server == dataclasses.replace(
                 known, revision=server.revision, heartbeats=server.heartbeats
             ):
@@ -176,6 +183,7 @@
         server = self._servers.pop(instance, None)
         if server is None:
             return
+        del self._rows[instance]
         self._removed[instance] = (server, revision)
         self._removed.move_to_end(instance)
         if len(self._removed) > MAX_REMOVED_SERVERS:
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/mesh.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/mesh.py
@@ -50,6 +50,9 @@
 # is requested from another. All other entries announce a new version within
 # milliseconds, and each response is a complete configuration.
 FETCH_TIMEOUT_S = 0.3
+# Time without a list of entries and servers after which a starting entry turns
+# to its seeds. The store responds within some milliseconds.
+STORE_WAIT_S = 0.3
 # Time between two messages with the requests in flight between a hub and a
 # member of its group.
 GROUP_LOAD_INTERVAL_S = 0.5
@@ -81,6 +84,8 @@
 # that are accepted. Sums of them fit into the fields of messages.
 MAX_LOAD = 1 << 20
 MAX_SUCCESSION = 1 << 20
+# Largest age of a list that is sent; older ones count as this old.
+MAX_AGE_MS = 86_400_000.0
 TIMING = peers_module.Timing(
     heartbeat_s=0.5, misses=3, dial_s=1.0, idle_heartbeat_s=0.5
 )
@@ -143,6 +148,8 @@
         self._count = count
         self._peers = peers_module.Peers(network, self, TIMING, count)
         self._dialed: set[addresses.Address] = set()
+        # Number of requests for the list of servers.
+        self._fetches = 0
         self._topology = topologies.Topology()
         self._hub_keys: frozenset[str] = frozenset()
         # The other entries of the topology; None before the first.
@@ -179,6 +186,7 @@
             ),
             "config_delta": self._handle_routing,
             "table_rows": self._handle_rows,
+            "table_fetch": self._send_servers,
             "offer": self._handle_layers,
             "quarantine": self._handle_crashes,
             "prompt_parts": self._handle_prompt_parts,
@@ -602,6 +610,30 @@
         if not news.is_empty:
             self.forward(_make_prompt_parts(news), connection)
 
+    def _fetch_servers(self) -> None:
+        """Asks another entry for the list of servers if the store is away."""
+        connections = self._peers.connections
+        if connections and self._synchronizer.lacks_servers:
+            self._fetches += 1
+            fetch = ttypes.TableFetch(table=self._synchronizer.server_table)
+            connection = connections[self._fetches % len(connections)]
+            connection.post(ttypes.Frame(table_fetch=fetch))
+
+    def _send_servers(self, connection, message: ttypes.TableFetch) -> None:
+        known = self._synchronizer.make_server_listing()
+        if known is None or message.table != self._synchronizer.server_table:
+            return
+        listing, age_s = known
+        age_ms = min(max(0.0, 1000 * age_s), MAX_AGE_MS)
+        frame = ttypes.TableRows(
+            table=message.table,
+            revision=listing.revision,
+            rows=_encode_rows(listing.rows),
+            complete=True,
+            age_ms=round(age_ms),
+        )
+        connection.post(ttypes.Frame(table_rows=frame))
+
     def _handle_rows(self, connection, message: ttypes.TableRows) -> None:
         rows = tuple(
             stores.Row(row.key, row.value or b"", row.revision, row.removed)
@@ -610,6 +642,14 @@
         listing = stores.Listing(
             rows, message.revision, message.clock_ms / 1000
         )
+        if message.complete:
+            if message.table == self._synchronizer.server_table:
+                self._synchronizer.apply_peer_servers(
+                    listing,
+                    message.age_ms / 1000,
+                    f"entry {connection.peer.instance}",
+                )
+            return
         if message.table == presence.TABLE:
             if connection is self._find_primary():
                 self._presence.apply_listing(listing)
@@ -748,13 +788,18 @@
     async def _dial_all(self) -> None:
         while True:
             self._update_topology()
-            wanted = self._topology.dials
+            wanted = self._topology.dials | self._list_seeds_to_dial()
             for address in wanted - self._dialed:
                 self._peers.keep_connected(address)
             for address in self._dialed - wanted:
                 self._peers.stop_reconnecting(address)
                 connection = self._peers.find(str(address))
-                if connection is not None and connection.dialed:
+                if (
+                    connection is not None
+                    and connection.dialed
+                    # Of two hubs, either one may have opened the connection.
+                    and (self.is_member or address not in self._topology.hubs)
+                ):
                     connection.close("no longer needed")
             if wanted != self._dialed:
                 _log.info(
@@ -764,8 +809,22 @@
                     member=bool(self._topology.uplinks),
                 )
             self._dialed = wanted
+            if trio.current_time() - self._started_at >= STORE_WAIT_S:
+                self._fetch_servers()
             await trio.sleep(DIAL_INTERVAL_S)
 
+    def _list_seeds_to_dial(self) -> frozenset[addresses.Address]:
+        """Returns the seeds, while no other entry can know of this one.
+
+        Of two entries, the one with the lower address opens the connection. An
+        entry that starts while the store is away has written no row, so the
+        others do not connect to it.
+        """
+        waited_s = trio.current_time() - self._started_at
+        if self._presence.entries or waited_s < STORE_WAIT_S:
+            return frozenset()
+        return frozenset(entry.address for entry in self._list_entries())
+
     def _update_topology(self) -> None:
         """Computes the topology without hubs that cannot be reached."""
         now = trio.current_time()
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/synchronization.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/synchronization.py
@@ -153,6 +153,7 @@
     """Applies the store's tables to a view, owned by the process.
 
     Attributes:
+        server_table: Name of the table of servers.
         routing_value: Encoded configuration in effect, for other entries.
         notify_routing: Called after each new configuration.
         notify_restored: Called when the store has been restored from a copy, so
@@ -172,6 +173,7 @@
         self._view = view
         self._store = store
         self._schema = schema
+        self.server_table = schema.server_table
         self._random = random
         self._server_rows = listings.ServerRows(schema.decode_server, count)
         self._count = count
@@ -294,6 +296,51 @@
         feed.known_at = max(feed.known_at, at)
         return is_newer
 
+    @property
+    def lacks_servers(self) -> bool:
+        """Whether the list of servers was not read yet."""
+        return self._feeds[self._schema.server_table].revision is None
+
+    def make_server_listing(self) -> tuple[stores.Listing, float] | None:
+        """Returns all rows of servers and their age in seconds.
+
+        None if they were not read yet.
+        """
+        feed = self._feeds[self._schema.server_table]
+        if feed.revision is None:
+            return None
+        age_s = trio.current_time() - feed.known_at
+        rows = self._server_rows.list_rows()
+        return stores.Listing(rows, feed.revision, 0.0), age_s
+
+    def apply_peer_servers(
+        self, listing: stores.Listing, age_s: float, source: str
+    ) -> None:
+        """Applies the list of servers as another entry knows it.
+
+        It takes effect only while this entry has not read the list itself.
+
+        Args:
+            listing: All rows of servers.
+            age_s: Time since the store confirmed them.
+            source: Where it was received from, for the log.
+        """
+        feed = self._feeds[self._schema.server_table]
+        if feed.revision is not None:
+            return
+        at = trio.current_time() - max(0.0, age_s)
+        feed.era = stores.get_era(listing.revision)
+        feed.apply(listing, True, at)
+        feed.revision = listing.revision
+        feed.known_at = at
+        _log.info(
+            "list of servers received from another entry",
+            servers=len(listing.rows),
+            age_ms=round(1000 * age_s),
+            revision=stores.format_revision(listing.revision),
+            source=source,
+        )
+
     async def _follow(self, feed: _Feed) -> None:
         retry_s = RETRY_MIN_S
         paused_s = 0.0
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/wire/peridotyard.thrift
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/wire/peridotyard.thrift
@@ -366,6 +366,15 @@
   6: i64 return_ms = 0,
   /** Address of the entry that read them; empty: the sender. */
   7: string origin = "",
+  /** Whether rows is the whole table, as an answer to TableFetch. */
+  8: bool complete = false,
+  /** Of a whole table: time since the store confirmed it, milliseconds. */
+  9: i64 age_ms = 0,
+}
+
+/** Asks for a whole table as the receiver knows it. */
+struct TableFetch {
+  1: string table = "",
 }
 
 // Messages to and from the model engine.
@@ -498,6 +507,7 @@
   25: optional ServerStatements server_statements,
   26: optional ReservationRequest reservation_request,
   27: optional ReservationReply reservation_reply,
+  29: optional TableFetch table_fetch,
   40: optional EngineHello engine_hello,
   41: optional EngineOpen engine_open,
   42: optional EngineRun engine_run,
--- a/tests/support/deployments.py
+++ b/tests/support/deployments.py
@@ -127,11 +127,16 @@
             data += chunk
         return data
 
-    def start_entry(self, number: int) -> None:
-        """Starts the entry with a number, which must be the next one."""
+    def start_entry(self, number: int, seeds=()) -> None:
+        """Starts an entry.
+
+        Args:
+            number: Its number, which must be the next one.
+            seeds: Numbers of the entries that its settings name.
+        """
         host = _OneHost(self.network, f"10.1.0.{number}")
         entry = gateway.Gateway(
-            make_settings(number),
+            make_settings(number, seeds),
             store.PlatformStore(platform_store.ADDRESS, host.dial),
             schema.Schema(2.5),
             codec.Codec(),
--- a/tests/unit/test_gateway.py
+++ b/tests/unit/test_gateway.py
@@ -495,6 +495,36 @@
         assert b" 401 " in (await deployment.call(number=2))[:15]
 
 
+@cases.run_on_virtual_clock
+async def test_entry_that_starts_without_the_store_learns_from_its_seeds():
+    """Guards against an entry that serves nothing until the store is back.
+
+    The others cannot know of it, whatever its address is.
+    """
+    async with deployments.open_deployment(entries=3) as deployment:
+        await trio.sleep(5)
+        deployment.rows.fault = "silent"
+        deployment.start_entry(4, seeds=(1, 2, 3))
+        await trio.sleep(1.5)
+        entry = deployment.entries[3]
+        assert entry.is_ready
+        known = deployment.entries[0].view
+        assert entry.view.routing.version == known.routing.version
+        assert entry.view.servers.keys() == known.servers.keys()
+        assert entry.view.servers_at <= known.servers_at + 0.01
+        assert b" 200 " in (await deployment.call(4))[:15]
+        # The store's own list applies again once it can be read.
+        deployment.rows.fault = ""
+        await trio.sleep(5)
+        deployment.rows.put("servers", "x", None)
+        await trio.sleep(8)
+        assert "x" not in entry.view.servers
+        await trio.sleep(5)
+        assert {
+            len(e._mesh._peers.connections) for e in deployment.entries
+        } == {3}
+
+
 @cases.run_on_virtual_clock
 async def test_one_entry_reads_the_store_for_the_others():
     # Guards against store calls, which are billed, that grow with the number of
