--- a/tests/unit/test_gateway.py
+++ b/tests/unit/test_gateway.py
@@ -110,6 +110,81 @@
         assert deployment.servers["x"].requests == []
 
 
+NORTH = {"name": "north", "apiKeys": ["key-1"]}
+SOUTH = {"name": "south", "apiKeys": ["key-2"]}
+
+
+@pytest.mark.parametrize(
+    ("tenants", "valid"),
+    [
+        ([SOUTH], ["key-2"]),
+        ([], []),
+        ([{"name": "north"}, {"name": "south"}], []),
+        ([{"name": "north", "apiKeys": []}, SOUTH], ["key-2"]),
+        ([{"name": "north", "apiKeys": ["key-3"]}], ["key-3"]),
+        ([{"name": "south", "apiKeys": ["key-1"]}], ["key-1"]),
+    ],
+    ids=[
+        "tenant dropped",
+        "all tenants dropped",
+        "keys missing",
+        "keys of one tenant dropped",
+        "key replaced",
+        "key moved",
+    ],
+)
+@cases.run_on_virtual_clock
+async def test_dropped_keys_are_valid_on_no_entry(tenants, valid):
+    """Guards against requests that run with a key that was dropped (ROUTE).
+
+    Also on an entry that the store does not reach, and on one that starts
+    after the change while the store is away.
+    """
+    async with deployments.open_deployment(entries=3) as deployment:
+        value = deployments.encode_routing(4, tenants=[NORTH, SOUTH])
+        deployment.rows.put("op", "config", value)
+        await trio.sleep(5)
+        deployment.cut_from_store(2)
+        value = deployments.encode_routing(5, tenants=tenants)
+        deployment.rows.put("op", "config", value)
+        await trio.sleep(2)
+        deployment.rows.fault = "silent"
+        deployment.start_entry(4, seeds=(1, 2, 3))
+        await trio.sleep(2)
+        for number in (1, 2, 3, 4):
+            view = deployment.entries[number - 1].view
+            assert view.routing.version == 5
+            for key in ("key-1", "key-2", "key-3", "key-of-nobody", ""):
+                data = await deployment.call(number, key=key)
+                expected = b" 200 " if key in valid else b" 401 "
+                assert expected in data[:15], (number, key)
+        owners = {tenant["name"] for tenant in tenants}
+        requests = deployment.servers["x"].requests
+        assert {request["x-tenant"] for request in requests} <= owners
+
+
+@cases.run_on_virtual_clock
+async def test_key_dropped_while_a_body_arrives_is_not_valid():
+    """Guards against a request admitted by its head under an older version."""
+    async with deployments.open_deployment() as deployment:
+        stream = await deployment.network.join("caller").dial(
+            deployment.entries[0]._settings.callers
+        )
+        head = (
+            b"POST /chat/x HTTP/1.1\r\nHost: api.example\r\n"
+            b"Api-Key: key-1\r\nX-Attempt-Id: a1\r\n"
+            b"Content-Length: 4\r\n\r\n"
+        )
+        await stream.send_all(head + b"12")
+        await trio.sleep(0.5)
+        value = deployments.encode_routing(5, tenants=[SOUTH])
+        deployment.rows.put("op", "config", value)
+        await trio.sleep(2)
+        await stream.send_all(b"34")
+        assert b" 401 " in (await stream.receive_some())[:15]
+        assert deployment.servers["x"].requests == []
+
+
 @cases.run_on_virtual_clock
 async def test_entry_without_configuration_refuses_as_not_run():
     # Guards against a 404 or 401 for a valid request, which a caller would not
