--- a/packages/peridotyard-daemon/src/peridotyard_daemon/connection/callers.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/connection/callers.py
@@ -13,8 +13,8 @@
 import typing
 
 import h11
-from peridotyard_core import bodies
 from peridotyard_core import fleet
+from peridotyard_core import holdings
 import trio
 
 from peridotyard_daemon.connection import chunks
@@ -225,7 +225,7 @@
         self._intake = intake or intake_module.Intake()
         self._check_head = check_head
         self._client = _describe_client(stream)
-        self._holding: bodies.Holding | None = None
+        self._holding: holdings.Holding | None = None
         self._pending = bytearray()
         self._at_end = False
         self.http: typing.Any = None
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/intake.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/intake.py
@@ -1,7 +1,7 @@
 """What an entry accepts from all callers together: connections and memory.
 
 Callers need not keep any limit. Their data has a budget, see
-`peridotyard_core.bodies`, and the number of their connections is bounded.
+`peridotyard_core.holdings`, and the number of their connections is bounded.
 """
 
 import collections
@@ -9,7 +9,7 @@
 import dataclasses
 import typing
 
-from peridotyard_core import bodies
+from peridotyard_core import holdings
 import trio
 
 from peridotyard_daemon.process import logs
@@ -118,9 +118,9 @@
         )
         self.decoding = trio.Lock()
         self._count = count
-        self._budget = bodies.Budget(self.limits.data_bytes)
+        self._budget = holdings.Budget(self.limits.data_bytes)
         self._drop_functions: dict[
-            bodies.Holding, collections.abc.Callable[[], None]
+            holdings.Holding, collections.abc.Callable[[], None]
         ] = {}
         self._connections: set[Closable] = set()
         self._refused: collections.Counter[str] = collections.Counter()
@@ -170,7 +170,7 @@
 
     def open(
         self, client: str, drop: collections.abc.Callable[[], None]
-    ) -> bodies.Holding:
+    ) -> holdings.Holding:
         """Returns a new holding for the data of a caller.
 
         Args:
@@ -182,7 +182,7 @@
         return holding
 
     def grow(
-        self, holding: bodies.Holding, count: int, single_limit_bytes: int = 0
+        self, holding: holdings.Holding, count: int, single_limit_bytes: int = 0
     ) -> bool:
         """Returns whether a number of further bytes may be kept.
 
@@ -194,21 +194,21 @@
         """
         self._budget.limit_bytes = max(
             self._budget.limit_bytes,
-            int(single_limit_bytes / bodies.LARGE_SHARE),
+            int(single_limit_bytes / holdings.LARGE_SHARE),
         )
         now = trio.current_time()
         match self._budget.grow(holding, count, now):
-            case bodies.Denied():
+            case holdings.Denied():
                 self.record_refusal("memory")
                 return False
-            case bodies.Granted(dropped=dropped):
+            case holdings.Granted(dropped=dropped):
                 for other in dropped:
                     self.record_refusal("memory")
                     self._drop_functions.pop(other)()
         holding.record_progress(count, now)
         return True
 
-    def close(self, holding: bodies.Holding) -> None:
+    def close(self, holding: holdings.Holding) -> None:
         """Ends a holding."""
         self._budget.close(holding)
         self._drop_functions.pop(holding, None)
--- a/tests/unit/test_bodies.py
+++ b/tests/unit/test_holdings.py
@@ -1,26 +1,26 @@
-"""Tests of peridotyard_core.bodies."""
+"""Tests of peridotyard_core.holdings."""
 
 import random
 
-from peridotyard_core import bodies
+from peridotyard_core import holdings
 import pytest
 
 KIB = 1 << 10
 LIMIT = 1 << 20
-LARGE_LIMIT = int(LIMIT * bodies.LARGE_SHARE)
+LARGE_LIMIT = int(LIMIT * holdings.LARGE_SHARE)
 
 
 @pytest.fixture
 def budget():
-    return bodies.Budget(LIMIT)
+    return holdings.Budget(LIMIT)
 
 
 def open_stalled(budget, count, size):
     """Returns holdings of one client, in the order of their last progress."""
-    holdings = [budget.open("crowd", float(n)) for n in range(count)]
-    for holding in holdings:
-        assert budget.grow(holding, size, 0.0) == bodies.Granted()
-    return holdings
+    stalled = [budget.open("crowd", float(n)) for n in range(count)]
+    for holding in stalled:
+        assert budget.grow(holding, size, 0.0) == holdings.Granted()
+    return stalled
 
 
 def test_stalled_bodies_give_way_to_a_body_in_progress(budget):
@@ -31,7 +31,7 @@
     crowd = open_stalled(budget, 7, 100 * KIB)
     ordinary = budget.open("caller", 20.0)
     granted = budget.grow(ordinary, 150 * KIB, 20.0)
-    assert granted == bodies.Granted((crowd[0],))
+    assert granted == holdings.Granted((crowd[0],))
     assert [holding.is_dropped for holding in crowd] == [True] + 6 * [False]
     assert budget.held_bytes == 750 * KIB
 
@@ -43,10 +43,10 @@
     for number, holding in enumerate(crowd):
         budget.grow(holding, (120 + number) * KIB, now)
     small = budget.open("caller", now)
-    assert budget.grow(small, 2 * KIB, now) == bodies.Granted()
+    assert budget.grow(small, 2 * KIB, now) == holdings.Granted()
     large = budget.open("caller", now)
     granted = budget.grow(large, 40 * KIB, now)
-    assert granted == bodies.Granted((crowd[-1],))
+    assert granted == holdings.Granted((crowd[-1],))
 
 
 def test_largest_holder_is_denied_for_itself(budget):
@@ -55,8 +55,8 @@
     for holding in others:
         budget.grow(holding, 100 * KIB, 0.0)
     large = budget.open("crowd", 0.0)
-    assert budget.grow(large, 160 * KIB, 0.5) == bodies.Granted()
-    assert budget.grow(large, 100 * KIB, 0.5) == bodies.Denied()
+    assert budget.grow(large, 160 * KIB, 0.5) == holdings.Granted()
+    assert budget.grow(large, 100 * KIB, 0.5) == holdings.Denied()
     assert not any(holding.is_dropped for holding in others)
 
 
@@ -70,7 +70,7 @@
         budget.grow(holding, 100 * KIB, now)
     other = budget.open("other", now)
     granted = budget.grow(other, 100 * KIB, now)
-    assert isinstance(granted, bodies.Granted)
+    assert isinstance(granted, holdings.Granted)
     assert set(granted.dropped) <= set(crowd)
     assert not single.is_dropped
 
@@ -81,10 +81,10 @@
     budget.grow(running, LARGE_LIMIT, 0.0)
     running.is_droppable = False
     other = budget.open("other", 100.0)
-    assert budget.grow(other, 64 * KIB, 100.0) == bodies.Denied()
-    assert budget.grow(other, 16 * KIB, 100.0) == bodies.Granted()
+    assert budget.grow(other, 64 * KIB, 100.0) == holdings.Denied()
+    assert budget.grow(other, 16 * KIB, 100.0) == holdings.Granted()
     budget.close(running)
-    assert budget.grow(other, 64 * KIB, 100.0) == bodies.Granted()
+    assert budget.grow(other, 64 * KIB, 100.0) == holdings.Granted()
 
 
 def test_single_bytes_are_no_progress(budget):
@@ -94,7 +94,7 @@
     for second in range(1, 10):
         slow.record_progress(1, float(second))
     ordinary = budget.open("caller", 10.0)
-    assert budget.grow(ordinary, 100 * KIB, 10.0) == bodies.Granted((slow,))
+    assert budget.grow(ordinary, 100 * KIB, 10.0) == holdings.Granted((slow,))
 
 
 def test_dropped_holding_gets_nothing_more(budget):
@@ -102,7 +102,7 @@
     (slow,) = open_stalled(budget, 1, 700 * KIB)
     budget.grow(budget.open("caller", 5.0), 200 * KIB, 5.0)
     assert slow.is_dropped
-    assert budget.grow(slow, 1, 5.0) == bodies.Denied()
+    assert budget.grow(slow, 1, 5.0) == holdings.Denied()
     budget.close(slow)
     assert budget.held_bytes == 200 * KIB
 
@@ -110,21 +110,21 @@
 def test_sum_stays_below_the_limit_in_any_order():
     """Guards against a sum that drifts from what the holdings have."""
     source = random.Random(1)
-    budget = bodies.Budget(LIMIT)
-    holdings = []
+    budget = holdings.Budget(LIMIT)
+    kept = []
     now = 0.0
     for _ in range(5000):
         now += source.random()
         match source.randrange(4):
             case 0:
-                holdings.append(budget.open(source.choice("abc"), now))
-            case 1 if holdings:
-                budget.close(holdings.pop(source.randrange(len(holdings))))
-            case _ if holdings:
-                holding = source.choice(holdings)
+                kept.append(budget.open(source.choice("abc"), now))
+            case 1 if kept:
+                budget.close(kept.pop(source.randrange(len(kept))))
+            case _ if kept:
+                holding = source.choice(kept)
                 holding.is_droppable = source.random() < 0.8
                 count = source.randrange(100 * KIB)
                 budget.grow(holding, count, now)
                 holding.record_progress(count, now)
         assert budget.held_bytes <= LIMIT
-        assert budget.held_bytes == sum(h.held_bytes for h in holdings)
+        assert budget.held_bytes == sum(h.held_bytes for h in kept)
