--- a/tests/support/crowds.py
+++ b/tests/support/crowds.py
@@ -46,6 +46,21 @@
 SIZE_HEADER = "x-answer-bytes"
 
 
+@dataclasses.dataclass(frozen=True)
+class Machine:
+    """Limits of the entry's machine, and of the configuration.
+
+    Attributes:
+        memory_mb: Memory of the process, megabytes.
+        descriptors: Largest number of its open descriptors.
+        body_bytes: Largest request body.
+    """
+
+    memory_mb: int = MEMORY_MB
+    descriptors: int = DESCRIPTORS
+    body_bytes: int = BODY_BYTES
+
+
 class PlainServer(servers.StandIn):
     """A plain server that answers with as many bytes as it is asked for."""
 
@@ -80,12 +95,14 @@
     """One entry and its stand-ins, owned by the test.
 
     Attributes:
+        machine: Limits of the entry's machine.
         callers: Address of the entry for callers.
         server: The only server of the plain service.
         usage: Largest figures of the entry's process.
     """
 
-    def __init__(self, folder: pathlib.Path):
+    def __init__(self, folder: pathlib.Path, machine: Machine = Machine()):
+        self.machine = machine
         prefix = f"127.{random.randrange(64, 192)}.{random.randrange(256)}"
         host = f"{prefix}.10"
         self.callers = addresses.Address(host, 8080)
@@ -125,7 +142,10 @@
                 "control": f"{host}:8082",
             },
             "seeds": [f"{host}:8082"],
-            "limits": {"memoryMb": MEMORY_MB, "maxFds": DESCRIPTORS},
+            "limits": {
+                "memoryMb": machine.memory_mb,
+                "maxFds": machine.descriptors,
+            },
             "bounds": {
                 "graceS": 4,
                 "retryBudgetRatio": 0.2,
@@ -157,7 +177,7 @@
             "tenants": [{"name": "north", "apiKeys": [KEY]}],
             "limits": {
                 "maxHeaderBytes": HEADER_BYTES,
-                "maxBodyBytes": BODY_BYTES,
+                "maxBodyBytes": self.machine.body_bytes,
                 "headerTimeoutMs": 3000,
                 "idleTimeoutMs": 15000,
             },
--- a/tests/unit/test_crowds.py
+++ b/tests/unit/test_crowds.py
@@ -23,10 +23,10 @@
     yield system.make_head(CHUNKED)
     chunk = crowds.make_chunk(b"x" * CHUNK_BYTES)
     sent = 0
-    while sent + CHUNK_BYTES <= crowds.BODY_BYTES - SHORT_BYTES:
+    while sent + CHUNK_BYTES <= system.machine.body_bytes - SHORT_BYTES:
         yield chunk
         sent += CHUNK_BYTES
-    rest = crowds.BODY_BYTES - SHORT_BYTES - sent
+    rest = system.machine.body_bytes - SHORT_BYTES - sent
     yield crowds.make_chunk(b"x" * rest)
 
 
@@ -38,21 +38,23 @@
 
 def send_announced(system):
     """Announces a body within the limit and stops just short of its end."""
-    yield system.make_head(f"Content-Length: {crowds.BODY_BYTES}")
-    yield b"x" * (crowds.BODY_BYTES - SHORT_BYTES)
+    yield system.make_head(f"Content-Length: {system.machine.body_bytes}")
+    yield b"x" * (system.machine.body_bytes - SHORT_BYTES)
 
 
 def announce_too_much(system):
     """Announces a body far over the limit and sends the part below it."""
-    yield system.make_head(f"Content-Length: {64 * crowds.BODY_BYTES}")
-    yield b"x" * (crowds.BODY_BYTES - SHORT_BYTES)
+    yield system.make_head(f"Content-Length: {64 * system.machine.body_bytes}")
+    yield b"x" * (system.machine.body_bytes - SHORT_BYTES)
 
 
 def send_too_much(system):
     """Sends a body far over the limit, in chunks."""
     yield system.make_head(CHUNKED)
     chunk = crowds.make_chunk(b"x" * CHUNK_BYTES)
-    yield from itertools.repeat(chunk, 16 * crowds.BODY_BYTES // CHUNK_BYTES)
+    yield from itertools.repeat(
+        chunk, 16 * system.machine.body_bytes // CHUNK_BYTES
+    )
 
 
 def send_pipelined(system):
@@ -64,7 +66,7 @@
 
 def read_no_answer(system):
     """Asks for a large answer and does not read it."""
-    size = f"{crowds.SIZE_HEADER}: {crowds.BODY_BYTES}"
+    size = f"{crowds.SIZE_HEADER}: {system.machine.body_bytes}"
     yield system.make_head(f"Content-Length: 2\r\n{size}") + b"{}"
 
 
