Bound the framing that an entry reads from one server response

A server that sends a chunked body in one-byte chunks, or informational responses without end, kept an entry busy until the time limit of the request. One read of 64 KiB has up to 10,000 chunks, which were handled in 80 ms without a checkpoint, so all other requests waited.

A connection now has a checkpoint after 64 events, and a response is lost after 16 informational responses, or if its parts have less than 4 bytes on average beyond the first 16,384. Chunk extensions, trailers and heads without end were rejected by h11 before; a test now covers them.

--- a/packages/peridotyard-daemon/src/peridotyard_daemon/connection/upstreams.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/connection/upstreams.py
@@ -45,6 +45,17 @@
 # Longest body of a small response, see `Pool.fetch`. A page of the platform's
 # store takes 1.4 MB.
 FETCH_LIMIT_BYTES = 4 << 20
+# Events of h11 that are handled between two checkpoints. One read of 64 KiB has
+# up to 10,000 of them, at 10 to 30 microseconds each.
+EVENTS_PER_CHECKPOINT = 64
+# Informational responses ahead of one response. Servers send none or one.
+INFORMATIONAL_LIMIT = 16
+# Parts of a response that may be small, and the least mean size in bytes beyond
+# them. Each part costs as much processor time as some kilobytes. An event of a
+# stream has at least 14 bytes, and a server that sends each line of an event by
+# itself more than 4 for each part.
+SMALL_PARTS = 16_384
+MIN_PART_BYTES = 4
 # Headers that state where a body ends.
 FRAMING_HEADERS = frozenset((b"content-length", b"transfer-encoding"))
 # Timeout of idle connections in a Keep-Alive header, whole seconds.
@@ -209,6 +220,10 @@
         self._notify_received = notify_received
         self._http = h11.Connection(h11.CLIENT)
         self._request = None
+        self._unchecked_events = 0
+        self._informational_responses = 0
+        self._parts = 0
+        self._part_bytes = 0
 
     async def send(self, method: str, target: str, headers, body: bytes):
         """Sends a complete request.
@@ -238,14 +253,22 @@
         Returns:
             An h11 `Response`, `Data` or `EndOfMessage`.
 
+        If it is cancelled, a later call returns the same event.
+
         Raises:
-            LostError: The connection failed or the response is malformed.
+            LostError: The connection failed, or the response is malformed or
+                consists of too many small parts.
         """
         while True:
+            self._unchecked_events += 1
+            if self._unchecked_events > EVENTS_PER_CHECKPOINT:
+                self._unchecked_events = 0
+                await trio.lowlevel.checkpoint()
             try:
                 event = self._http.next_event()
                 if event is h11.NEED_DATA:
                     data = await self._stream.receive_some(RECEIVE_BYTES)
+                    self._unchecked_events = 0
                     if data:
                         self._notify_received(self.address)
                     self._http.receive_data(data)
@@ -257,8 +280,13 @@
             ) as error:
                 raise LostError(f"{self.address}: {error!r}") from error
             if isinstance(event, h11.InformationalResponse):
+                self._record_informational()
                 continue
+            if isinstance(event, h11.Data):
+                self._record_part(len(event.data))
             if isinstance(event, h11.Response):
+                self._informational_responses = 0
+                self._parts = self._part_bytes = 0
                 names = {name for name, _ in event.headers}
                 self.is_framed = not names.isdisjoint(FRAMING_HEADERS)
                 self.keep_alive_s = _find_keep_alive(event.headers)
@@ -266,6 +294,23 @@
                 raise LostError(f"{self.address}: the response ended early")
             return event
 
+    def _record_informational(self) -> None:
+        self._informational_responses += 1
+        if self._informational_responses > INFORMATIONAL_LIMIT:
+            raise LostError(
+                f"{self.address}: more than {INFORMATIONAL_LIMIT} informational"
+                " responses"
+            )
+
+    def _record_part(self, size: int) -> None:
+        self._parts += 1
+        self._part_bytes += size
+        if (
+            self._parts > SMALL_PARTS
+            and self._part_bytes < MIN_PART_BYTES * self._parts
+        ):
+            raise LostError(f"{self.address}: the response has tiny parts")
+
     async def receive_body(self, limit_bytes: int) -> bytes:
         """Returns the body of the response, after its head.
 
--- a/tests/unit/test_upstreams.py
+++ b/tests/unit/test_upstreams.py
@@ -2,6 +2,7 @@
 
 import contextlib
 
+import h11
 from peridotyard_core import addresses
 from peridotyard_daemon.connection import upstreams
 from peridotyard_daemon.request import forwards
@@ -284,6 +285,86 @@
         assert len(dialed) == 1
 
 
+CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+@pytest.mark.parametrize(
+    ("first", "piece"),
+    [
+        (CHUNKED, b"1\r\na\r\n" * 10_000),
+        (CHUNKED + b"1;", b"a" * 60_000),
+        (CHUNKED + b"0\r\n", b"X-Filler: x\r\n" * 5_000),
+        (b"HTTP/1.1 100 A\r\n\r\n", b"HTTP/1.1 100 Continue\r\n\r\n" * 2_000),
+        (
+            b"HTTP/1.1 100 A\r\n\r\n",
+            b"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" * 1_000,
+        ),
+    ],
+    ids=["tiny chunks", "extension", "trailers", "continue", "hints"],
+)
+@cases.run_on_virtual_clock
+async def test_response_of_tiny_parts_without_end_is_lost(first, piece):
+    """Guards against a core that is busy with the framing of one response.
+
+    Tiny chunks and informational responses were read until the time limit of
+    the request.
+    """
+    sent = []
+
+    def send_pieces():
+        yield first
+        for number in range(200):
+            sent.append(number)
+            yield piece
+            yield 0.001
+
+    async with open_pool(send_pieces()) as (pool, _):
+        with pytest.raises(upstreams.LostError):
+            await pool.fetch(ADDRESS, "GET", "/report")
+        assert len(sent) <= 4
+        assert not pool._idle
+
+
+@cases.run_on_virtual_clock
+async def test_other_tasks_run_while_a_response_of_many_chunks_is_read():
+    """Guards against a process that one read of a server stops for long.
+
+    A read of 64 KiB has up to 10,000 chunks, which were handled in 80 ms
+    without a checkpoint. The response is within the limits.
+    """
+    count = 8_000
+    turns = 0
+
+    async def count_turns():
+        nonlocal turns
+        while True:
+            await trio.lowlevel.checkpoint()
+            turns += 1
+
+    # The virtual clock stands still while a task spins, and connections of the
+    # network in memory have a latency.
+    ours, theirs = trio.testing.memory_stream_pair()
+    connection = upstreams.Connection(ADDRESS, ours)
+    await connection.send("GET", "/report", (), b"")
+    await theirs.send_all(CHUNKED + b"5\r\nabcde\r\n" * count + b"0\r\n\r\n")
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(count_turns)
+        assert isinstance(await connection.receive(), h11.Response)
+        assert await connection.receive_body(1 << 20) == b"abcde" * count
+        nursery.cancel_scope.cancel()
+    assert turns >= count // upstreams.EVENTS_PER_CHECKPOINT
+
+
+@cases.run_on_virtual_clock
+async def test_stream_of_many_short_events_is_no_response_of_tiny_parts():
+    """Guards against a long stream that is taken for one of tiny parts."""
+    count = 3 * upstreams.SMALL_PARTS
+    body = CHUNKED + b"5\r\nid:1\n\r\n" * count + b"0\r\n\r\n"
+    async with open_pool([body]) as (pool, _):
+        response = await pool.fetch(ADDRESS, "GET", "/stream")
+    assert len(response.body) == 5 * count
+
+
 def encode_refusal(request_id=b"") -> bytes:
     name = b"X-Attempt-Id: %s\r\n" % request_id if request_id else b""
     return (
