Bound frames between processes in memory, time and processor use

A peer that sends the beginning of frames of up to 16 MiB on many connections, or one byte of a frame per heartbeat interval, kept that memory for as long as it liked. An element of a list takes one byte of a frame and up to 90 bytes of memory, so that a frame of 16 MiB can decode to 1.4 GB (extrapolated from 1 MiB of empty structs: 87 MB, 0.35 s). One read has up to 13,000 frames, which were handled without a checkpoint.

A frame now has 60 s from its first byte to its last, and so does a write. Incomplete frames share 24 MiB; above that, the one with the largest product of size and age ends with its connection. Lists between entries of the platform have at most 131,072 elements. There is a checkpoint after 32 frames. Rejections are counted as input_limits.* and logged once a second for each kind.

--- a/packages/peridotyard-daemon/src/peridotyard_daemon/connection/peers.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/connection/peers.py
@@ -5,12 +5,14 @@
 import typing
 
 from peridotyard_core import addresses
+from peridotyard_core import buffers as buffers_module
 from peridotyard_core import errors
 import trio
 
 from peridotyard_daemon.connection import frames
 from peridotyard_daemon.process import logs
 from peridotyard_daemon.process import network as network_module
+from peridotyard_daemon.process import violations as violations_module
 from peridotyard_daemon.wire.generated import ttypes
 
 PROTOCOL_VERSION = 1
@@ -30,6 +32,11 @@
 # Limit of accepted connections that have sent no hello. They are in no table
 # yet, so a peer could otherwise open any number of them.
 HELLO_LIMIT = 1024
+# Limit of the incomplete frames of all connections together; it exceeds the
+# largest frame.
+UNFINISHED_LIMIT_BYTES = 24 << 20
+# Time for a peer to accept the bytes of one write.
+WRITE_TIMEOUT_S = frames.FRAME_TIMEOUT_S
 
 # Characters of each text in a hello; the store takes keys of 200 bytes.
 HELLO_TEXT_LENGTH = 128
@@ -81,6 +88,19 @@
         return max(self.heartbeat_s, self.idle_heartbeat_s)
 
 
+@dataclasses.dataclass(frozen=True)
+class Limits:
+    """Limits of the connections of a process.
+
+    Attributes:
+        unfinished_bytes: Largest size of all incomplete frames together.
+        frame: Limits of each frame after the hello.
+    """
+
+    unfinished_bytes: int = UNFINISHED_LIMIT_BYTES
+    frame: frames.Limits = frames.Limits()
+
+
 class Handler(typing.Protocol):
     """Callbacks of a process for its connections.
 
@@ -119,11 +139,24 @@
             the connection.
     """
 
-    def __init__(self, stream, handler: Handler, timing: Timing, dialed, count):
+    def __init__(
+        self,
+        stream,
+        handler: Handler,
+        timing: Timing,
+        dialed,
+        count,
+        violations: violations_module.Violations,
+        buffers: buffers_module.Buffers,
+        frame_limits: frames.Limits,
+    ):
         self.peer: ttypes.Hello = ttypes.Hello()
         self.dialed: addresses.Address | None = dialed
         self._stream = stream
-        self._reader = frames.FrameReader(stream, self._record_data)
+        self._reader = frames.FrameReader(
+            stream, self._record_data, frame_limits, buffers
+        )
+        self._violations = violations
         self._handler = handler
         self._timing = timing
         self._count = count
@@ -275,6 +308,7 @@
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             self.close("the connection failed")
         except frames.FrameError as error:
+            self._violations.record("peer_frame", error)
             self.close(str(error))
 
     async def _write(self) -> None:
@@ -284,8 +318,13 @@
                 self._wakeup = trio.Event()
                 while self._queue:
                     data = self._dequeue_batch()
-                    await self._stream.send_all(data)
+                    # A peer that sends heartbeats and does not read would
+                    # otherwise keep the queue.
+                    with trio.fail_after(WRITE_TIMEOUT_S):
+                        await self._stream.send_all(data)
                     self._sent_at = trio.current_time()
+        except trio.TooSlowError:
+            self.close("the peer does not read")
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             self.close("the connection failed")
 
@@ -374,11 +413,15 @@
         handler: Handler,
         timing: Timing,
         count: collections.abc.Callable[[str], None] = lambda _: None,
+        limits: Limits = Limits(),
     ):
         self._network = network
         self._handler = handler
         self._timing = timing
         self._count = count
+        self._limits = limits
+        self._buffers = buffers_module.Buffers(limits.unfinished_bytes)
+        self._violations = violations_module.Violations(count)
         self._connections: dict[str, Connection] = {}
         self._dials: dict[str, trio.Event] = {}
         self._reconnect_scopes: dict[str, trio.CancelScope] = {}
@@ -386,9 +429,15 @@
         self._nursery: trio.Nursery | None = None
 
     @classmethod
-    def from_config(cls, settings, network, handler) -> "Peers":
+    def from_config(
+        cls,
+        settings,
+        network,
+        handler,
+        count: collections.abc.Callable[[str], None] = lambda _: None,
+    ) -> "Peers":
         """Makes the connections from a `settings.DaemonSettings`."""
-        return cls(network, handler, Timing.from_config(settings))
+        return cls(network, handler, Timing.from_config(settings), count)
 
     @property
     def connections(self) -> tuple[Connection, ...]:
@@ -518,7 +567,14 @@
 
     def _make_connection(self, stream, dialed) -> Connection:
         return Connection(
-            stream, self._handler, self._timing, dialed, self._count
+            stream,
+            self._handler,
+            self._timing,
+            dialed,
+            self._count,
+            self._violations,
+            self._buffers,
+            self._limits.frame,
         )
 
     def _add(self, connection: Connection, key: str) -> None:
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/entry.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/entry.py
@@ -102,7 +102,9 @@
         self.metrics = metrics
         self.replicator = replicator
         self.table = membership.RoutingTable()
-        self.peers = peers_module.Peers.from_config(settings, network, self)
+        self.peers = peers_module.Peers.from_config(
+            settings, network, self, metrics.increment
+        )
         self.completions = completions.Completions(
             settings,
             self.peers,
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/mesh.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/mesh.py
@@ -21,6 +21,7 @@
 from peridotyard_core import topologies
 import trio
 
+from peridotyard_daemon.connection import frames
 from peridotyard_daemon.connection import peers as peers_module
 from peridotyard_daemon.process import announcements
 from peridotyard_daemon.process import delays
@@ -84,6 +85,8 @@
 TIMING = peers_module.Timing(
     heartbeat_s=0.5, misses=3, dial_s=1.0, idle_heartbeat_s=0.5
 )
+# The longest list has one element for each of 10,000 servers.
+LIMITS = peers_module.Limits(frame=frames.Limits(list_length=1 << 17))
 
 _log = logs.Logger("mesh")
 
@@ -141,7 +144,7 @@
         self._address = own.address
         self._list_entries = list_entries
         self._count = count
-        self._peers = peers_module.Peers(network, self, TIMING, count)
+        self._peers = peers_module.Peers(network, self, TIMING, count, LIMITS)
         self._dialed: set[addresses.Address] = set()
         self._topology = topologies.Topology()
         self._hub_keys: frozenset[str] = frozenset()
--- a/tests/unit/test_peers.py
+++ b/tests/unit/test_peers.py
@@ -1,5 +1,6 @@
 """Tests of connection.peers and connection.frames."""
 
+import collections
 import contextlib
 
 from peridotyard_core import addresses
@@ -8,7 +9,9 @@
 from peridotyard_daemon.wire.generated import ttypes
 import pytest
 import trio
+import trio.testing
 
+from tests.support import cases
 from tests.support import memory
 from tests.support import virtual_clock
 
@@ -293,3 +296,128 @@
             nursery.cancel_scope.cancel()
 
     virtual_clock.run(check)
+
+
+def encode_hello(number=9, **changes):
+    hello = RecordingHandler(f"127.0.0.1:{number}").make_hello()
+    hello.heartbeat_ms = hello.idle_heartbeat_ms = 1000
+    for name, value in changes.items():
+        setattr(hello, name, value)
+    return frames.encode(ttypes.Frame(hello=hello))
+
+
+@contextlib.asynccontextmanager
+async def open_listener(limits):
+    """Yields the listener, its counters and a function that dials it."""
+    counts = collections.Counter()
+    network = memory.MemoryNetwork()
+    handler = RecordingHandler(A)
+    listener = peers.Peers(
+        network.join(str(A)),
+        handler,
+        TIMING,
+        lambda name: counts.update([name]),
+        limits,
+    )
+
+    async def dial(data=b""):
+        stream = await network.join(str(B)).dial(A)
+        if data:
+            await stream.send_all(data)
+        return stream
+
+    async with trio.open_nursery() as nursery:
+        await nursery.start(listener.run, A)
+        yield listener, handler, counts, dial
+        nursery.cancel_scope.cancel()
+
+
+async def is_closed(stream, wait_s=0.1):
+    """Returns whether the other end has closed a connection."""
+    try:
+        with trio.move_on_after(wait_s):
+            while await stream.receive_some():
+                pass
+            return True
+    except trio.BrokenResourceError:
+        return True
+    return False
+
+
+@cases.run_on_virtual_clock
+async def test_frame_that_arrives_byte_by_byte_is_given_up():
+    """Guards against a connection that is kept busy with one frame for ever."""
+    async with open_listener(peers.Limits()) as (_, handler, counts, dial):
+        stream = await dial(encode_hello())
+        with pytest.raises(trio.BrokenResourceError):
+            await stream.send_all(frames.HEADER.pack(1 << 20))
+            while trio.current_time() < 2 * frames.FRAME_TIMEOUT_S:
+                await stream.send_all(b"\0")
+                await trio.sleep(0.4)
+                if await is_closed(stream, 0.01):
+                    raise trio.BrokenResourceError
+        assert counts["input_limits.peer_frame"] == 1
+        ((reason, at),) = handler.closed
+        assert "incomplete" in reason
+        assert at <= frames.FRAME_TIMEOUT_S + 1
+
+
+@cases.run_on_virtual_clock
+async def test_incomplete_frames_share_a_limit():
+    """Guards against many frames that stop before their last byte.
+
+    Each is within the limit of a frame, and all together fill the memory.
+    """
+    limits = peers.Limits(unfinished_bytes=3 << 20)
+    part = frames.HEADER.pack(2 << 20) + bytes(1 << 20)
+    whole = frames.encode(ttypes.Frame(call=ttypes.Call(body=bytes(1 << 20))))
+    async with open_listener(limits) as (listener, handler, counts, dial):
+        for number in range(10, 20):
+            await dial(encode_hello(number) + part)
+            await trio.sleep(0.1)
+        assert counts["input_limits.peer_frame"] == 8
+        assert listener._buffers.total_bytes <= 3 << 20
+        # A frame that arrives in two parts is not the one that is given up.
+        stream = await dial(encode_hello(30) + whole[:1000])
+        await trio.sleep(0.1)
+        await stream.send_all(whole[1000:])
+        await trio.sleep(0.1)
+        assert [len(frame.call.body) for frame in handler.frames] == [1 << 20]
+
+
+def test_list_is_limited_by_its_number_of_elements():
+    """Guards against a frame whose content takes 90 times its size.
+
+    An empty struct is one byte in a frame.
+    """
+    steps = ttypes.EngineRun([ttypes.Step(tokens=[1]) for _ in range(100)])
+    payload = frames.encode(ttypes.Frame(engine_run=steps))[
+        frames.HEADER.size :
+    ]
+    assert len(frames.decode(payload, 100).engine_run.steps) == 100
+    with pytest.raises(frames.FrameError):
+        frames.decode(payload, 99)
+
+
+@cases.run_on_virtual_clock
+async def test_other_tasks_run_while_many_frames_are_read():
+    """Guards against one read of 13,000 frames that stops the process."""
+    count = 10_000
+    data = frames.HEADER.pack(1) + b"\0"
+    ours, theirs = trio.testing.memory_stream_pair()
+    await theirs.send_all(count * data)
+    reader = frames.FrameReader(ours)
+    turns = 0
+
+    async def count_turns():
+        nonlocal turns
+        while True:
+            await trio.lowlevel.checkpoint()
+            turns += 1
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(count_turns)
+        for _ in range(count):
+            assert await reader.receive() == ttypes.Frame()
+        nursery.cancel_scope.cancel()
+    assert turns >= count // (2 * frames.FRAMES_PER_CHECKPOINT)
