Bound the connections of unknown processes at the port between entries

Any process that reaches the port could open connections without bound: 1,024 without a hello at a time, each with a first frame of up to 16 MiB, and after a valid hello any number of them, which stayed open without traffic if the hello stated a heartbeat interval of weeks.

A hello now has at most 4 KiB and is read in parts of that size, a stated heartbeat interval of more than 30 s (the maximum of the settings) is malformed, and an entry of the platform accepts 1,024 connections (a hub of 3,700 entries has 200), another process 16,384. What is rejected is counted as input_limits.peer_hello, .peer_hellos and .peer_connections, and logged once a second for each kind.

--- a/packages/peridotyard-daemon/src/peridotyard_daemon/connection/peers.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/connection/peers.py
@@ -32,11 +32,20 @@
 # Limit of accepted connections that have sent no hello. They are in no table
 # yet, so a peer could otherwise open any number of them.
 HELLO_LIMIT = 1024
+# Limits of a hello. Its texts take 2 KB at most.
+HELLO_FRAME_LIMITS = frames.Limits(
+    frame_bytes=1 << 12, list_length=64, receive_bytes=1 << 12
+)
+# Limit of accepted connections. An entry has one of each sidecar, and there are
+# 10,000 backend servers at the target size.
+CONNECTION_LIMIT = 16_384
 # Limit of the incomplete frames of all connections together; it exceeds the
 # largest frame.
 UNFINISHED_LIMIT_BYTES = 24 << 20
 # Time for a peer to accept the bytes of one write.
 WRITE_TIMEOUT_S = frames.FRAME_TIMEOUT_S
+# Longest heartbeat interval of a peer, milliseconds; that of the settings.
+HEARTBEAT_LIMIT_MS = 30_000
 
 # Characters of each text in a hello; the store takes keys of 200 bytes.
 HELLO_TEXT_LENGTH = 128
@@ -93,10 +102,12 @@
     """Limits of the connections of a process.
 
     Attributes:
+        connections: Largest number of accepted connections.
         unfinished_bytes: Largest size of all incomplete frames together.
         frame: Limits of each frame after the hello.
     """
 
+    connections: int = CONNECTION_LIMIT
     unfinished_bytes: int = UNFINISHED_LIMIT_BYTES
     frame: frames.Limits = frames.Limits()
 
@@ -154,8 +165,9 @@
         self.dialed: addresses.Address | None = dialed
         self._stream = stream
         self._reader = frames.FrameReader(
-            stream, self._record_data, frame_limits, buffers
+            stream, self._record_data, HELLO_FRAME_LIMITS, buffers
         )
+        self._frame_limits = frame_limits
         self._violations = violations
         self._handler = handler
         self._timing = timing
@@ -265,6 +277,7 @@
             )
         _check_hello(frame.hello)
         self.peer = frame.hello
+        self._reader.limits = self._frame_limits
 
     async def run(self) -> str:
         """Exchanges frames until the connection ends.
@@ -422,6 +435,7 @@
         self._limits = limits
         self._buffers = buffers_module.Buffers(limits.unfinished_bytes)
         self._violations = violations_module.Violations(count)
+        self._accepted = 0
         self._connections: dict[str, Connection] = {}
         self._dials: dict[str, trio.Event] = {}
         self._reconnect_scopes: dict[str, trio.CancelScope] = {}
@@ -586,6 +600,9 @@
 
     async def _accept(self, stream) -> None:
         if self._pending_hellos >= HELLO_LIMIT:
+            self._violations.record(
+                "peer_hellos", "too many connections without a hello"
+            )
             await trio.aclose_forcefully(stream)
             return
         connection = self._make_connection(stream, None)
@@ -598,13 +615,25 @@
             trio.BrokenResourceError,
             frames.FrameError,
         ) as error:
-            _log.warning("incoming connection rejected", reason=error)
+            self._violations.record("peer_hello", error)
             await trio.aclose_forcefully(stream)
             return
         finally:
             self._pending_hellos -= 1
-        self._add(connection, connection.key)
-        await self._run_connection(connection, connection.key)
+        if self._accepted >= self._limits.connections:
+            self._violations.record(
+                "peer_connections",
+                f"{self._accepted} connections are open, the next one is of"
+                f" {connection.key}",
+            )
+            await trio.aclose_forcefully(stream)
+            return
+        self._accepted += 1
+        try:
+            self._add(connection, connection.key)
+            await self._run_connection(connection, connection.key)
+        finally:
+            self._accepted -= 1
 
     async def _run_connection(self, connection: Connection, key: str) -> None:
         reason = "cancelled"
@@ -633,3 +662,8 @@
             raise frames.FrameError("a text of the hello is malformed")
     if not 0 <= hello.capacity <= MAX_CAPACITY:
         raise frames.FrameError(f"capacity {hello.capacity} is out of range")
+    for interval_ms in (hello.heartbeat_ms, hello.idle_heartbeat_ms):
+        if not 0 <= interval_ms <= HEARTBEAT_LIMIT_MS:
+            raise frames.FrameError(
+                f"heartbeat interval of {interval_ms} ms is out of range"
+            )
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/mesh.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/mesh.py
@@ -85,8 +85,11 @@
 TIMING = peers_module.Timing(
     heartbeat_s=0.5, misses=3, dial_s=1.0, idle_heartbeat_s=0.5
 )
-# The longest list has one element for each of 10,000 servers.
-LIMITS = peers_module.Limits(frame=frames.Limits(list_length=1 << 17))
+# A hub of 3,700 entries has 200 connections. The longest list has one element
+# for each of 10,000 servers.
+LIMITS = peers_module.Limits(
+    connections=1024, frame=frames.Limits(list_length=1 << 17)
+)
 
 _log = logs.Logger("mesh")
 
--- a/tests/unit/test_peers.py
+++ b/tests/unit/test_peers.py
@@ -344,6 +344,49 @@
     return False
 
 
+@pytest.mark.parametrize(
+    "data",
+    [
+        frames.HEADER.pack(frames.FRAME_LIMIT_BYTES) + bytes(1 << 16),
+        frames.HEADER.pack(1 << 13),
+        encode_hello(heartbeat_ms=1 << 30),
+        encode_hello(idle_heartbeat_ms=-1),
+    ],
+    ids=["large", "length", "silent", "negative"],
+)
+@cases.run_on_virtual_clock
+async def test_connection_without_a_sound_hello_is_closed_at_once(data):
+    """Guards against unknown peers that fill the memory or stay for ever.
+
+    The length of the first frame was trusted up to 16 MiB, and a peer could
+    state a heartbeat interval of weeks.
+    """
+    async with open_listener(peers.Limits()) as (listener, _, counts, dial):
+        stream = await dial(data)
+        assert await is_closed(stream)
+        assert counts["input_limits.peer_hello"] == 1
+        assert not listener.connections
+
+
+@cases.run_on_virtual_clock
+async def test_number_of_accepted_connections_is_bounded():
+    """Guards against any number of connections with the same valid hello."""
+    limits = peers.Limits(connections=3)
+    async with open_listener(limits) as (_, handler, counts, dial):
+        streams = [await dial(encode_hello()) for _ in range(20)]
+        await trio.sleep(0.1)
+        assert len(handler.connected) == 3
+        assert counts["input_limits.peer_connections"] == 17
+        assert sum([await is_closed(s, 0.001) for s in streams]) == 17
+        # The number of open connections counts, not that of all.
+        for stream in streams:
+            await stream.aclose()
+        await trio.sleep(0.1)
+        await dial(encode_hello(8))
+        await trio.sleep(0.1)
+        assert len(handler.connected) == 4
+
+
 @cases.run_on_virtual_clock
 async def test_frame_that_arrives_byte_by_byte_is_given_up():
     """Guards against a connection that is kept busy with one frame for ever."""
