Bound the responses to other requests that a request skips

A server that sends responses to other requests without end kept the request ahead of them busy until its time limit: 1,000 of them in one write took 48 ms without a checkpoint, each with a log line. A request now skips 16 and then counts as lost.

--- a/packages/peridotyard-daemon/src/peridotyard_daemon/connection/upstreams.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/connection/upstreams.py
@@ -50,6 +50,9 @@
 EVENTS_PER_CHECKPOINT = 64
 # Informational responses ahead of one response. Servers send none or one.
 INFORMATIONAL_LIMIT = 16
+# Responses to other requests that are skipped ahead of one response. A server
+# sends at most a second copy of each late one.
+SKIP_LIMIT = 16
 # Parts of a response that may be small, and the least mean size in bytes beyond
 # them. Each part costs as much processor time as some kilobytes. An event of a
 # stream has at least 14 bytes, and a server that sends each line of an event by
@@ -221,6 +224,7 @@
         self._http = h11.Connection(h11.CLIENT)
         self._request = None
         self._unchecked_events = 0
+        self._skipped_responses = 0
         self._informational_responses = 0
         self._parts = 0
         self._part_bytes = 0
@@ -337,10 +341,17 @@
             limit_bytes: Largest length of the rest of the body.
 
         Raises:
-            LostError: The response ended early or is longer than the limit, or
-                the server closes the connection after it.
+            LostError: The response ended early or is longer than the limit,
+                the server closes the connection after it, or it is one of too
+                many.
         """
         await self.receive_body(limit_bytes)
+        self._skipped_responses += 1
+        if self._skipped_responses > SKIP_LIMIT:
+            raise LostError(
+                f"{self.address}: more than {SKIP_LIMIT} responses to other"
+                " requests"
+            )
         trailing, closed = self._http.trailing_data
         if self._http.their_state is not h11.DONE or closed:
             raise LostError(
@@ -368,6 +379,7 @@
         if self._http.trailing_data[0]:
             return False
         self._http.start_next_cycle()
+        self._skipped_responses = 0
         self.is_reused = True
         return True
 
--- a/tests/unit/test_upstreams.py
+++ b/tests/unit/test_upstreams.py
@@ -1,6 +1,7 @@
 """Tests of peridotyard_daemon.connection.upstreams."""
 
 import contextlib
+import time
 
 import h11
 from peridotyard_core import addresses
@@ -365,6 +366,25 @@
     assert len(response.body) == 5 * count
 
 
+@cases.run_on_virtual_clock
+async def test_number_of_responses_to_other_requests_is_bounded():
+    """Guards against a request that reads the responses to others for ever.
+
+    Each of them is logged and prepares a new state of the connection.
+    """
+    stray = encode(b"r0", b"one")
+    for count, is_sound in ((upstreams.SKIP_LIMIT, True), (10_000, False)):
+        response = stray * count + encode(b"r1", b"two")
+        async with open_pool([response]) as (pool, _):
+            if is_sound:
+                assert await exchange(pool) == b"two"
+                continue
+            began = time.process_time()
+            with pytest.raises(upstreams.LostError):
+                await exchange(pool)
+            assert time.process_time() - began < 1.0
+
+
 def encode_refusal(request_id=b"") -> bytes:
     name = b"X-Attempt-Id: %s\r\n" % request_id if request_id else b""
     return (
