Bound the memory of all unfinished responses of servers together

A response of a server has at most 16 MiB, but any number of them could stop before their end and stay in memory until the time limits of their requests: ten fill the smallest machine of 152 MB.

Unfinished bodies now share 24 MiB. Above that, the one with the largest product of size and age counts as lost (502 if the request may have run). Responses that violate a limit are counted as input_limits.response_* and logged once a second for each kind. A body that is complete and waits for its caller is not part of the sum.

--- a/packages/peridotyard-daemon/src/peridotyard_daemon/connection/upstreams.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/connection/upstreams.py
@@ -17,10 +17,13 @@
 
 import h11
 from peridotyard_core import addresses
+from peridotyard_core import buffers as buffers_module
 from peridotyard_core import errors
 from returns import result
 import trio
 
+from peridotyard_daemon.process import violations as violations_module
+
 RECEIVE_BYTES = 1 << 16
 # A server in the same region accepts a connection within a few milliseconds;
 # TCP retransmits a lost connection request after one second.
@@ -45,6 +48,9 @@
 # Longest body of a small response, see `Pool.fetch`. A page of the platform's
 # store takes 1.4 MB.
 FETCH_LIMIT_BYTES = 4 << 20
+# Limit of the unfinished bodies of all responses together. It exceeds the
+# longest body, 16 MiB, and fits into the smallest machine of 152 MB.
+UNFINISHED_LIMIT_BYTES = 24 << 20
 # Events of h11 that are handled between two checkpoints. One read of 64 KiB has
 # up to 10,000 of them, at 10 to 30 microseconds each.
 EVENTS_PER_CHECKPOINT = 64
@@ -206,6 +212,8 @@
         notify_received: collections.abc.Callable[
             [addresses.Address], None
         ] = lambda _: None,
+        buffers: buffers_module.Buffers | None = None,
+        violations: violations_module.Violations | None = None,
     ):
         """Wraps a new connection.
 
@@ -213,6 +221,10 @@
             address: The server's address.
             stream: The connection.
             notify_received: Called with the address whenever bytes arrive.
+            buffers: Unfinished bodies of all connections; None for those of
+                this connection alone.
+            violations: Record of responses that violate a limit; None for one
+                that counts nothing.
         """
         self.address = address
         self.is_framed = True
@@ -221,6 +233,10 @@
         self.keep_alive_s: float | None = None
         self._stream = stream
         self._notify_received = notify_received
+        self._buffers = buffers or buffers_module.Buffers(
+            UNFINISHED_LIMIT_BYTES
+        )
+        self._violations = violations or violations_module.Violations()
         self._http = h11.Connection(h11.CLIENT)
         self._request = None
         self._unchecked_events = 0
@@ -301,9 +317,9 @@
     def _record_informational(self) -> None:
         self._informational_responses += 1
         if self._informational_responses > INFORMATIONAL_LIMIT:
-            raise LostError(
-                f"{self.address}: more than {INFORMATIONAL_LIMIT} informational"
-                " responses"
+            raise self._reject(
+                "response_framing",
+                f"more than {INFORMATIONAL_LIMIT} informational responses",
             )
 
     def _record_part(self, size: int) -> None:
@@ -313,7 +329,15 @@
             self._parts > SMALL_PARTS
             and self._part_bytes < MIN_PART_BYTES * self._parts
         ):
-            raise LostError(f"{self.address}: the response has tiny parts")
+            raise self._reject(
+                "response_framing", "the response has tiny parts"
+            )
+
+    def _reject(self, kind: str, reason: str) -> LostError:
+        """Records a response that violates a limit; returns its error."""
+        error = LostError(f"{self.address}: {reason}")
+        self._violations.record(kind, error)
+        return error
 
     async def receive_body(self, limit_bytes: int) -> bytes:
         """Returns the body of the response, after its head.
@@ -322,13 +346,31 @@
             limit_bytes: Length from which the body is not buffered any further.
 
         Raises:
-            LostError: It ended early or is longer than the limit.
+            LostError: It ended early, is longer than the limit, or was given
+                up since all bodies together exceed their limit.
         """
+        with trio.CancelScope() as scope:
+            buffer = self._buffers.open(scope.cancel, trio.current_time())
+            try:
+                return await self._receive_into(buffer, limit_bytes)
+            finally:
+                self._buffers.close(buffer)
+        raise self._reject(
+            "response_memory",
+            f"body given up for memory after {buffer.size_bytes} bytes",
+        )
+
+    async def _receive_into(
+        self, buffer: buffers_module.Buffer, limit_bytes: int
+    ) -> bytes:
         body = bytearray()
         while not isinstance(event := await self.receive(), h11.EndOfMessage):
             body += event.data
             if len(body) > limit_bytes:
-                raise LostError(f"{self.address}: response body is too long")
+                raise self._reject(
+                    "response_length", "response body is too long"
+                )
+            self._buffers.resize(buffer, len(body), trio.current_time())
         return bytes(body)
 
     async def skip_response(self, limit_bytes: int) -> None:
@@ -348,9 +390,9 @@
         await self.receive_body(limit_bytes)
         self._skipped_responses += 1
         if self._skipped_responses > SKIP_LIMIT:
-            raise LostError(
-                f"{self.address}: more than {SKIP_LIMIT} responses to other"
-                " requests"
+            raise self._reject(
+                "response_skips",
+                f"more than {SKIP_LIMIT} responses to other requests",
             )
         trailing, closed = self._http.trailing_data
         if self._http.their_state is not h11.DONE or closed:
@@ -403,7 +445,13 @@
 class Pool:
     """Pool of idle connections to servers, owned by the process."""
 
-    def __init__(self, dial=open_tcp, notify_dialed=None, names_request=None):
+    def __init__(
+        self,
+        dial=open_tcp,
+        notify_dialed=None,
+        names_request=None,
+        count: collections.abc.Callable[[str], None] = lambda _: None,
+    ):
         """Makes an empty pool.
 
         Args:
@@ -411,10 +459,13 @@
             notify_dialed: Called without arguments for each new connection.
             names_request: Returns whether the headers of a response name the
                 request of a caller, which `fetch` never sends.
+            count: Increases the counter of the given name.
         """
         self._dial = dial
         self._notify_dialed = notify_dialed or (lambda: None)
         self._names_request = names_request or (lambda _: False)
+        self._buffers = buffers_module.Buffers(UNFINISHED_LIMIT_BYTES)
+        self._violations = violations_module.Violations(count)
         self._idle = collections.defaultdict(collections.deque)
         self._heard_at: dict[addresses.Address, float] = {}
 
@@ -444,7 +495,13 @@
         except OSError as error:
             raise UnsentError(f"{address}: {error!r}") from error
         self._notify_dialed()
-        return Connection(address, stream, self._record_heard)
+        return Connection(
+            address,
+            stream,
+            self._record_heard,
+            self._buffers,
+            self._violations,
+        )
 
     def _record_heard(self, address: addresses.Address) -> None:
         self._heard_at[address] = trio.current_time()
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/gateway.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/gateway.py
@@ -169,6 +169,7 @@
             lambda headers: bool(
                 codec.decode_response(200, headers).request_id
             ),
+            count,
         )
         statements = statements_module.Statements(count, random)
         self.context = contexts.Context(
--- a/tests/unit/test_upstreams.py
+++ b/tests/unit/test_upstreams.py
@@ -1,5 +1,6 @@
 """Tests of peridotyard_daemon.connection.upstreams."""
 
+import collections
 import contextlib
 import time
 
@@ -385,6 +386,61 @@
             assert time.process_time() - began < 1.0
 
 
+@cases.run_on_virtual_clock
+async def test_unfinished_responses_share_a_limit():
+    """Guards against servers whose long responses stop before their end.
+
+    Each response is within its limit, and ten of them fill the smallest
+    machine.
+    """
+    length = forwards.RESPONSE_LIMIT_BYTES - 1
+    head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % length
+    network = memory.MemoryNetwork()
+    counts = collections.Counter()
+    lost = []
+
+    async def serve(stream):
+        request = await stream.receive_some()
+        if b"/stalled" in request:
+            await stream.send_all(head + bytes(length - 1))
+            await trio.sleep_forever()
+        body = bytes(1 << 20)
+        for data in (
+            encode(b"", body)[: 1 << 19],
+            encode(b"", body)[1 << 19 :],
+        ):
+            await stream.send_all(data)
+            await trio.sleep(0.2)
+        await trio.sleep_forever()
+
+    async with trio.open_nursery() as nursery:
+        host = network.join(str(ADDRESS))
+        nursery.start_soon(host.serve, ADDRESS, serve)
+        await trio.testing.wait_all_tasks_blocked()
+        pool = upstreams.Pool(
+            network.join("entry").dial, count=lambda name: counts.update([name])
+        )
+
+        async def read_stalled():
+            connection = await pool.acquire(ADDRESS)
+            await connection.send("GET", "/stalled", (), b"")
+            await connection.receive()
+            with pytest.raises(upstreams.LostError):
+                await connection.receive_body(forwards.RESPONSE_LIMIT_BYTES)
+            lost.append(trio.current_time())
+
+        for _ in range(10):
+            nursery.start_soon(read_stalled)
+            await trio.sleep(0.1)
+            total = pool._buffers.total_bytes
+            assert total <= upstreams.UNFINISHED_LIMIT_BYTES
+        assert len(lost) == counts["input_limits.response_memory"] == 9
+        # A body that goes on arriving is not the one that is given up.
+        response = await pool.fetch(ADDRESS, "GET", "/sound")
+        assert len(response.body) == 1 << 20
+        nursery.cancel_scope.cancel()
+
+
 def encode_refusal(request_id=b"") -> bytes:
     name = b"X-Attempt-Id: %s\r\n" % request_id if request_id else b""
     return (
