End a listing of the store whose pages do not end

A store that returns the same page again, or always states that there is another one, kept an entry reading for ever: the rows filled its memory, and it neither learned of changes nor reported a failure.

--- a/tests/unit/test_platform_store.py
+++ b/tests/unit/test_platform_store.py
@@ -1,6 +1,8 @@
 """Tests of peridotyard_platform.store."""
 
+import base64
 import contextlib
+import json
 
 from peridotyard_daemon.process import platform
 from peridotyard_daemon.process import stores
@@ -282,3 +284,58 @@
         stand_in._handle = respond
         await client.watch("t", 1, 0.1)
         await client.commit((), (write("a"),))
+
+
+def list_pages(make_rows, delay_s=0.0):
+    """Returns a handler of the store that always has another page."""
+    count = 0
+
+    async def respond(_method, _target, _headers, _body, responder):
+        nonlocal count
+        count += 1
+        await trio.sleep(delay_s)
+        page = {"rows": make_rows(count), "ver": 3, "nowMs": 5, "hasMore": True}
+        await responder.send_complete(200, [], json.dumps(page).encode())
+
+    return respond
+
+
+def render_row(key, value=b""):
+    encoded = base64.b64encode(value).decode()
+    return {"key": key, "value": encoded, "ver": 3}
+
+
+@pytest.mark.parametrize(
+    ("make_rows", "delay_s", "calls"),
+    [
+        (lambda _: [render_row("a")], 0.0, 2),
+        (
+            lambda count: [
+                render_row(f"{count:06}-{row:03}") for row in range(500)
+            ],
+            0.0,
+            201,
+        ),
+        (lambda count: [render_row(f"{count:06}", bytes(2 << 20))], 0.0, 25),
+        (lambda count: [render_row(f"{count:06}")], 1.0, 31),
+    ],
+    ids=["the same", "short", "large", "slow"],
+)
+@cases.run_on_virtual_clock
+async def test_pages_without_end_are_lost(make_rows, delay_s, calls):
+    """Guards against a listing that fills the memory or never ends.
+
+    Its entry would neither learn of changes nor report a failure.
+    """
+    async with open_store() as (stand_in, client):
+        made = []
+
+        def record(count):
+            made.append(count)
+            return make_rows(count)
+
+        stand_in._handle = list_pages(record, delay_s)
+        with trio.fail_after(100):
+            outcome = await client.scan("t")
+        assert isinstance(outcome.failure(), platform.Lost)
+        assert len(made) <= calls
