Reject JSON documents with very many objects and lists

An empty list takes two bytes of a document and 64 bytes of memory. A configuration of 2,800 workspaces has about 10,000.

--- a/packages/peridotyard-core/src/peridotyard_core/documents.py
+++ b/packages/peridotyard-core/src/peridotyard_core/documents.py
@@ -10,6 +10,10 @@
 # Limits of the integers in messages between entries.
 MAX_INT32 = (1 << 31) - 1
 MAX_INT64 = (1 << 63) - 1
+# Objects and lists of one document. An empty one has two bytes and takes 64
+# bytes of memory, so that 4 MB of them would take 90 MB. A configuration of
+# 2,800 workspaces has about 10,000.
+MAX_CONTAINERS = 1 << 17
 # Characters of a rejected value that are shown in the error.
 SHOWN_LENGTH = 40
 
@@ -22,6 +26,8 @@
     Raises:
         ValueError: The value is not a JSON object.
     """
+    if value.count(b"{") + value.count(b"[") > MAX_CONTAINERS:
+        raise ValueError(f"more than {MAX_CONTAINERS} objects and lists")
     try:
         fields = json.loads(value, parse_constant=_reject_constant)
     except RecursionError as error:
--- a/tests/unit/test_documents.py
+++ b/tests/unit/test_documents.py
@@ -35,6 +35,15 @@
     return strategies.dictionaries(strategies.sampled_from(names), _values)
 
 
+@pytest.mark.parametrize("item", [b"[]", b"{}", b'{"a":1}'])
+def test_document_of_very_many_objects_is_rejected(item):
+    """Guards against a small document that takes 20 times its size."""
+    values = b",".join([item] * (documents.MAX_CONTAINERS - 2))
+    assert documents.parse(b'{"a":[' + values + b"]}")
+    with pytest.raises(ValueError, match="more than"):
+        documents.parse(b'{"a":[' + values + b",[]]}")
+
+
 @pytest.mark.parametrize("value", odd_values.DOCUMENTS)
 def test_value_that_is_no_object_is_rejected(value):
     """Guards against an exception other than the documented one."""
