Bound the rows of one response of the store, and their keys

A response of the store has at most 4 MiB, which is room for 100,000 rows or for one key of 4 MB, and the keys of all servers are kept.

--- a/tests/unit/test_platform_store.py
+++ b/tests/unit/test_platform_store.py
@@ -339,3 +339,38 @@
             outcome = await client.scan("t")
         assert isinstance(outcome.failure(), platform.Lost)
         assert len(made) <= calls
+
+
+@pytest.mark.parametrize(
+    ("count", "kind"),
+    [
+        (store.RESPONSE_ROWS, result.Success),
+        (store.RESPONSE_ROWS + 1, result.Failure),
+    ],
+)
+@cases.run_on_virtual_clock
+async def test_response_with_very_many_rows_is_lost(count, kind):
+    """Guards against seconds without a checkpoint for one response.
+
+    The limit of its size allows 100,000 rows.
+    """
+    async with open_store() as (stand_in, client):
+
+        async def respond(_method, _target, _headers, _body, responder):
+            rows = [render_row("a")] * count
+            body = json.dumps({"rows": rows, "ver": 3}).encode()
+            await responder.send_complete(200, [], body)
+
+        stand_in._handle = respond
+        assert isinstance(await client.scan("t"), kind)
+        assert isinstance(await client.watch("t", 3, 0.1), kind)
+
+
+@cases.run_on_virtual_clock
+async def test_row_with_a_long_key_is_ignored():
+    """Guards against keys that fill the memory; all known ones are kept."""
+    async with open_store() as (stand_in, client):
+        for key in ("a", "b" * store.KEY_LENGTH, "c" * (store.KEY_LENGTH + 1)):
+            stand_in.put("t", key, b"x")
+        listing = (await client.scan("t")).unwrap()
+        assert [len(row.key) for row in listing.rows] == [1, store.KEY_LENGTH]
