Bound the size and the number of the rows of servers

Each server writes its own row, and an entry kept whatever texts it has, up to 3 MB, and any number of rows.

--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/listings.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/listings.py
@@ -21,6 +21,10 @@
 # by which a copy of the store is older than the store was.
 MAX_REMOVED_SERVERS = 2048
 
+# Rows that are kept, ten times those of the target size. Rows of further
+# servers are rejected until others are removed.
+MAX_ROWS = 100_000
+
 _log = logs.Logger("store")
 
 Decode = collections.abc.Callable[[str, bytes, int], fleet.Server]
@@ -122,6 +126,12 @@
         if row.removed:
             self._record_removal(row.key, row.revision)
             return True
+        if row.key not in self._changed_at and len(self._changed_at) >= (
+            MAX_ROWS
+        ):
+            error = ValueError(f"there are {MAX_ROWS} other rows")
+            self._rejections.record(row.key, row.revision, error)
+            return False
         server = self._read(row)
         known = self._servers.get(row.key)
         if server is None:
--- a/tests/unit/test_schema.py
+++ b/tests/unit/test_schema.py
@@ -243,3 +243,17 @@
     for decode in (decode_server, schema.Schema(2.5).decode_routing):
         with contextlib.suppress(ValueError):
             decode(value)
+
+
+def test_large_row_of_a_server_is_rejected():
+    """Guards against long texts of servers that fill the memory."""
+    decoder = schema.Schema(2.5)
+    row = SERVER | {"version": 1, "note": ""}
+    space = schema.MAX_SERVER_BYTES - len(json.dumps(row))
+    for size, is_sound in ((space, True), (space + 1, False)):
+        value = json.dumps(row | {"note": "x" * size}).encode()
+        if is_sound:
+            assert decoder.decode_server("s1", value, 1).instance == "s1"
+        else:
+            with pytest.raises(ValueError, match="allowed: up to"):
+                decoder.decode_server("s1", value, 1)
