Contain an error of hypercorn in the connection that causes it

One request without an API key ended an entry: hypercorn decodes some headers of a WebSocket upgrade and the path of an HTTP/2 request as ASCII, and its exception for other bytes left the nursery of all connections.

connection.listeners now accepts the connections and runs hypercorn's server in each of them. What it raises ends that connection alone, is counted as input_limits.malformed_connection, and logged once a second. A connection that its peer has closed between two requests also ends then; hypercorn kept it until the idle limit of 75 s.

--- a/packages/peridotyard-daemon/src/peridotyard_daemon/connection/http.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/connection/http.py
@@ -11,6 +11,8 @@
 from peridotyard_core import verdicts
 import trio
 
+from peridotyard_daemon.connection import listeners
+
 JSON_TYPE = b"application/json"
 
 
@@ -216,36 +218,21 @@
     stopped: trio.Event,
     *,
     grace_s: float = 1.0,
+    count: collections.abc.Callable[[str], None] = lambda _: None,
     task_status=trio.TASK_STATUS_IGNORED,
 ) -> None:
     """Serves an ASGI application until `stopped` is set.
 
     Args:
-        app: The application.
+        app: The application; it gets no lifespan messages.
         address: Where to listen.
         stopped: Set to stop the server.
         grace_s: Seconds for requests in progress to end after `stopped`.
+        count: Increases the counter of the given name.
         task_status: Started once the server listens.
     """
-    # Imported lazily: a sidecar serves no HTTP, and hypercorn takes 6 MB.
-    import hypercorn  # noqa: PLC0415
-    import hypercorn.trio  # noqa: PLC0415
-
-    config = hypercorn.Config()
-    config.bind = [str(address)]
-    config.graceful_timeout = grace_s
-    config.shutdown_timeout = grace_s
-    config.keep_alive_timeout = 75
-    config.h11_max_incomplete_size = 32 << 10
-    config.include_server_header = False
-    config.accesslog = None
-    config.errorlog = None
-    await hypercorn.trio.serve(
-        app,
-        config,
-        shutdown_trigger=stopped.wait,
-        task_status=task_status,
-    )
+    listener = listeners.Listener(app, grace_s, count)
+    await listener.run(address, stopped, task_status)
 
 
 class UnsentError(errors.PeridotyardError):
--- /dev/null
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/connection/listeners.py
@@ -0,0 +1,119 @@
+"""Serves an ASGI application with hypercorn.
+
+Hypercorn by itself ends with the first unexpected exception in one connection.
+"""
+
+import collections.abc
+import functools
+
+from peridotyard_core import addresses
+import trio
+
+from peridotyard_daemon.process import sockets
+from peridotyard_daemon.process import violations as violations_module
+
+KEEP_ALIVE_TIMEOUT_S = 75
+HEAD_BYTES = 32 << 10
+
+
+def _define_server() -> type:
+    """Returns the class of one connection."""
+    from hypercorn.trio import tcp_server  # noqa: PLC0415
+
+    class Server(tcp_server.TCPServer):
+        """A connection that ends when its peer closes it between requests.
+
+        Hypercorn keeps it until the time limit for the next request passes.
+        """
+
+        async def _read_data(self) -> None:
+            await super()._read_data()
+            await self.idle_task.stop()
+
+    return Server
+
+
+class Listener:
+    """The connections of one address, owned by the process."""
+
+    def __init__(
+        self,
+        app,
+        grace_s: float = 1.0,
+        count: collections.abc.Callable[[str], None] = lambda _: None,
+    ):
+        """Creates a listener without connections.
+
+        Args:
+            app: The ASGI application.
+            grace_s: Seconds for requests in progress to end after a stop.
+            count: Increases the counter of the given name.
+        """
+        # Imported lazily: a sidecar serves no HTTP, and hypercorn takes 6 MB.
+        from hypercorn import app_wrappers  # noqa: PLC0415
+        from hypercorn import config as config_module  # noqa: PLC0415
+        from hypercorn.trio import worker_context  # noqa: PLC0415
+
+        config = config_module.Config()
+        config.keep_alive_timeout = KEEP_ALIVE_TIMEOUT_S
+        config.h11_max_incomplete_size = HEAD_BYTES
+        config.include_server_header = False
+        config.accesslog = None
+        config.errorlog = None
+        self._context = worker_context.WorkerContext(None)
+        self._make_server = functools.partial(
+            _define_server(),
+            app_wrappers.ASGIWrapper(app),
+            config,
+            self._context,
+            {},
+        )
+        self._grace_s = grace_s
+        self._violations = violations_module.Violations(count)
+
+    async def run(
+        self,
+        address: addresses.Address,
+        stopped: trio.Event,
+        task_status=trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Serves until `stopped` is set; started with the URLs once it listens.
+
+        Raises:
+            OSError: The address cannot be listened at.
+        """
+        listeners = await trio.open_tcp_listeners(
+            address.port, host=address.host, backlog=sockets.BACKLOG
+        )
+        async with trio.open_nursery() as connections:
+            async with trio.open_nursery() as acceptors:
+                await acceptors.start(
+                    functools.partial(
+                        trio.serve_listeners,
+                        self._serve,
+                        listeners,
+                        handler_nursery=connections,
+                    )
+                )
+                task_status.started(
+                    [
+                        "http://{}:{}".format(*item.socket.getsockname()[:2])
+                        for item in listeners
+                    ]
+                )
+                await stopped.wait()
+                acceptors.cancel_scope.cancel()
+            await self._context.terminated.set()
+            connections.cancel_scope.deadline = (
+                trio.current_time() + self._grace_s
+            )
+
+    async def _serve(self, stream: trio.SocketStream) -> None:
+        try:
+            await self._make_server(stream)
+        except Exception as error:
+            # An error in one connection must not end all others.
+            self._violations.record("malformed_connection", repr(error))
+        finally:
+            with trio.CancelScope(shield=True):
+                await trio.aclose_forcefully(stream)
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/entry.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/entry.py
@@ -5,6 +5,7 @@
 """
 
 import collections.abc
+import functools
 import random as random_module
 import string
 import typing
@@ -147,14 +148,20 @@
             nursery.start_soon(self._poll_instances)
             async with trio.open_nursery() as servers:
                 await servers.start(
-                    serve,
+                    functools.partial(
+                        serve,
+                        count=self.metrics.increment,
+                    ),
                     self.handle_caller,
                     settings.caller_address,
                     self._stopped,
                 )
                 if self.administration is not None:
                     await servers.start(
-                        serve,
+                        functools.partial(
+                            serve,
+                            count=self.metrics.increment,
+                        ),
                         self.administration,
                         settings.admin_address,
                         self._stopped,
--- a/tests/support/entries.py
+++ b/tests/support/entries.py
@@ -224,7 +224,12 @@
 
 
 async def serve_nothing(
-    app, address, stopped, task_status=trio.TASK_STATUS_IGNORED
+    app,
+    address,
+    stopped,
+    *,
+    count,
+    task_status=trio.TASK_STATUS_IGNORED,
 ):
     task_status.started()
     await stopped.wait()
--- /dev/null
+++ b/tests/unit/test_listeners.py
@@ -0,0 +1,103 @@
+"""Tests of peridotyard_daemon.connection.listeners, over real sockets."""
+
+import collections
+import contextlib
+import functools
+
+from peridotyard_core import addresses
+from peridotyard_daemon.connection import http
+import pytest
+import trio
+
+GET = b"GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
+UPGRADE = (
+    b"GET / HTTP/1.1\r\nHost: x\r\nConnection: upgrade\r\n"
+    b"Upgrade: websocket\r\n"
+)
+# The preface of HTTP/2, empty settings, and a request whose path is 0xff.
+HTTP2 = (
+    b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n"
+    b"\x00\x00\x00\x04\x00\x00\x00\x00\x00"
+    b"\x00\x00\x08\x01\x05\x00\x00\x00\x01"
+    b"\x82\x86\x04\x02/\xff\x41\x00"
+)
+LARGE_BYTES = 32 << 20
+
+
+async def respond(scope, receive, send):
+    if scope["type"] != "http":
+        raise NotImplementedError
+    body = b"x" * (LARGE_BYTES if scope["path"] == "/large" else 1)
+    await http.send_bytes(send, 200, body, b"text/plain")
+
+
+@contextlib.asynccontextmanager
+async def open_listener():
+    """Yields the counters and a function that opens a connection."""
+    counts = collections.Counter()
+    stopped = trio.Event()
+    serve = functools.partial(
+        http.serve,
+        respond,
+        addresses.Address("127.0.0.1", 0),
+        stopped,
+        count=lambda name: counts.update([name]),
+    )
+    async with trio.open_nursery() as nursery:
+        (url,) = await nursery.start(
+            lambda task_status: serve(task_status=task_status)
+        )
+        port = int(url.rpartition(":")[2])
+        yield counts, lambda: trio.open_tcp_stream("127.0.0.1", port)
+        stopped.set()
+
+
+async def exchange(dial, data=GET) -> bytes:
+    """Sends bytes; returns all bytes that are received until the end."""
+    received = b""
+    async with await dial() as stream:
+        with contextlib.suppress(trio.BrokenResourceError):
+            await stream.send_all(data)
+            async for part in stream:
+                received += part
+    return received
+
+
+def run(check):
+    async def limited():
+        with trio.fail_after(20):
+            await run_check()
+
+    async def run_check():
+        async with open_listener() as (counts, dial):
+            await check(counts, dial)
+
+    trio.run(limited)
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        UPGRADE + b"Sec-WebSocket-Protocol: \xff\r\n\r\n",
+        UPGRADE + b"Sec-WebSocket-Extensions: \xff\r\n\r\n",
+        HTTP2,
+    ],
+    ids=["protocol", "extensions", "path"],
+)
+def test_malformed_request_ends_its_connection_alone(data):
+    """Guards against one request without a key that ends the process.
+
+    An exception of hypercorn in one connection ended its server, and with it
+    the entry: the decoding of some headers of WebSocket and HTTP/2.
+    """
+
+    async def check(counts, dial):
+        async with await dial() as stream:
+            await stream.send_all(data)
+            with contextlib.suppress(trio.BrokenResourceError):
+                while await stream.receive_some():
+                    pass
+        assert counts["input_limits.malformed_connection"] == 1
+        assert (await exchange(dial)).startswith(b"HTTP/1.1 200")
+
+    run(check)
