Bound the connections and the write time of the product's own entry

[callers] connection_limit counted requests in progress only, so that a caller could open any number of idle connections, and a caller that does not read its response kept it and its connection for ever, except for streams of tokens. The administration address had no limit at all.

Connections above the limit now get 503 with Retry-After before anything is read, and are counted as input_limits.connections: 10,000 for callers as before, 256 at the administration address. A write ends after [callers] write_timeout_s, at the administration address after 30 s.

--- a/packages/peridotyard-daemon/src/peridotyard_daemon/connection/http.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/connection/http.py
@@ -218,6 +218,7 @@
     stopped: trio.Event,
     *,
     grace_s: float = 1.0,
+    limits: listeners.Limits = listeners.DEFAULT_LIMITS,
     count: collections.abc.Callable[[str], None] = lambda _: None,
     task_status=trio.TASK_STATUS_IGNORED,
 ) -> None:
@@ -228,10 +229,11 @@
         address: Where to listen.
         stopped: Set to stop the server.
         grace_s: Seconds for requests in progress to end after `stopped`.
+        limits: Limits of the connections.
         count: Increases the counter of the given name.
         task_status: Started once the server listens.
     """
-    listener = listeners.Listener(app, grace_s, count)
+    listener = listeners.Listener(app, limits, grace_s, count)
     await listener.run(address, stopped, task_status)
 
 
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/connection/listeners.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/connection/listeners.py
@@ -1,9 +1,13 @@
-"""Serves an ASGI application with hypercorn.
+"""Serves an ASGI application with hypercorn, with limits on its connections.
 
-Hypercorn by itself ends with the first unexpected exception in one connection.
+Hypercorn by itself accepts any number of connections, waits without a time
+limit for a peer to read, and ends with the first unexpected exception in one
+connection.
 """
 
 import collections.abc
+import contextlib
+import dataclasses
 import functools
 
 from peridotyard_core import addresses
@@ -14,6 +18,55 @@
 
 KEEP_ALIVE_TIMEOUT_S = 75
 HEAD_BYTES = 32 << 10
+# Response to a connection above the limit. Its request was not read.
+TOO_MANY_CONNECTIONS = (
+    b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\n"
+    b"Content-Length: 0\r\nConnection: close\r\n\r\n"
+)
+# Time to send it; it fits into the buffer of a new connection.
+REJECTION_TIMEOUT_S = 0.1
+
+
+@dataclasses.dataclass(frozen=True)
+class Limits:
+    """Limits of the connections of one address.
+
+    Attributes:
+        connections: Largest number of open connections.
+        write_s: Time for a peer to accept the bytes of one write, seconds.
+    """
+
+    connections: int = 10_000
+    write_s: float = 30.0
+
+
+DEFAULT_LIMITS = Limits()
+
+
+class _TimedStream:
+    """A connection whose writes have a time limit.
+
+    It has the methods of a stream that hypercorn uses.
+    """
+
+    def __init__(self, stream: trio.SocketStream, write_s: float):
+        self.socket = stream.socket
+        self.receive_some = stream.receive_some
+        self.send_eof = stream.send_eof
+        self.aclose = stream.aclose
+        self._stream = stream
+        self._write_s = write_s
+
+    async def send_all(self, data: bytes) -> None:
+        """Sends bytes.
+
+        Raises:
+            trio.BrokenResourceError: The peer disconnected or does not read.
+        """
+        with trio.move_on_after(self._write_s) as scope:
+            await self._stream.send_all(data)
+        if scope.cancelled_caught:
+            raise trio.BrokenResourceError("the peer does not read")
 
 
 def _define_server() -> type:
@@ -34,11 +87,16 @@
 
 
 class Listener:
-    """The connections of one address, owned by the process."""
+    """The connections of one address, owned by the process.
+
+    Attributes:
+        connections: Number of open connections.
+    """
 
     def __init__(
         self,
         app,
+        limits: Limits,
         grace_s: float = 1.0,
         count: collections.abc.Callable[[str], None] = lambda _: None,
     ):
@@ -46,6 +104,7 @@
 
         Args:
             app: The ASGI application.
+            limits: Limits of the connections.
             grace_s: Seconds for requests in progress to end after a stop.
             count: Increases the counter of the given name.
         """
@@ -60,6 +119,7 @@
         config.include_server_header = False
         config.accesslog = None
         config.errorlog = None
+        self.connections = 0
         self._context = worker_context.WorkerContext(None)
         self._make_server = functools.partial(
             _define_server(),
@@ -68,6 +128,7 @@
             self._context,
             {},
         )
+        self._limits = limits
         self._grace_s = grace_s
         self._violations = violations_module.Violations(count)
 
@@ -109,11 +170,27 @@
             )
 
     async def _serve(self, stream: trio.SocketStream) -> None:
+        if self.connections >= self._limits.connections:
+            await self._reject(stream)
+            return
+        self.connections += 1
         try:
-            await self._make_server(stream)
+            await self._make_server(_TimedStream(stream, self._limits.write_s))
         except Exception as error:
             # An error in one connection must not end all others.
             self._violations.record("malformed_connection", repr(error))
         finally:
+            self.connections -= 1
             with trio.CancelScope(shield=True):
                 await trio.aclose_forcefully(stream)
+
+    async def _reject(self, stream: trio.SocketStream) -> None:
+        self._violations.record(
+            "connections", f"{self.connections} connections are open"
+        )
+        with (
+            trio.move_on_after(REJECTION_TIMEOUT_S),
+            contextlib.suppress(trio.BrokenResourceError),
+        ):
+            await stream.send_all(TOO_MANY_CONNECTIONS)
+        await trio.aclose_forcefully(stream)
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/entry.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/entry.py
@@ -21,6 +21,7 @@
 import trio
 
 from peridotyard_daemon.connection import http
+from peridotyard_daemon.connection import listeners
 from peridotyard_daemon.connection import peers as peers_module
 from peridotyard_daemon.process import instances
 from peridotyard_daemon.process import lifecycle
@@ -150,6 +151,9 @@
                 await servers.start(
                     functools.partial(
                         serve,
+                        limits=listeners.Limits(
+                            settings.connection_limit, settings.write_timeout_s
+                        ),
                         count=self.metrics.increment,
                     ),
                     self.handle_caller,
@@ -160,6 +164,7 @@
                     await servers.start(
                         functools.partial(
                             serve,
+                            limits=administration.CONNECTION_LIMITS,
                             count=self.metrics.increment,
                         ),
                         self.administration,
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/administration.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/administration.py
@@ -14,12 +14,15 @@
 import returns.result
 
 from peridotyard_daemon.connection import http
+from peridotyard_daemon.connection import listeners
 
 PREFIX = "/admin/v1/"
 # Allows a change that creates every object of a deployment of the target size:
 # 2,800 workspaces with their limits take about 2 MB of JSON.
 BODY_LIMIT_BYTES = 8 << 20
 BODY_TIMEOUT_S = 30.0
+# Operators and programs that watch an entry hold a few connections each.
+CONNECTION_LIMITS = listeners.Limits(connections=256, write_s=30.0)
 PAGE_DEFAULT = 50
 PAGE_LIMIT = 1000
 
--- a/tests/support/entries.py
+++ b/tests/support/entries.py
@@ -228,6 +228,7 @@
     address,
     stopped,
     *,
+    limits,
     count,
     task_status=trio.TASK_STATUS_IGNORED,
 ):
--- a/tests/unit/test_listeners.py
+++ b/tests/unit/test_listeners.py
@@ -3,9 +3,11 @@
 import collections
 import contextlib
 import functools
+import socket
 
 from peridotyard_core import addresses
 from peridotyard_daemon.connection import http
+from peridotyard_daemon.connection import listeners
 import pytest
 import trio
 
@@ -32,7 +34,7 @@
 
 
 @contextlib.asynccontextmanager
-async def open_listener():
+async def open_listener(limits):
     """Yields the counters and a function that opens a connection."""
     counts = collections.Counter()
     stopped = trio.Event()
@@ -41,6 +43,7 @@
         respond,
         addresses.Address("127.0.0.1", 0),
         stopped,
+        limits=limits,
         count=lambda name: counts.update([name]),
     )
     async with trio.open_nursery() as nursery:
@@ -63,13 +66,13 @@
     return received
 
 
-def run(check):
+def run(check, limits=listeners.DEFAULT_LIMITS):
     async def limited():
         with trio.fail_after(20):
             await run_check()
 
     async def run_check():
-        async with open_listener() as (counts, dial):
+        async with open_listener(limits) as (counts, dial):
             await check(counts, dial)
 
     trio.run(limited)
@@ -101,3 +104,39 @@
         assert (await exchange(dial)).startswith(b"HTTP/1.1 200")
 
     run(check)
+
+
+def test_number_of_connections_is_bounded():
+    """Guards against idle connections that fill the memory."""
+
+    async def check(counts, dial):
+        async with contextlib.AsyncExitStack() as stack:
+            for _ in range(3):
+                await stack.enter_async_context(await dial())
+            await trio.sleep(0.1)
+            for _ in range(20):
+                response = await exchange(dial, b"")
+                assert response == listeners.TOO_MANY_CONNECTIONS
+            assert counts["input_limits.connections"] == 20
+        await trio.sleep(0.1)
+        assert (await exchange(dial)).startswith(b"HTTP/1.1 200")
+
+    run(check, listeners.Limits(connections=3))
+
+
+def test_connection_whose_peer_does_not_read_is_closed():
+    """Guards against responses that stay in memory for ever."""
+
+    async def check(_counts, dial):
+        stream = await dial()
+        stream.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1 << 16)
+        await stream.send_all(GET.replace(b"/ ", b"/large ", 1))
+        await trio.sleep(1.0)
+        size = 0
+        with contextlib.suppress(trio.BrokenResourceError):
+            async for part in stream:
+                size += len(part)
+        assert size < LARGE_BYTES
+        assert (await exchange(dial)).startswith(b"HTTP/1.1 200")
+
+    run(check, listeners.Limits(write_s=0.3))
