Bound the request bodies of the product's own entry together

Each body has at most [callers] body_limit_bytes, but the entry had no limit on all of them: 80 callers that stop before the end of a body, or whose requests wait, held 80 times that. A body in one-byte parts was read up to its limit, one message for each part, and a body whose announced length exceeds the limit was read up to it.

Bodies of requests in progress now share [callers] body_memory_bytes, 256 MiB by default, 16 MiB at the administration address.

Hypercorn answers Expect: 100-continue by itself before the application sees the head, which is left as it is.

--- a/packages/peridotyard-core/src/peridotyard_core/buffers.py
+++ b/packages/peridotyard-core/src/peridotyard_core/buffers.py
@@ -35,20 +35,25 @@
     stopped does not.
     """
 
-    def __init__(self, limit_bytes: int):
+    def __init__(self, limit_bytes: int, small_bytes: int = 0):
         """Creates an empty set.
 
         Args:
             limit_bytes: Largest sum of the sizes of all messages. It has to
                 exceed the limit of a single one.
+            small_bytes: Size up to which messages are not given up. The sum
+                may exceed the limit by as much for each of them.
         """
         self._limit_bytes = limit_bytes
+        self._small_bytes = small_bytes
         self._buffers: set[Buffer] = set()
+        # Complete messages whose memory is still in use.
+        self._kept: set[Buffer] = set()
         self._total_bytes = 0
 
     @property
     def total_bytes(self) -> int:
-        """Sum of the sizes of the messages that were not given up."""
+        """Sum of the sizes of all messages that are open."""
         return self._total_bytes
 
     def open(
@@ -80,18 +85,32 @@
         buffer.size_bytes = size_bytes
         while self._total_bytes > self._limit_bytes:
             evicted = max(
-                self._buffers,
+                (b for b in self._buffers if b.size_bytes > self._small_bytes),
                 key=lambda b: (
                     b.size_bytes * (now - b.started_at),
                     b.size_bytes,
                 ),
+                default=None,
             )
+            if evicted is None:
+                return
             self.close(evicted)
             evicted.is_evicted = True
             evicted.evict()
 
-    def close(self, buffer: Buffer) -> None:
-        """Removes a message that is complete or was given up."""
+    def keep(self, buffer: Buffer) -> None:
+        """Records that a message is complete: it counts, but is not given up.
+
+        Args:
+            buffer: A buffer that is open; nothing changes if it was given up.
+        """
         if buffer in self._buffers:
             self._buffers.remove(buffer)
-            self._total_bytes -= buffer.size_bytes
+            self._kept.add(buffer)
+
+    def close(self, buffer: Buffer) -> None:
+        """Removes a message whose memory is not in use any more."""
+        for members in (self._buffers, self._kept):
+            if buffer in members:
+                members.remove(buffer)
+                self._total_bytes -= buffer.size_bytes
--- a/packages/peridotyard-core/src/peridotyard_core/settings.py
+++ b/packages/peridotyard-core/src/peridotyard_core/settings.py
@@ -188,6 +188,15 @@
         minimum=1024,
         maximum=1 << 24,
     )
+    body_memory_bytes: int = options.declare(
+        "callers",
+        "body_memory_bytes",
+        "int",
+        1 << 28,
+        "largest size of the bodies of all requests in progress, bytes",
+        minimum=1 << 20,
+        maximum=1 << 40,
+    )
     body_timeout_s: float = options.declare(
         "callers",
         "body_timeout_s",
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/entry.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/entry.py
@@ -20,6 +20,7 @@
 from returns import result
 import trio
 
+from peridotyard_daemon.connection import bodies
 from peridotyard_daemon.connection import http
 from peridotyard_daemon.connection import listeners
 from peridotyard_daemon.connection import peers as peers_module
@@ -115,6 +116,7 @@
             metrics,
             random,
         )
+        self._bodies = bodies.Bodies.from_config(settings, metrics.increment)
         self._random = random
         self._list_instances = list_instances
         self._incarnation = random.getrandbits(62)
@@ -322,7 +324,10 @@
 
         self._active_requests += 1
         try:
-            await self._route(request, request_id, receive, send_tracked)
+            with self._bodies.open(request, receive) as body:
+                await self._route(
+                    request, request_id, body.receive, send_tracked
+                )
         except http.RequestError as error:
             await http.send_failure(send, error.failure, request_id)
         except http.CallerGoneError:
@@ -549,6 +554,7 @@
         entry.metrics.histograms,
         entry.describe,
         entry.find_trace,
+        entry.metrics.increment,
     )
 
 
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/administration.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/administration.py
@@ -13,6 +13,7 @@
 from peridotyard_core import verdicts
 import returns.result
 
+from peridotyard_daemon.connection import bodies
 from peridotyard_daemon.connection import http
 from peridotyard_daemon.connection import listeners
 
@@ -21,6 +22,8 @@
 # 2,800 workspaces with their limits take about 2 MB of JSON.
 BODY_LIMIT_BYTES = 8 << 20
 BODY_TIMEOUT_S = 30.0
+# Largest size of the bodies of all requests together.
+BODY_MEMORY_BYTES = 2 * BODY_LIMIT_BYTES
 # Operators and programs that watch an entry hold a few connections each.
 CONNECTION_LIMITS = listeners.Limits(connections=256, write_s=30.0)
 PAGE_DEFAULT = 50
@@ -65,6 +68,7 @@
         read_status: typing.Callable[[], typing.Any],
         find_trace: typing.Callable[[str], typing.Any],
         token_hash: str = "",
+        count: typing.Callable[[str], None] = lambda _: None,
     ):
         """Creates the application.
 
@@ -77,7 +81,9 @@
                 by id, or None.
             token_hash: SHA-256 of the bootstrap token in hexadecimal, empty for
                 none.
+            count: Increases the counter of the given name.
         """
+        self._bodies = bodies.Bodies(BODY_LIMIT_BYTES, BODY_MEMORY_BYTES, count)
         self._replicator = replicator
         self._histograms = histograms
         self._read_status = read_status
@@ -99,7 +105,13 @@
 
     @classmethod
     def from_config(
-        cls, settings, replicator, histograms, read_status, find_trace
+        cls,
+        settings,
+        replicator,
+        histograms,
+        read_status,
+        find_trace,
+        count: typing.Callable[[str], None] = lambda _: None,
     ) -> "Administration":
         """Creates the application of a `settings.EntrySettings`."""
         return cls(
@@ -108,6 +120,7 @@
             read_status,
             find_trace,
             settings.admin_token_sha256,
+            count,
         )
 
     async def __call__(self, scope, receive, send) -> None:
@@ -119,7 +132,9 @@
             return
         request_id = secrets.token_hex(8)
         try:
-            value = await self._serve(http.Request.from_scope(scope), receive)
+            request = http.Request.from_scope(scope)
+            with self._bodies.open(request, receive) as body:
+                value = await self._serve(request, body.receive)
             await http.send_json(send, 200, value, {"x-request-id": request_id})
         except (_RefusedError, http.RequestError) as error:
             await _send_failure(send, error.failure, request_id)
--- a/tests/unit/test_buffers.py
+++ b/tests/unit/test_buffers.py
@@ -58,3 +58,23 @@
         held = [item for item in held if not item.is_evicted]
         assert shared.total_bytes == sum(item.size_bytes for item in held)
         assert shared.total_bytes <= 1000
+
+
+def test_complete_messages_count_and_are_not_given_up():
+    """Guards against memory of requests in progress that is not counted."""
+    shared = buffers.Buffers(100, 10)
+    evicted = []
+    complete = open_named(shared, evicted, "complete")
+    shared.resize(complete, 90, 0.0)
+    shared.keep(complete)
+    small = open_named(shared, evicted, "small", 1.0)
+    shared.resize(small, 10, 1.0)
+    large = open_named(shared, evicted, "large", 2.0)
+    shared.resize(large, 11, 2.0)
+    assert evicted == ["large"]
+    # Small messages arrive even if others have used up the limit.
+    other = open_named(shared, evicted, "other", 3.0)
+    shared.resize(other, 10, 3.0)
+    assert evicted == ["large"] and shared.total_bytes == 110
+    shared.close(complete)
+    assert shared.total_bytes == 20
