Bound the responses of platform services that an entry reads

A response of the table service or of the instance list was read whole, whatever its length, within the time limit of the request; a sidecar limited the responses of its service. Both handled all chunks of one read without a checkpoint. A response of more than 32 MiB now counts as lost, and there is a checkpoint after 64 parts.

--- a/packages/peridotyard-daemon/src/peridotyard_daemon/connection/backends.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/connection/backends.py
@@ -152,20 +152,14 @@
             return result.Failure(Lost(reason) if sent else Unsent(reason))
 
     async def _read_response(self, response) -> result.Result:
-        body = bytearray()
-        async for part in response.aiter_stream():
-            body += part
-            if len(body) > self._limit_bytes:
-                return result.Failure(
-                    TooLarge(response.status, self._limit_bytes)
-                )
+        body = await http.read_parts(response.aiter_stream(), self._limit_bytes)
+        if body is None:
+            return result.Failure(TooLarge(response.status, self._limit_bytes))
         pairs = remove_connection_headers(
             (name.decode("latin-1"), value.decode("latin-1"))
             for name, value in response.headers
         )
-        return result.Success(
-            http.Response(response.status, pairs, bytes(body))
-        )
+        return result.Success(http.Response(response.status, pairs, body))
 
     async def close(self) -> None:
         """Closes all connections."""
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/connection/http.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/connection/http.py
@@ -14,6 +14,12 @@
 from peridotyard_daemon.connection import listeners
 
 JSON_TYPE = b"application/json"
+# Longest response of a platform service. The configuration of 2,800 workspaces
+# and the list of 10,000 instances have about 2 MB each.
+RESPONSE_LIMIT_BYTES = 32 << 20
+# Parts of a body that are handled between two checkpoints. One read of 64 KiB
+# has up to 10,000 chunks.
+PARTS_PER_CHECKPOINT = 64
 
 
 class CallerGoneError(errors.PeridotyardError):
@@ -266,6 +272,27 @@
             raise LostError("the response is not JSON") from error
 
 
+async def read_parts(
+    parts: collections.abc.AsyncIterable[bytes], limit_bytes: int
+) -> bytes | None:
+    """Returns the body of a response, None if it exceeds a limit.
+
+    Args:
+        parts: Parts of the body, of which many may arrive in one read.
+        limit_bytes: Largest length of the body.
+    """
+    body = bytearray()
+    count = 0
+    async for part in parts:
+        body += part
+        if len(body) > limit_bytes:
+            return None
+        count += 1
+        if count % PARTS_PER_CHECKPOINT == 0:
+            await trio.lowlevel.checkpoint()
+    return bytes(body)
+
+
 class Client:
     """HTTP client of one server, owned by the process.
 
@@ -308,8 +335,8 @@
 
         Raises:
             UnsentError: Nothing of the request was sent.
-            LostError: The connection failed, or the time limit passed, after
-                sending began.
+            LostError: The connection failed, the time limit passed, or the
+                response exceeded `RESPONSE_LIMIT_BYTES`, after sending began.
         """
         sent = False
 
@@ -323,13 +350,16 @@
         limit_s = self._timeout_s if timeout_s is None else timeout_s
         try:
             with trio.fail_after(max(0.0, limit_s)):
-                response = await self._pool.request(
+                async with self._pool.stream(
                     method,
                     self._base + path,
                     headers=list(headers),
                     content=body,
                     extensions={"trace": trace},
-                )
+                ) as response:
+                    content = await read_parts(
+                        response.aiter_stream(), RESPONSE_LIMIT_BYTES
+                    )
         except (
             trio.TooSlowError,
             OSError,
@@ -340,11 +370,16 @@
             kind = LostError if sent else UnsentError
             name = type(error).__name__
             raise kind(f"{method} {self._base}{path}: {name}") from error
+        if content is None:
+            raise LostError(
+                f"{method} {self._base}{path}: response exceeds"
+                f" {RESPONSE_LIMIT_BYTES} bytes"
+            )
         pairs = tuple(
             (name.decode("latin-1"), value.decode("latin-1"))
             for name, value in response.headers
         )
-        return Response(response.status, pairs, response.content)
+        return Response(response.status, pairs, content)
 
     async def request_json(
         self, method: str, path: str, value: typing.Any = None, **options
