--- a/packages/peridotyard-daemon/src/peridotyard_daemon/connection/upstreams.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/connection/upstreams.py
@@ -17,10 +17,13 @@
 
 import h11
 from peridotyard_core import addresses
+from peridotyard_core import buffers as buffers_module
 from peridotyard_core import errors
 from returns import result
 import trio
 
+from peridotyard_daemon.process import violations as violations_module
+
 RECEIVE_BYTES = 1 << 16
 # A server in the same region accepts a connection within a few milliseconds;
 # TCP retransmits a lost connection request after one second.
@@ -45,6 +48,23 @@
 # Longest body of a small response, see `Pool.fetch`. A page of the platform's
 # store takes 1.4 MB.
 FETCH_LIMIT_BYTES = 4 << 20
+# Limit of the unfinished bodies of all responses together. It exceeds the
+# longest body, 16 MiB, and fits into the smallest machine of 152 MB.
+UNFINISHED_LIMIT_BYTES = 24 << 20
+# Events of h11 that are handled between two checkpoints. One read of 64 KiB has
+# up to 10,000 of them, at 10 to 30 microseconds each.
+EVENTS_PER_CHECKPOINT = 64
+# Informational responses ahead of one response. Servers send none or one.
+INFORMATIONAL_LIMIT = 16
+# Responses to other requests that are skipped ahead of one response. A server
+# sends at most a second copy of each late one.
+SKIP_LIMIT = 16
+# Parts of a response that may be small, and the least mean size in bytes beyond
+# them. Each part costs as much processor time as some kilobytes. An event of a
+# stream has at least 14 bytes, and a server that sends each line of an event by
+# itself more than 4 for each part.
+SMALL_PARTS = 16_384
+MIN_PART_BYTES = 4
 # Headers that state where a body ends.
 FRAMING_HEADERS = frozenset((b"content-length", b"transfer-encoding"))
 # Timeout of idle connections in a Keep-Alive header, whole seconds.
@@ -192,6 +212,8 @@
         notify_received: collections.abc.Callable[
             [addresses.Address], None
         ] = lambda _: None,
+        buffers: buffers_module.Buffers | None = None,
+        violations: violations_module.Violations | None = None,
     ):
         """Wraps a new connection.
 
@@ -199,6 +221,10 @@
             address: The server's address.
             stream: The connection.
             notify_received: Called with the address whenever bytes arrive.
+            buffers: Unfinished bodies of all connections; None for those of
+                this connection alone.
+            violations: Record of responses that violate a limit; None for one
+                that counts nothing.
         """
         self.address = address
         self.is_framed = True
@@ -207,8 +233,17 @@
         self.keep_alive_s: float | None = None
         self._stream = stream
         self._notify_received = notify_received
+        self._buffers = buffers or buffers_module.Buffers(
+            UNFINISHED_LIMIT_BYTES
+        )
+        self._violations = violations or violations_module.Violations()
         self._http = h11.Connection(h11.CLIENT)
         self._request = None
+        self._unchecked_events = 0
+        self._skipped_responses = 0
+        self._informational_responses = 0
+        self._parts = 0
+        self._part_bytes = 0
 
     async def send(self, method: str, target: str, headers, body: bytes):
         """Sends a complete request.
@@ -238,14 +273,22 @@
         Returns:
             An h11 `Response`, `Data` or `EndOfMessage`.
 
+        If it is cancelled, a later call returns the same event.
+
         Raises:
-            LostError: The connection failed or the response is malformed.
+            LostError: The connection failed, or the response is malformed or
+                consists of too many small parts.
         """
         while True:
+            self._unchecked_events += 1
+            if self._unchecked_events > EVENTS_PER_CHECKPOINT:
+                self._unchecked_events = 0
+                await trio.lowlevel.checkpoint()
             try:
                 event = self._http.next_event()
                 if event is h11.NEED_DATA:
                     data = await self._stream.receive_some(RECEIVE_BYTES)
+                    self._unchecked_events = 0
                     if data:
                         self._notify_received(self.address)
                     self._http.receive_data(data)
@@ -257,8 +300,13 @@
             ) as error:
                 raise LostError(f"{self.address}: {error!r}") from error
             if isinstance(event, h11.InformationalResponse):
+                self._record_informational()
                 continue
+            if isinstance(event, h11.Data):
+                self._record_part(len(event.data))
             if isinstance(event, h11.Response):
+                self._informational_responses = 0
+                self._parts = self._part_bytes = 0
                 names = {name for name, _ in event.headers}
                 self.is_framed = not names.isdisjoint(FRAMING_HEADERS)
                 self.keep_alive_s = _find_keep_alive(event.headers)
@@ -266,6 +314,31 @@
                 raise LostError(f"{self.address}: the response ended early")
             return event
 
+    def _record_informational(self) -> None:
+        self._informational_responses += 1
+        if self._informational_responses > INFORMATIONAL_LIMIT:
+            raise self._reject(
+                "response_framing",
+                f"more than {INFORMATIONAL_LIMIT} informational responses",
+            )
+
+    def _record_part(self, size: int) -> None:
+        self._parts += 1
+        self._part_bytes += size
+        if (
+            self._parts > SMALL_PARTS
+            and self._part_bytes < MIN_PART_BYTES * self._parts
+        ):
+            raise self._reject(
+                "response_framing", "the response has tiny parts"
+            )
+
+    def _reject(self, kind: str, reason: str) -> LostError:
+        """Records a response that violates a limit; returns its error."""
+        error = LostError(f"{self.address}: {reason}")
+        self._violations.record(kind, error)
+        return error
+
     async def receive_body(self, limit_bytes: int) -> bytes:
         """Returns the body of the response, after its head.
 
@@ -273,13 +346,31 @@
             limit_bytes: Length from which the body is not buffered any further.
 
         Raises:
-            LostError: It ended early or is longer than the limit.
+            LostError: It ended early, is longer than the limit, or was given
+                up since all bodies together exceed their limit.
         """
+        with trio.CancelScope() as scope:
+            buffer = self._buffers.open(scope.cancel, trio.current_time())
+            try:
+                return await self._receive_into(buffer, limit_bytes)
+            finally:
+                self._buffers.close(buffer)
+        raise self._reject(
+            "response_memory",
+            f"body given up for memory after {buffer.size_bytes} bytes",
+        )
+
+    async def _receive_into(
+        self, buffer: buffers_module.Buffer, limit_bytes: int
+    ) -> bytes:
         body = bytearray()
         while not isinstance(event := await self.receive(), h11.EndOfMessage):
             body += event.data
             if len(body) > limit_bytes:
-                raise LostError(f"{self.address}: response body is too long")
+                raise self._reject(
+                    "response_length", "response body is too long"
+                )
+            self._buffers.resize(buffer, len(body), trio.current_time())
         return bytes(body)
 
     async def skip_response(self, limit_bytes: int) -> None:
@@ -292,10 +383,17 @@
             limit_bytes: Largest length of the rest of the body.
 
         Raises:
-            LostError: The response ended early or is longer than the limit, or
-                the server closes the connection after it.
+            LostError: The response ended early or is longer than the limit,
+                the server closes the connection after it, or it is one of too
+                many.
         """
         await self.receive_body(limit_bytes)
+        self._skipped_responses += 1
+        if self._skipped_responses > SKIP_LIMIT:
+            raise self._reject(
+                "response_skips",
+                f"more than {SKIP_LIMIT} responses to other requests",
+            )
         trailing, closed = self._http.trailing_data
         if self._http.their_state is not h11.DONE or closed:
             raise LostError(
@@ -323,6 +421,7 @@
         if self._http.trailing_data[0]:
             return False
         self._http.start_next_cycle()
+        self._skipped_responses = 0
         self.is_reused = True
         return True
 
@@ -346,7 +445,13 @@
 class Pool:
     """Pool of idle connections to servers, owned by the process."""
 
-    def __init__(self, dial=open_tcp, notify_dialed=None, names_request=None):
+    def __init__(
+        self,
+        dial=open_tcp,
+        notify_dialed=None,
+        names_request=None,
+        count: collections.abc.Callable[[str], None] = lambda _: None,
+    ):
         """Makes an empty pool.
 
         Args:
@@ -354,10 +459,13 @@
             notify_dialed: Called without arguments for each new connection.
             names_request: Returns whether the headers of a response name the
                 request of a caller, which `fetch` never sends.
+            count: Increases the counter of the given name.
         """
         self._dial = dial
         self._notify_dialed = notify_dialed or (lambda: None)
         self._names_request = names_request or (lambda _: False)
+        self._buffers = buffers_module.Buffers(UNFINISHED_LIMIT_BYTES)
+        self._violations = violations_module.Violations(count)
         self._idle = collections.defaultdict(collections.deque)
         self._heard_at: dict[addresses.Address, float] = {}
 
@@ -387,7 +495,13 @@
         except OSError as error:
             raise UnsentError(f"{address}: {error!r}") from error
         self._notify_dialed()
-        return Connection(address, stream, self._record_heard)
+        return Connection(
+            address,
+            stream,
+            self._record_heard,
+            self._buffers,
+            self._violations,
+        )
 
     def _record_heard(self, address: addresses.Address) -> None:
         self._heard_at[address] = trio.current_time()
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/entry.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/entry.py
@@ -5,6 +5,7 @@
 """
 
 import collections.abc
+import functools
 import random as random_module
 import string
 import typing
@@ -19,7 +20,9 @@
 from returns import result
 import trio
 
+from peridotyard_daemon.connection import bodies
 from peridotyard_daemon.connection import http
+from peridotyard_daemon.connection import listeners
 from peridotyard_daemon.connection import peers as peers_module
 from peridotyard_daemon.process import instances
 from peridotyard_daemon.process import lifecycle
@@ -102,7 +105,9 @@
         self.metrics = metrics
         self.replicator = replicator
         self.table = membership.RoutingTable()
-        self.peers = peers_module.Peers.from_config(settings, network, self)
+        self.peers = peers_module.Peers.from_config(
+            settings, network, self, metrics.increment
+        )
         self.completions = completions.Completions(
             settings,
             self.peers,
@@ -111,6 +116,7 @@
             metrics,
             random,
         )
+        self._bodies = bodies.Bodies.from_config(settings, metrics.increment)
         self._random = random
         self._list_instances = list_instances
         self._incarnation = random.getrandbits(62)
@@ -145,14 +151,24 @@
             nursery.start_soon(self._poll_instances)
             async with trio.open_nursery() as servers:
                 await servers.start(
-                    serve,
+                    functools.partial(
+                        serve,
+                        limits=listeners.Limits(
+                            settings.connection_limit, settings.write_timeout_s
+                        ),
+                        count=self.metrics.increment,
+                    ),
                     self.handle_caller,
                     settings.caller_address,
                     self._stopped,
                 )
                 if self.administration is not None:
                     await servers.start(
-                        serve,
+                        functools.partial(
+                            serve,
+                            limits=administration.CONNECTION_LIMITS,
+                            count=self.metrics.increment,
+                        ),
                         self.administration,
                         settings.admin_address,
                         self._stopped,
@@ -308,7 +324,10 @@
 
         self._active_requests += 1
         try:
-            await self._route(request, request_id, receive, send_tracked)
+            with self._bodies.open(request, receive) as body:
+                await self._route(
+                    request, request_id, body.receive, send_tracked
+                )
         except http.RequestError as error:
             await http.send_failure(send, error.failure, request_id)
         except http.CallerGoneError:
@@ -535,6 +554,7 @@
         entry.metrics.histograms,
         entry.describe,
         entry.find_trace,
+        entry.metrics.increment,
     )
 
 
--- a/tests/support/entries.py
+++ b/tests/support/entries.py
@@ -224,7 +224,13 @@
 
 
 async def serve_nothing(
-    app, address, stopped, task_status=trio.TASK_STATUS_IGNORED
+    app,
+    address,
+    stopped,
+    *,
+    limits,
+    count,
+    task_status=trio.TASK_STATUS_IGNORED,
 ):
     task_status.started()
     await stopped.wait()
--- a/tests/unit/test_upstreams.py
+++ b/tests/unit/test_upstreams.py
@@ -1,7 +1,10 @@
 """Tests of peridotyard_daemon.connection.upstreams."""
 
+import collections
 import contextlib
+import time
 
+import h11
 from peridotyard_core import addresses
 from peridotyard_daemon.connection import upstreams
 from peridotyard_daemon.request import forwards
@@ -284,6 +287,160 @@
         assert len(dialed) == 1
 
 
+CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+@pytest.mark.parametrize(
+    ("first", "piece"),
+    [
+        (CHUNKED, b"1\r\na\r\n" * 10_000),
+        (CHUNKED + b"1;", b"a" * 60_000),
+        (CHUNKED + b"0\r\n", b"X-Filler: x\r\n" * 5_000),
+        (b"HTTP/1.1 100 A\r\n\r\n", b"HTTP/1.1 100 Continue\r\n\r\n" * 2_000),
+        (
+            b"HTTP/1.1 100 A\r\n\r\n",
+            b"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" * 1_000,
+        ),
+    ],
+    ids=["tiny chunks", "extension", "trailers", "continue", "hints"],
+)
+@cases.run_on_virtual_clock
+async def test_response_of_tiny_parts_without_end_is_lost(first, piece):
+    """Guards against a core that is busy with the framing of one response.
+
+    Tiny chunks and informational responses were read until the time limit of
+    the request.
+    """
+    sent = []
+
+    def send_pieces():
+        yield first
+        for number in range(200):
+            sent.append(number)
+            yield piece
+            yield 0.001
+
+    async with open_pool(send_pieces()) as (pool, _):
+        with pytest.raises(upstreams.LostError):
+            await pool.fetch(ADDRESS, "GET", "/report")
+        assert len(sent) <= 4
+        assert not pool._idle
+
+
+@cases.run_on_virtual_clock
+async def test_other_tasks_run_while_a_response_of_many_chunks_is_read():
+    """Guards against a process that one read of a server stops for long.
+
+    A read of 64 KiB has up to 10,000 chunks, which were handled in 80 ms
+    without a checkpoint. The response is within the limits.
+    """
+    count = 8_000
+    turns = 0
+
+    async def count_turns():
+        nonlocal turns
+        while True:
+            await trio.lowlevel.checkpoint()
+            turns += 1
+
+    # The virtual clock stands still while a task spins, and connections of the
+    # network in memory have a latency.
+    ours, theirs = trio.testing.memory_stream_pair()
+    connection = upstreams.Connection(ADDRESS, ours)
+    await connection.send("GET", "/report", (), b"")
+    await theirs.send_all(CHUNKED + b"5\r\nabcde\r\n" * count + b"0\r\n\r\n")
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(count_turns)
+        assert isinstance(await connection.receive(), h11.Response)
+        assert await connection.receive_body(1 << 20) == b"abcde" * count
+        nursery.cancel_scope.cancel()
+    assert turns >= count // upstreams.EVENTS_PER_CHECKPOINT
+
+
+@cases.run_on_virtual_clock
+async def test_stream_of_many_short_events_is_no_response_of_tiny_parts():
+    """Guards against a long stream that is taken for one of tiny parts."""
+    count = 3 * upstreams.SMALL_PARTS
+    body = CHUNKED + b"5\r\nid:1\n\r\n" * count + b"0\r\n\r\n"
+    async with open_pool([body]) as (pool, _):
+        response = await pool.fetch(ADDRESS, "GET", "/stream")
+    assert len(response.body) == 5 * count
+
+
+@cases.run_on_virtual_clock
+async def test_number_of_responses_to_other_requests_is_bounded():
+    """Guards against a request that reads the responses to others for ever.
+
+    Each of them is logged and prepares a new state of the connection.
+    """
+    stray = encode(b"r0", b"one")
+    for count, is_sound in ((upstreams.SKIP_LIMIT, True), (10_000, False)):
+        response = stray * count + encode(b"r1", b"two")
+        async with open_pool([response]) as (pool, _):
+            if is_sound:
+                assert await exchange(pool) == b"two"
+                continue
+            began = time.process_time()
+            with pytest.raises(upstreams.LostError):
+                await exchange(pool)
+            assert time.process_time() - began < 1.0
+
+
+@cases.run_on_virtual_clock
+async def test_unfinished_responses_share_a_limit():
+    """Guards against servers whose long responses stop before their end.
+
+    Each response is within its limit, and ten of them fill the smallest
+    machine.
+    """
+    length = forwards.RESPONSE_LIMIT_BYTES - 1
+    head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % length
+    network = memory.MemoryNetwork()
+    counts = collections.Counter()
+    lost = []
+
+    async def serve(stream):
+        request = await stream.receive_some()
+        if b"/stalled" in request:
+            await stream.send_all(head + bytes(length - 1))
+            await trio.sleep_forever()
+        body = bytes(1 << 20)
+        for data in (
+            encode(b"", body)[: 1 << 19],
+            encode(b"", body)[1 << 19 :],
+        ):
+            await stream.send_all(data)
+            await trio.sleep(0.2)
+        await trio.sleep_forever()
+
+    async with trio.open_nursery() as nursery:
+        host = network.join(str(ADDRESS))
+        nursery.start_soon(host.serve, ADDRESS, serve)
+        await trio.testing.wait_all_tasks_blocked()
+        pool = upstreams.Pool(
+            network.join("entry").dial, count=lambda name: counts.update([name])
+        )
+
+        async def read_stalled():
+            connection = await pool.acquire(ADDRESS)
+            await connection.send("GET", "/stalled", (), b"")
+            await connection.receive()
+            with pytest.raises(upstreams.LostError):
+                await connection.receive_body(forwards.RESPONSE_LIMIT_BYTES)
+            lost.append(trio.current_time())
+
+        for _ in range(10):
+            nursery.start_soon(read_stalled)
+            await trio.sleep(0.1)
+            total = pool._buffers.total_bytes
+            assert total <= upstreams.UNFINISHED_LIMIT_BYTES
+        assert len(lost) == counts["input_limits.response_memory"] == 9
+        # A body that goes on arriving is not the one that is given up.
+        response = await pool.fetch(ADDRESS, "GET", "/sound")
+        assert len(response.body) == 1 << 20
+        nursery.cancel_scope.cancel()
+
+
 def encode_refusal(request_id=b"") -> bytes:
     name = b"X-Attempt-Id: %s\r\n" % request_id if request_id else b""
     return (
