Log and count the stages of a stream's long pauses

Operators saw that streams were late, but not what made them late.

Evidence: the new tests/unit/test_stream_pauses.py plays a server that ends, is silent, slow, or refuses an order, and a caller that reads late; it and test_runs, test_relays and test_gateway passed.

--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/contexts.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/contexts.py
@@ -11,6 +11,7 @@
 from peridotyard_core import exchanges
 from peridotyard_core import fleet
 from peridotyard_core import paths
+from peridotyard_core import pauses
 from peridotyard_core import prompts
 from peridotyard_core import quarantines
 from peridotyard_core import verdicts
@@ -172,6 +173,7 @@
         quarantine: Requests that crash servers.
         parts: Parts of prompts that crash servers.
         streams: Streams in progress, each a `relays.Stream`.
+        pause_reports: Bounds the long pauses of streams that are logged.
         is_listed: Returns whether the other entries count this one as live, so
             that it may use its share of the retry budgets.
         notify_crash: Called with the request's fingerprint and each crash that
@@ -198,6 +200,9 @@
         default_factory=prompts_module.PartMonitor
     )
     streams: set = dataclasses.field(default_factory=set)
+    pause_reports: pauses.ReportLimit = dataclasses.field(
+        default_factory=pauses.ReportLimit
+    )
     is_listed: collections.abc.Callable[[], bool] = lambda: True
     notify_crash: collections.abc.Callable[[int, crashes.Crash], None] = (
         lambda *_: None
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/relays.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/relays.py
@@ -13,6 +13,7 @@
 
 from peridotyard_core import admission
 from peridotyard_core import paths
+from peridotyard_core import pauses
 from peridotyard_core import verdicts
 import trio
 
@@ -46,7 +47,7 @@
         self._prober = prober
         self._request = request
         self._responder = responder
-        self._progress = runs.Progress(request.head.last_event_id)
+        self._progress = runs.Progress(context, request)
         # The runs in progress: one, and others while that is silent.
         self._runs: list[runs.Run] = []
         # Runs the others; set while a run is in progress.
@@ -379,6 +380,7 @@
         if not self._may_move(failed):
             return
         self._silent = failed
+        self._progress.pauses.mark(pauses.Mark.SECOND_PATH)
         context = self._context
         self._request.log(
             _log,
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/runs.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/runs.py
@@ -16,6 +16,7 @@
 from peridotyard_core import exchanges
 from peridotyard_core import fleet
 from peridotyard_core import paths
+from peridotyard_core import pauses
 from returns import result
 import trio
 
@@ -26,6 +27,7 @@
 from peridotyard_daemon.process import views
 from peridotyard_daemon.request import contexts
 from peridotyard_daemon.request import forwards
+from peridotyard_daemon.request import pauses as pauses_module
 
 # The path is probed after a silence of this many mean gaps between events, but
 # no later than after this fraction of the longest gap that the route allows.
@@ -114,14 +116,17 @@
         longest_gap_s: Longest gap between two events, seconds.
         recorded_ends: Processes of servers whose end has been recorded, by
             instance and start.
+        pauses: Records what happens between two events.
     """
 
-    def __init__(self, last_event_id: int | None):
+    def __init__(self, context: contexts.Context, request: contexts.Request):
+        last_event_id = request.head.last_event_id
         self.sequence = events.Sequence(last_event_id)
         self.last_event_at = trio.current_time()
         self.mean_gap_s: float | None = None
         self.longest_gap_s = 0.0
         self.recorded_ends: set[tuple[str, int]] = set()
+        self.pauses = pauses_module.StreamPauses(context, request)
 
 
 class Run:
@@ -222,6 +227,7 @@
         reusable = False
         successions: tuple[int, ...] = ()
         outcome: Outcome | None = None
+        self._mark(pauses.Mark.DECIDED)
         try:
             connection = await context.pool.acquire(first_server.address)
             dispatch = request.make_dispatch(
@@ -235,10 +241,12 @@
                 context.codec.encode_request(request.head, dispatch),
                 request.body,
             )
+            self._mark(pauses.Mark.REQUEST_SENT)
             outcome = await self._relay(connection)
             reusable = not isinstance(outcome, Broken)
         except upstreams.UnsentError as error:
             refused = isinstance(error, upstreams.RefusedError)
+            self._mark(pauses.Mark.REFUSED)
             context.view.suspect(first_server, str(error), ended=refused)
             outcome = Refused(str(error), frozenset([first_server.instance]))
         except (upstreams.LostError, events.SequenceError) as error:
@@ -318,6 +326,8 @@
             successions: Known crashes for the parts of the prompt when the
                 request was sent.
         """
+        self._mark(pauses.Mark.SILENT)
+        self._mark(pauses.Mark.PROBE_SENT)
         ended = await self._context.check_ended(server)
         if not ended:
             # The first server cuts a stream off if a later one has ended.
@@ -325,9 +335,14 @@
                 stage.server for stage in self._path
             )
             ended = self._context.view.has_ended(server)
+        self._mark(pauses.Mark.PROBE_RESULT)
+        self._mark(pauses.Mark.SERVER_LOST)
         self._record_ends(successions)
         return Broken(reason, frozenset([server.instance]), ended)
 
+    def _mark(self, mark: pauses.Mark) -> None:
+        self._progress.pauses.mark(mark)
+
     def _record_ends(
         self, successions: tuple[int, ...], is_refused: bool = False
     ) -> None:
@@ -385,6 +400,7 @@
             return await self._classify_refusal(head)
         if not head.signed or head.request_id != request.head.request_id:
             raise upstreams.LostError("response lacks a signature or id")
+        self._mark(pauses.Mark.ACCEPTED)
         if head.status != 200:
             body = await forwards.read_body(connection)
             # Another run in progress may still succeed.
@@ -474,6 +490,7 @@
                 gap_s - self._progress.mean_gap_s
             )
         self._record_event()
+        self._progress.pauses.record_event()
         if begins:
             self._context.parts.record_answer(self._request.shared_parts)
         if self._responder.started:
@@ -482,6 +499,7 @@
             await self._start_response(head, data)
         # The next events may have arrived while the caller did not read.
         self._record_event()
+        self._mark(pauses.Mark.CALLER_READY)
 
     async def _start_response(self, head, data: bytes) -> None:
         """Sends the first events to the caller."""
@@ -557,7 +575,10 @@
             return None
         silent_s = trio.current_time() - self._last_activity_at
         servers = [stage.server for stage in self._path]
+        self._mark(pauses.Mark.SILENT)
+        self._mark(pauses.Mark.PROBE_SENT)
         failed = await self._prober.find_unresponsive(servers)
+        self._mark(pauses.Mark.PROBE_RESULT)
         stalled = self._prober.find_stalled(
             servers[0], self._request.head.request_id
         )
@@ -595,6 +616,7 @@
         once the caller has left.
         """
         first = self._path[0].server
+        self._mark(pauses.Mark.SERVER_LOST)
         self._record_ends(self._successions)
         if self._context.is_copy_quarantined(self._request):
             # A replacement would be the next server to crash.
@@ -734,7 +756,10 @@
     async def _change_path(self, path: paths.Path) -> bool:
         """Orders a new path; returns whether the first server accepted it."""
         before = self._path
+        self._mark(pauses.Mark.DECIDED)
+        self._mark(pauses.Mark.ORDER_SENT)
         accepted = await self._send_order(before[0].server, path)
+        self._mark(pauses.Mark.ACCEPTED if accepted else pauses.Mark.REFUSED)
         # The attempt on this path may have ended before the response to the
         # order; its servers' counts have been updated then.
         if accepted and self._path is before:
@@ -773,6 +798,7 @@
             for stage in self._path
             if stage.server.address == head.failed_address
         ] or [self._path[0].server]
+        self._mark(pauses.Mark.REFUSED)
         for server in at_fault:
             self._context.view.record_refusal(server, self._request.service)
         # The server at fault may have failed instead of refusing work.
--- a/tests/support/gateways.py
+++ b/tests/support/gateways.py
@@ -204,12 +204,16 @@
 
 
 @contextlib.asynccontextmanager
-async def open_harness(servers, events: int = 10):
+async def open_harness(
+    servers, events: int = 10, make_stand_in=servers_module.StandIn
+):
     """Runs stand-ins for the servers and yields an `EntryHarness`.
 
     Args:
         servers: The servers.
         events: Number of events in each stream.
+        make_stand_in: Returns the stand-in for a server, see
+            `servers.StandIn`.
     """
     network = memory.MemoryNetwork()
     host = network.join(HOST)
@@ -217,7 +221,7 @@
     stand_ins = {}
     async with trio.open_nursery() as nursery:
         for server in servers:
-            stand_in = servers_module.StandIn(server, events)
+            stand_in = make_stand_in(server, events)
             stand_in.join(network, nursery)
             stand_ins[server.instance] = stand_in
             view.apply_server(server)
--- /dev/null
+++ b/tests/unit/test_stream_pauses.py
@@ -0,0 +1,218 @@
+"""Tests of peridotyard_daemon.request.pauses."""
+
+import contextlib
+import dataclasses
+
+import logbook
+from peridotyard_core import pauses
+from peridotyard_daemon.request import relays
+import pytest
+import trio
+
+from tests.support import cases
+from tests.support import failovers
+from tests.support import gateways
+from tests.support import servers as servers_module
+
+# The path of the first zone, a spare for its second server, and another path.
+LAYER_RANGES = (
+    ("a0", "a", (0, 10)),
+    ("a1", "a", (10, 20)),
+    ("spare", "a", (10, 20)),
+    ("b0", "b", (0, 10)),
+    ("b1", "b", (10, 20)),
+)
+EVENTS = 30
+# Longer than the usual time between two events of the stand-ins.
+PAUSE_S = 0.06
+# Time in which the streams of a test have some events.
+BEGIN_S = 0.3
+
+
+@contextlib.asynccontextmanager
+async def open_harness(layer_ranges=LAYER_RANGES):
+    """Yields a harness with a running prober."""
+    async with gateways.open_harness(
+        gateways.make_servers(layer_ranges), EVENTS, failovers.Stage
+    ) as harness:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(harness.prober.run)
+            yield harness
+            nursery.cancel_scope.cancel()
+
+
+async def relay(harness, recorder, request_id="r1", **changes):
+    """Relays a stream; `changes` are those of its route."""
+    request = harness.make_request(request_id=request_id)
+    route = dataclasses.replace(request.route, **changes)
+    request = dataclasses.replace(request, route=route)
+    stream = relays.Stream(harness.context, harness.prober, request, recorder)
+    await stream.run()
+    numbers = gateways.read_event_ids(recorder.body)
+    assert numbers == list(range(1, EVENTS + 1))
+
+
+async def play(harness, interfere, **changes):
+    """Returns the pauses of a stream that is in progress meanwhile.
+
+    Args:
+        harness: The harness.
+        interfere: Called once the stream has begun, with the name of the
+            later server of its path.
+        **changes: Changes of the route.
+    """
+    with failovers.record_pauses(PAUSE_S) as found:
+        async with trio.open_nursery() as nursery:
+            recorder = gateways.ResponseRecorder()
+            nursery.start_soon(lambda: relay(harness, recorder, **changes))
+            await trio.sleep(BEGIN_S)
+            await interfere(find_later(harness))
+    return found
+
+
+def find_later(harness):
+    """Returns the instance of the later server of the stream's path."""
+    path = harness.servers["a0"].requests[0]["x-hop-count"]
+    return "a1" if "10.0.0.2:80" in path else "spare"
+
+
+@cases.run_on_virtual_clock
+async def test_pause_for_a_later_server_that_ends_has_its_stages():
+    """Guards against a lost server that is reported as a slow one."""
+    async with open_harness() as harness:
+
+        async def interfere(later):
+            failovers.kill(harness, later)
+
+        (pause,) = await play(harness, interfere)
+        assert pause.cause is pauses.Cause.SERVER_LOST
+        assert pause.stages[pauses.Stage.RESUME] > failovers.Stage.prefill_s
+        assert pause.stages[pauses.Stage.SILENCE] > PAUSE_S
+        assert not harness.servers["b0"].runs
+
+
+@cases.run_on_virtual_clock
+async def test_pause_for_a_first_server_that_ends_has_its_stages():
+    """Guards against a new run whose pause is not ascribed to the loss."""
+    async with open_harness() as harness:
+
+        async def interfere(later):
+            failovers.kill(harness, "a0")
+
+        (pause,) = await play(harness, interfere)
+        assert pause.cause is pauses.Cause.SERVER_LOST
+        assert pause.stages[pauses.Stage.ORDER] > 0
+        assert pause.stages[pauses.Stage.RESUME] > 0
+
+
+@cases.run_on_virtual_clock
+async def test_pause_with_a_second_path_is_told_apart():
+    """Guards against pauses whose second run does not show."""
+    async with open_harness() as harness:
+
+        async def interfere(later):
+            await harness.servers["a0"].fall_silent(1.5)
+
+        found = await play(harness, interfere)
+        assert found[0].cause is pauses.Cause.SECOND_PATH
+
+
+@cases.run_on_virtual_clock
+async def test_pause_with_a_refused_order_is_told_apart():
+    """Guards against refusals that look like a slow failover."""
+    async with open_harness() as harness:
+        harness.servers["a0"].accepts_orders = False
+
+        async def interfere(later):
+            failovers.kill(harness, later)
+
+        found = await play(harness, interfere)
+        assert found[0].cause is pauses.Cause.REJECTED
+
+
+@cases.run_on_virtual_clock
+async def test_pause_of_a_slow_server_is_told_apart():
+    """Guards against slow servers that count as lost ones."""
+    async with open_harness() as harness:
+        harness.servers["a0"].faults = [servers_module.Fault("pause", 9)]
+        harness.servers["a0"].pause_s = 0.3
+
+        async def interfere(later):
+            del later
+            await trio.sleep(0)
+
+        (pause,) = await play(harness, interfere)
+        assert pause.cause is pauses.Cause.SLOW_SERVER
+        assert set(pause.stages) == {pauses.Stage.SILENCE}
+
+
+@cases.run_on_virtual_clock
+async def test_pause_of_a_caller_that_reads_late_is_told_apart():
+    """Guards against servers that are blamed for a caller's slow link."""
+    async with open_harness() as harness:
+        recorder = gateways.ResponseRecorder()
+        send = recorder.send
+        delays = [0.5]
+
+        async def send_late(data):
+            await trio.sleep(delays.pop() if delays else 0)
+            await send(data)
+
+        recorder.send = send_late
+        with failovers.record_pauses(PAUSE_S) as found:
+            await relay(harness, recorder)
+        assert [pause.cause for pause in found] == [pauses.Cause.CALLER]
+
+
+def list_lines(handler):
+    """Returns the fields of the lines on pauses."""
+    return [
+        record.extra
+        for record in handler.records
+        if record.message == "stream paused"
+    ]
+
+
+@pytest.mark.parametrize(("objective_s", "lines"), [(0.07, 1), (5.0, 0)])
+@cases.run_on_virtual_clock
+async def test_pause_above_the_objective_is_logged_with_its_stages(
+    objective_s, lines
+):
+    """Guards against pauses without a trace, and a line for each event."""
+    async with open_harness() as harness:
+
+        async def interfere(later):
+            failovers.kill(harness, later)
+
+        with logbook.TestHandler().applicationbound() as handler:
+            await play(harness, interfere, event_gap_objective_s=objective_s)
+        found = list_lines(handler)
+        assert len(found) == lines
+        for line in found:
+            stages = [f"{stage.value}_ms" for stage in pauses.Stage]
+            assert line["cause"] == "server_lost"
+            assert sum(line.get(name, 0) for name in stages) == (
+                pytest.approx(line["ms"], abs=3)
+            )
+        text = harness.context.metrics.render()
+        name = 'peridotyard_stream_pause_seconds_count{workspace="",class='
+        assert (name + '"server_lost"} 1' in text) == bool(lines)
+
+
+@cases.run_on_virtual_clock
+async def test_lines_on_pauses_of_many_streams_are_bounded():
+    """Guards against a flood of lines when a server of all streams is lost."""
+    async with open_harness() as harness:
+        with logbook.TestHandler().applicationbound() as handler:
+            async with trio.open_nursery() as nursery:
+                for number in range(40):
+                    nursery.start_soon(
+                        relay,
+                        harness,
+                        gateways.ResponseRecorder(),
+                        f"r{number}",
+                    )
+                await trio.sleep(1.0)
+                await harness.servers["a0"].fall_silent(0.5)
+        lines = list_lines(handler)
+        assert 0 < len(lines) <= 2 * pauses.REPORTS_PER_S
