Repair a path without waiting for slower probes of its other servers

A stream whose later server refused connections was repaired only once all probes of its path had ended, up to 50 ms later, or 500 ms with a server that responds slowly. A refused connection is conclusive, so the order is sent once the first server responds and another one has ended, also if another stream has found that before. The other probes go on, and their findings are used. If the first server does not respond, all results are awaited as before, since an order to it would take 300 ms.

--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/probes.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/probes.py
@@ -187,6 +187,10 @@
         self._requested: dict[str, fleet.Server] = {}
         self._probe_requested = trio.Event()
         self._running: dict[str, trio.Event] = {}
+        # Called with each server whose probe has ended.
+        self._watchers: list[collections.abc.Callable[[fleet.Server], None]] = (
+            []
+        )
         self._reports: dict[str, exchanges.ServerReport] = {}
         # Nursery of `run` while it runs.
         self._nursery: trio.Nursery | None = None
@@ -204,18 +208,10 @@
         """Probes servers concurrently; returns the suspected instances."""
         servers = list(servers)
         failures = await self._probe_all(servers)
-        # A refused connection is conclusive: the process has ended.
-        inconclusive = [
-            server
-            for server, error in failures
-            if not isinstance(error, upstreams.RefusedError)
-        ]
+        inconclusive = [server for server, _ in failures]
         if inconclusive and self._is_inconclusive(
             len(inconclusive), len(servers)
         ):
-            self._suspect_failed(
-                item for item in failures if item[0] not in inconclusive
-            )
             _log.info(
                 "servers without a response probed again",
                 silent=len(inconclusive),
@@ -234,6 +230,66 @@
             if self._view.is_suspected(server)
         )
 
+    async def find_failed(
+        self, servers: collections.abc.Sequence[fleet.Server]
+    ) -> frozenset[str]:
+        """Returns the suspected instances of a path that has no events.
+
+        Does the same as `find_unresponsive`, but does not wait for slower
+        probes once it is clear what to do: the first server has ended, or it
+        responds and another one has ended. Only the ended ones are returned
+        then. The other probes continue, since other streams may wait for them.
+
+        Args:
+            servers: Servers of the path; orders are sent to the first one.
+        """
+        first = servers[0].instance
+        probed = set()
+        done = trio.Event()
+
+        def watch(server: fleet.Server) -> None:
+            probed.add(server.instance)
+            ended = self._list_ended(servers)
+            responds = first in probed and self._is_alive(first)
+            if first in ended or (ended and responds):
+                done.set()
+
+        failed: list[frozenset[str]] = []
+
+        async def probe_all() -> None:
+            try:
+                failed.append(await self.find_unresponsive(servers))
+            finally:
+                # Also if the prober ends, so that no stream waits for it.
+                done.set()
+
+        self._watchers.append(watch)
+        try:
+            async with self._open_nursery() as nursery:
+                nursery.start_soon(probe_all)
+                await done.wait()
+        finally:
+            self._watchers.remove(watch)
+        return failed[0] if failed else self._list_ended(servers)
+
+    def _is_alive(self, instance: str) -> bool:
+        """Returns whether a server has responded just now."""
+        alive_at = self._alive_at.get(instance, float("-inf"))
+        return trio.current_time() - alive_at < POSITIVE_RESULT_LIFETIME_S
+
+    def _list_ended(self, servers) -> frozenset[str]:
+        """Returns the suspected instances that have refused a connection.
+
+        In contrast to `views.View.has_ended`, those that are not listed any
+        more are not among them, as they may be silent for a time.
+        """
+        return frozenset(
+            server.instance
+            for server in servers
+            if self._view.is_suspected(server)
+            and self._view.get_health(server).ended
+        )
+
     async def _probe_all(
         self, servers, timeout_s: float | None = None
     ) -> list[ProbeFailure]:
@@ -325,16 +381,29 @@
     ) -> None:
         """Probes a server, unless it has responded just before.
 
-        If the server is already being probed, this waits for that probe.
+        If the server is already being probed, this waits for that probe. A
+        refused connection is conclusive, since the process has ended: the
+        server is suspected at once.
 
         Args:
             server: The server.
-            failures: Receives the server and the error if it does not respond.
+            failures: Receives the server and the error if it does not respond,
+                unless it refuses the connection.
             timeout_s: Time limit of the response; None for that of the server.
         """
+        await self._probe(server, failures, timeout_s)
+        for watch in tuple(self._watchers):
+            watch(server)
+
+    async def _probe(
+        self,
+        server: fleet.Server,
+        failures: list[ProbeFailure],
+        timeout_s: float | None,
+    ) -> None:
+        """Does the work of `probe`."""
         name = server.instance
-        alive_at = self._alive_at.get(name, float("-inf"))
-        if trio.current_time() - alive_at < POSITIVE_RESULT_LIFETIME_S:
+        if self._is_alive(name):
             return
         running = self._running.get(name)
         if running is not None:
@@ -343,7 +412,9 @@
         self._running[name] = trio.Event()
         try:
             error = await self._fetch_report(server, timeout_s)
-            if error is not None:
+            if isinstance(error, upstreams.RefusedError):
+                self._suspect_failed([(server, error)])
+            elif error is not None:
                 failures.append((server, error))
         finally:
             self._running.pop(name).set()
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/runs.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/runs.py
@@ -331,8 +331,8 @@
         ended = await self._context.check_ended(server)
         if not ended:
             # The first server cuts a stream off if a later one has ended.
-            await self._prober.find_unresponsive(
-                stage.server for stage in self._path
+            await self._prober.find_failed(
+                [stage.server for stage in self._path]
             )
             ended = self._context.view.has_ended(server)
         self._mark(pauses.Mark.PROBE_RESULT)
@@ -577,7 +577,7 @@
         servers = [stage.server for stage in self._path]
         self._mark(pauses.Mark.SILENT)
         self._mark(pauses.Mark.PROBE_SENT)
-        failed = await self._prober.find_unresponsive(servers)
+        failed = await self._prober.find_failed(servers)
         self._mark(pauses.Mark.PROBE_RESULT)
         stalled = self._prober.find_stalled(
             servers[0], self._request.head.request_id
--- a/tests/unit/test_probes.py
+++ b/tests/unit/test_probes.py
@@ -457,3 +457,55 @@
             await trio.sleep(1)
             assert not view.is_suspected(servers[0])
             nursery.cancel_scope.cancel()
+
+
+@pytest.mark.parametrize("slow", [[], ["s5"], ["s1", "s7"]])
+@cases.run_on_virtual_clock
+async def test_path_whose_first_server_is_silent_waits_for_all_probes(slow):
+    """Guards against an order to a silent server, which waits for 0.3 s."""
+    async with open_running_harness() as harness:
+        delay_reports(harness, slow, 0.045)
+        harness.kill("s3")
+        harness.partition("s0")
+        servers = list_servers(harness)
+        assert await harness.prober.find_failed(servers) == {"s0", "s3"}
+
+
+@cases.run_on_virtual_clock
+async def test_ended_server_of_a_path_is_found_before_slower_probes_end():
+    """Guards against a repair that waits for a slow server of the path."""
+    async with open_running_harness() as harness:
+        delay_reports(harness, ["s1", "s7"], 0.045)
+        harness.kill("s3")
+        began = trio.current_time()
+        servers = list_servers(harness)
+        assert await harness.prober.find_failed(servers) == {"s3"}
+        assert trio.current_time() - began < 0.01
+
+
+@cases.run_on_virtual_clock
+async def test_probes_that_a_stream_left_early_find_silent_servers():
+    """Guards against silent servers that are missed beside an ended one."""
+    async with open_running_harness() as harness:
+        harness.kill("s3")
+        harness.partition("s7")
+        servers = list_servers(harness)
+        assert await harness.prober.find_failed(servers) == {"s3"}
+        await trio.sleep(0.06)
+        view = harness.context.view
+        assert view.is_suspected(view.servers["s7"])
+
+
+@cases.run_on_virtual_clock
+async def test_stream_does_not_wait_for_a_prober_that_has_ended():
+    """Guards against a stream that hangs when the prober starts again."""
+    async with open_running_harness() as harness:
+        delay_reports(harness, ["s1"], 0.045)
+        began = trio.current_time()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(
+                harness.prober.find_failed, list_servers(harness)
+            )
+            await trio.sleep(0.01)
+            harness.prober._nursery.cancel_scope.cancel()
+        assert trio.current_time() - began < 0.03
--- a/tests/unit/test_stream_pauses.py
+++ b/tests/unit/test_stream_pauses.py
@@ -216,3 +216,88 @@
                 await harness.servers["a0"].fall_silent(0.5)
         lines = list_lines(handler)
         assert 0 < len(lines) <= 2 * pauses.REPORTS_PER_S
+
+
+# A path of three servers, with a spare for each of the later ones.
+LONG_RANGES = (
+    ("a0", "a", (0, 10)),
+    ("a1", "a", (10, 15)),
+    ("a2", "a", (15, 20)),
+    ("s1", "a", (10, 15)),
+    ("s2", "a", (15, 20)),
+    ("b0", "b", (0, 20)),
+)
+
+
+def list_later(harness):
+    """Returns the instances of the later servers of the stream's path."""
+    path = harness.servers["a0"].requests[0]["x-hop-count"]
+    names = {str(s.server.address): n for n, s in harness.servers.items()}
+    return [names[stage.partition("=")[0]] for stage in path.split(",")[1:]]
+
+
+def delay_report(stand_in, delay_s):
+    """Lets a server respond late to probes."""
+    send = stand_in._send_report
+
+    async def report(responder):
+        await trio.sleep(delay_s)
+        await send(responder)
+
+    stand_in._send_report = report
+
+
+@cases.run_on_virtual_clock
+async def test_order_does_not_wait_for_slower_probes_of_other_servers():
+    """Guards against a repair that waits for a slow server of the same path.
+
+    The lost server had refused the connection 45 ms before.
+    """
+    async with open_harness(LONG_RANGES) as harness:
+
+        async def interfere(later):
+            del later
+            lost, slow = list_later(harness)
+            delay_report(harness.servers[slow], 0.045)
+            failovers.kill(harness, lost)
+
+        (pause,) = await play(harness, interfere)
+        assert pause.stages[pauses.Stage.PROBE] < 0.01
+        assert not harness.servers["b0"].runs
+
+
+@cases.run_on_virtual_clock
+async def test_order_is_not_sent_to_a_first_server_that_does_not_respond():
+    """Guards against an order that times out while another path is free.
+
+    Load pattern: a rack that is lost, some of whose servers refuse
+    connections while others are silent.
+    """
+    async with open_harness(LONG_RANGES) as harness:
+
+        async def interfere(later):
+            del later
+            failovers.kill(harness, list_later(harness)[0])
+            await harness.servers["a0"].fall_silent(2.0)
+
+        pause, *_ = await play(harness, interfere)
+        assert pause.cause is pauses.Cause.SECOND_PATH
+        assert pause.duration_s < 0.25
+        assert not harness.servers["a0"].orders
+
+
+@cases.run_on_virtual_clock
+async def test_server_that_others_found_to_have_ended_needs_no_probe_result():
+    """Guards against a stream that waits for what another one has found."""
+    async with open_harness(LONG_RANGES) as harness:
+
+        async def interfere(later):
+            del later
+            lost, slow = list_later(harness)
+            server = harness.servers[lost].server
+            failovers.kill(harness, lost)
+            harness.context.view.suspect(server, "found before", ended=True)
+            await harness.servers[slow].fall_silent(0.2)
+
+        pause, *_ = await play(harness, interfere)
+        assert pause.stages[pauses.Stage.PROBE] < 0.01
