Spread the streams of a lost server over its replacements

When a server was suspected, all streams of an entry were moved off it at the same moment, and each chose its replacement before the choice of the others was counted, so that one server prefilled all of them, one after the other. A stream is now counted on the new servers of its path while the order is under way.

--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/runs.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/runs.py
@@ -6,6 +6,7 @@
 """
 
 import collections.abc
+import contextlib
 import dataclasses
 import typing
 
@@ -758,7 +759,8 @@
         before = self._path
         self._mark(pauses.Mark.DECIDED)
         self._mark(pauses.Mark.ORDER_SENT)
-        accepted = await self._send_order(before[0].server, path)
+        with self._count_replacements(path):
+            accepted = await self._send_order(before[0].server, path)
         self._mark(pauses.Mark.ACCEPTED if accepted else pauses.Mark.REFUSED)
         # The attempt on this path may have ended before the response to the
         # order; its servers' counts have been updated then.
@@ -767,6 +769,28 @@
             self._set_path(path)
         return accepted
 
+    @contextlib.contextmanager
+    def _count_replacements(self, path: paths.Path):
+        """Counts the stream on the servers that are new on an ordered path.
+
+        All streams of a lost server choose at the same time. If each counted
+        only after its order, all would take the same replacement, which would
+        prefill them one after the other.
+        """
+        kept = paths.list_instances(self._path)
+        ordered = [
+            self._context.view.get_health(stage.server)
+            for stage in path
+            if stage.server.instance not in kept
+        ]
+        for health in ordered:
+            health.in_flight += 1
+        try:
+            yield
+        finally:
+            for health in ordered:
+                health.in_flight -= 1
+
     async def _send_order(self, first: fleet.Server, path: paths.Path) -> bool:
         context = self._context
         context.metrics.increment("orders")
--- a/tests/unit/test_stream_pauses.py
+++ b/tests/unit/test_stream_pauses.py
@@ -301,3 +301,51 @@
 
         pause, *_ = await play(harness, interfere)
         assert pause.stages[pauses.Stage.PROBE] < 0.01
+
+
+def move_streams_at_once(harness, nursery):
+    """Lets streams move off a suspected server, as the process does."""
+
+    def move(instance):
+        for stream in harness.context.streams:
+            nursery.start_soon(stream.replace_server, instance)
+
+    harness.context.view.notify_leaving = move
+
+
+# Several servers with the same layers.
+SPARE_RANGES = (
+    ("a0", "a", (0, 10)),
+    ("a1", "a", (10, 20)),
+    ("s1", "a", (10, 20)),
+    ("s2", "a", (10, 20)),
+    ("s3", "a", (10, 20)),
+)
+
+
+@cases.run_on_virtual_clock
+async def test_streams_of_a_lost_server_are_spread_over_its_replacements():
+    """Guards against a server that prefills all streams, one after the other.
+
+    Load pattern: many streams on a server that is lost. Each chose its
+    replacement before the choice of the others was counted.
+    """
+    async with open_harness(SPARE_RANGES) as harness:
+        lost = harness.servers["a1"]
+        with failovers.record_pauses(PAUSE_S) as found:
+            async with trio.open_nursery() as nursery:
+                move_streams_at_once(harness, nursery)
+                for number in range(30):
+                    nursery.start_soon(
+                        relay,
+                        harness,
+                        gateways.ResponseRecorder(),
+                        f"r{number}",
+                    )
+                await trio.sleep(0.7)
+                failovers.kill(harness, "a1")
+        assert len(lost.prefilled) == 30
+        counts = [len(harness.servers[n].prefilled) for n in ("s1", "s2", "s3")]
+        assert counts == [10, 10, 10]
+        assert max(pause.duration_s for pause in found) < 0.25
+        assert not any(harness.context.view.count_in_flight().values())
