Spread the streams of a lost first server over other paths

The connections to a server that ends are reset at the same moment, and each of its streams chose the same path before any of them was counted there. A stream that is sent again is now counted on its path from the choice on. New streams are counted as before, since the same change there would refuse more of those that arrive at once.

Evidence, on the virtual clock, nine streams, three other servers with all layers, 10 ms of prefill for each stream: all nine went to one server, median 111 ms and longest 161 ms of pause; now three go to each, 81 and 101 ms. test_stream_pauses, test_relays, test_runs, test_gateway and test_views passed; the new test fails without the change.

--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/relays.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/relays.py
@@ -195,6 +195,8 @@
         try:
             async with trio.open_nursery() as self._nursery:
                 run = self._make_run()
+                if self._sends:
+                    run.count_on(path)
                 self._nursery.start_soon(self._execute, run, find_path)
         except BaseExceptionGroup:
             # Errors of runs are not in the group, so the request is cancelled.
@@ -253,6 +255,7 @@
             self._handle_error(run, error)
         finally:
             self._runs.remove(run)
+            run.count_on(())
             # Also if the run was cancelled, by a time limit for example.
             outcome = outcome or run.describe_cancelled()
             self._may_have_run |= isinstance(outcome, runs.Broken)
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/runs.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/runs.py
@@ -372,14 +372,22 @@
             progress = crashes.Progress.NOT_ANSWERED
         self._context.record_loss(self._request, ended, progress, successions)
 
-    def _set_path(self, path: paths.Path) -> None:
-        """Sets the path; moves the in-flight count from old to new servers."""
+    def count_on(self, path: paths.Path) -> None:
+        """Counts the stream on a path, and no longer on the one before.
+
+        A path that is chosen for a stream that has lost its own is counted
+        before it is used: all streams of a lost server choose at the same time.
+        """
         for health in self._counted_at:
             health.in_flight -= 1
         view = self._context.view
         self._counted_at = [view.get_health(stage.server) for stage in path]
         for health in self._counted_at:
             health.in_flight += 1
+
+    def _set_path(self, path: paths.Path) -> None:
+        """Sets the path; moves the in-flight count from old to new servers."""
+        self.count_on(path)
         self._path = path
         self._successions = self._context.parts.get_successions(
             self._request.shared_parts
--- a/tests/unit/test_stream_pauses.py
+++ b/tests/unit/test_stream_pauses.py
@@ -349,3 +349,37 @@
         assert counts == [10, 10, 10]
         assert max(pause.duration_s for pause in found) < 0.25
         assert not any(harness.context.view.count_in_flight().values())
+
+
+# Several servers that hold all layers.
+WHOLE_RANGES = tuple((f"a{n}", "a", (0, 20)) for n in range(4))
+
+
+@cases.run_on_virtual_clock
+async def test_streams_of_a_lost_first_server_are_spread_over_other_paths():
+    """Guards against a server that prefills all streams, one after the other.
+
+    Load pattern: streams whose connections are reset at the same moment.
+    """
+    async with open_harness(WHOLE_RANGES) as harness:
+        view, others = harness.context.view, ("a1", "a2", "a3")
+        with failovers.record_pauses(PAUSE_S) as found:
+            async with trio.open_nursery() as nursery:
+                for name in others:
+                    view.suspect(harness.servers[name].server, "test")
+                for number in range(9):
+                    nursery.start_soon(
+                        relay,
+                        harness,
+                        gateways.ResponseRecorder(),
+                        f"r{number}",
+                    )
+                await trio.sleep(0.1)
+                for name in others:
+                    view.clear_suspicion(harness.servers[name].server)
+                await trio.sleep(0.6)
+                failovers.kill(harness, "a0")
+        counts = [len(harness.servers[name].prefilled) for name in others]
+        assert counts == [3, 3, 3]
+        assert max(pause.duration_s for pause in found) < 0.12
+        assert not any(view.count_in_flight().values())
