Check the later servers of a regular stream early

The end of a later server was looked for only after a silence of 2.5 mean gaps, also where the events of the stream came at regular times, so that the next one was missing long before. After 1.5 gaps, or the mean and four deviations if that is more, an entry now opens a connection to the later servers. A server that refuses it has ended, and its streams move off it. A server that accepts it, or does neither, is left to the probes at their usual time, so that one that is silent for a time is not given up earlier. Connections that find nothing are bounded to 3% of requests and probes, after 20 at the start.

A quarantined request is no longer moved to another server when one of its path ends; before, that was prevented only in the check of a silent path.

--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/probes.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/probes.py
@@ -13,6 +13,7 @@
 from peridotyard_core import errors
 from peridotyard_core import exchanges
 from peridotyard_core import fleet
+from peridotyard_core import silences
 from returns import result
 import trio
 
@@ -164,6 +165,7 @@
         mean_probe_duration_s: Mean of the median duration of probes, at most
             `PROBE_TIMEOUT_S` each, and of delays of this process; it grows
             while this process is busy.
+        credit: Bounds the connections of early checks.
     """
 
     def __init__(
@@ -180,6 +182,11 @@
         self._codec = codec
         self._count = count
         self.mean_probe_duration_s = 0.0
+        self.credit = silences.Credit()
+        # Servers to which a check opens a connection, and the times at which
+        # others accepted one.
+        self._connecting: set[str] = set()
+        self._accepted_at: dict[str, float] = {}
         self._limiter = trio.CapacityLimiter(MAX_CONCURRENT_PROBES)
         self._alive_at: dict[str, float] = {}
         self._probed_at: dict[str, float] = {}
@@ -419,6 +426,48 @@
         finally:
             self._running.pop(name).set()
 
+    def check_early(
+        self, servers: collections.abc.Iterable[fleet.Server]
+    ) -> None:
+        """Starts to find out which servers refuse connections.
+
+        Those are suspected. A server that accepts the connection, or does
+        neither, is left to the probes.
+        """
+        if self._nursery is None:
+            return
+        for server in servers:
+            if self._needs_check(server) and self.credit.try_spend():
+                self._connecting.add(server.instance)
+                self._nursery.start_soon(self._check_connection, server)
+
+    def _needs_check(self, server: fleet.Server) -> bool:
+        name = server.instance
+        accepted_at = self._accepted_at.get(name, float("-inf"))
+        lifetime_s = trio.current_time() - accepted_at
+        return not (
+            name in self._connecting
+            or name in self._running
+            or lifetime_s < POSITIVE_RESULT_LIFETIME_S
+            or self._is_alive(name)
+            or self._view.is_suspected(server)
+        )
+
+    async def _check_connection(self, server: fleet.Server) -> None:
+        self._count("early_checks")
+        try:
+            await self._pool.try_connect(server.address)
+            self._accepted_at[server.instance] = trio.current_time()
+        except upstreams.RefusedError as error:
+            self._count("early_checks_refused")
+            self.credit.refund()
+            self._suspect_failed([(server, error)])
+        except upstreams.UnsentError:
+            # Other failures do not show that the server has ended.
+            pass
+        finally:
+            self._connecting.discard(server.instance)
+
     def find_stalled(
         self, server: fleet.Server, request_id: str
     ) -> addresses.Address | None:
@@ -477,6 +526,7 @@
         self._probed_at = self._filter_listed(self._probed_at)
         self._alive_at = self._filter_listed(self._alive_at)
         self._longest = self._filter_listed(self._longest)
+        self._accepted_at = self._filter_listed(self._accepted_at)
 
     def _filter_listed(self, values: dict) -> dict:
         """Returns the values of servers that are still in the list."""
@@ -558,6 +608,7 @@
         self, server: fleet.Server, nursery: trio.Nursery
     ) -> _Probe:
         self._count("probes")
+        self.credit.earn()
         probe = _Probe(server)
         self._probed_at[server.instance] = probe.sent_at
         nursery.start_soon(probe.send, self._pool, self._codec.report_target)
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/runs.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/runs.py
@@ -18,6 +18,7 @@
 from peridotyard_core import fleet
 from peridotyard_core import paths
 from peridotyard_core import pauses
+from peridotyard_core import silences
 from returns import result
 import trio
 
@@ -112,8 +113,8 @@
     Attributes:
         sequence: Checks the order of the events.
         last_event_at: Time of the last event; of the start before the first.
-        mean_gap_s: Moving average of the gaps between events, seconds; None
-            before the second event.
+        gaps: Averages of the gaps between events; None before the second
+            event.
         longest_gap_s: Longest gap between two events, seconds.
         recorded_ends: Processes of servers whose end has been recorded, by
             instance and start.
@@ -124,7 +125,7 @@
         last_event_id = request.head.last_event_id
         self.sequence = events.Sequence(last_event_id)
         self.last_event_at = trio.current_time()
-        self.mean_gap_s: float | None = None
+        self.gaps: silences.Gaps | None = None
         self.longest_gap_s = 0.0
         self.recorded_ends: set[tuple[str, int]] = set()
         self.pauses = pauses_module.StreamPauses(context, request)
@@ -192,6 +193,8 @@
         self._last_activity_at = progress.last_event_at
         self._check_at = self._last_activity_at
         self._check_interval_s = 0.0
+        # Time of the next early check of the later servers of the path.
+        self._early_at = float("inf")
         # Time of the last check, or of the last event if that is later.
         self._checked_at = self._last_activity_at
         # Times since when servers of the path do not respond to probes.
@@ -243,6 +246,7 @@
                 request.body,
             )
             self._mark(pauses.Mark.REQUEST_SENT)
+            self._prober.credit.earn()
             outcome = await self._relay(connection)
             reusable = not isinstance(outcome, Broken)
         except upstreams.UnsentError as error:
@@ -292,6 +296,11 @@
             if not self.has_later_stage(instance):
                 return
             self._record_ends(self._successions)
+            if self._has_crashed(instance):
+                self._mark(pauses.Mark.SERVER_LOST)
+                if self._context.is_copy_quarantined(self._request):
+                    # A replacement would be the next server to crash.
+                    return
             path = self._plan_replacement(frozenset([instance]))
             if path is None:
                 return
@@ -303,6 +312,14 @@
                     path=describe_path(path),
                 )
 
+    def _has_crashed(self, instance: str) -> bool:
+        """Returns whether a server of the path is known to have ended."""
+        return any(
+            self._context.view.has_ended(stage.server)
+            for stage in self._path
+            if stage.server.instance == instance
+        )
+
     def describe_cancelled(self) -> Broken | None:
         """Returns the outcome of a cancelled run; None if it was not sent."""
         if self._sent_at is not None:
@@ -493,10 +510,11 @@
             self._progress.longest_gap_s = max(
                 self._progress.longest_gap_s, gap_s
             )
-            if self._progress.mean_gap_s is None:
-                self._progress.mean_gap_s = gap_s
-            self._progress.mean_gap_s += GAP_SMOOTHING * (
-                gap_s - self._progress.mean_gap_s
+            gaps = self._progress.gaps
+            self._progress.gaps = (
+                silences.Gaps.from_first(gap_s)
+                if gaps is None
+                else gaps.add(gap_s, GAP_SMOOTHING)
             )
         self._record_event()
         self._progress.pauses.record_event()
@@ -529,8 +547,11 @@
         server in trouble may send bytes that never complete an event.
         """
         while True:
-            with trio.move_on_at(self._check_at):
+            with trio.move_on_at(min(self._early_at, self._check_at)):
                 return await receive()
+            if trio.current_time() < self._check_at:
+                self._check_early()
+                continue
             broken = await self._handle_silence()
             if broken is not None:
                 return broken
@@ -561,6 +582,7 @@
         self._unresponsive_since.clear()
         self._check_interval_s = self._compute_silence_limit()
         self._check_at = self._last_activity_at + self._check_interval_s
+        self._early_at = self._last_activity_at + self._compute_early_limit()
 
     def _compute_silence_limit(self) -> float:
         """Returns the silence after which the path is probed, seconds."""
@@ -568,14 +590,42 @@
         limit_s = SILENCE_GAP_FRACTION * (
             route.event_gap_objective_s or route.latency_objective_s
         )
-        if self._progress.mean_gap_s is not None:
-            limit_s = min(
-                limit_s, SILENCE_MEAN_GAPS * self._progress.mean_gap_s
-            )
+        gaps = self._progress.gaps
+        if gaps is not None:
+            limit_s = min(limit_s, SILENCE_MEAN_GAPS * gaps.mean_s)
         limit_s = min(max(limit_s, SILENCE_MIN_S), SILENCE_MAX_S)
-        # If this process is busy, events are delayed here and not at the
-        # servers. A long probe time shows that.
-        return limit_s + PROBE_TIME_FACTOR * self._prober.mean_probe_duration_s
+        return limit_s + self._busy_s
+
+    @property
+    def _busy_s(self) -> float:
+        """Time that is added to silences, seconds.
+
+        If this process is busy, events are delayed here and not at the servers.
+        A long probe time shows that.
+        """
+        return PROBE_TIME_FACTOR * self._prober.mean_probe_duration_s
+
+    def _compute_early_limit(self) -> float:
+        """Returns the silence of an early check, seconds; infinite for none.
+
+        A path without an event so far may be in its prefill. The end of the
+        first server is noticed by the connection to it.
+        """
+        gaps = self._progress.gaps
+        if gaps is None or self.is_unanswered or len(self._path) < 2:
+            return float("inf")
+        busy_s = self._busy_s
+        limit_s = gaps.compute_early_limit(self._check_interval_s - busy_s)
+        return float("inf") if limit_s is None else limit_s + busy_s
+
+    def _check_early(self) -> None:
+        """Checks the later servers of a path whose next event is missing.
+
+        If one has ended, the streams move off it, see `replace_server`.
+        """
+        self._early_at = float("inf")
+        if self._is_newest(self):
+            self._prober.check_early(stage.server for stage in self._path[1:])
 
     async def _handle_silence(self) -> Broken | None:
         """Probes and repairs a silent path; returns `Broken` if it is lost."""
--- a/tests/unit/test_stream_pauses.py
+++ b/tests/unit/test_stream_pauses.py
@@ -2,9 +2,13 @@
 
 import contextlib
 import dataclasses
+import random
 
 import logbook
+from peridotyard_core import crashes
 from peridotyard_core import pauses
+from peridotyard_core import quarantines
+from peridotyard_core import silences
 from peridotyard_daemon.request import relays
 import pytest
 import trio
@@ -383,3 +387,108 @@
         assert counts == [3, 3, 3]
         assert max(pause.duration_s for pause in found) < 0.12
         assert not any(view.count_in_flight().values())
+
+
+@cases.run_on_virtual_clock
+async def test_lost_server_of_a_regular_stream_is_found_early():
+    """Guards against streams that all wait for the same silence.
+
+    The events of this one come every 40 ms, so that the next one is missing
+    after 60 ms. The usual probe is sent after 100 ms.
+    """
+    async with open_harness() as harness:
+        async with trio.open_nursery() as nursery:
+            move_streams_at_once(harness, nursery)
+
+            async def interfere(later):
+                failovers.kill(harness, later)
+
+            (pause,) = await play(harness, interfere)
+        assert pause.cause is pauses.Cause.SERVER_LOST
+        assert pause.duration_s < 0.09
+        assert not harness.servers["b0"].runs
+
+
+@pytest.mark.parametrize("duration_s", [0.03, 0.06, 0.1, 0.8])
+@pytest.mark.parametrize("is_first", [False, True])
+@cases.run_on_virtual_clock
+async def test_silent_server_is_not_lost_earlier_by_an_early_check(
+    duration_s, is_first
+):
+    """Guards against a sound server that is given up as it pauses shortly.
+
+    A server without a response to a probe is left only after the silence and
+    the probe time that hold for all streams, 150 ms together.
+    """
+    async with open_harness() as harness:
+        changes = []
+        async with trio.open_nursery() as nursery:
+            move_streams_at_once(harness, nursery)
+            harness.context.view.notify_suspect = lambda server: changes.append(
+                (server.instance, trio.current_time())
+            )
+            begin = trio.current_time() + BEGIN_S
+
+            async def interfere(later):
+                name = "a0" if is_first else later
+                await harness.servers[name].fall_silent(duration_s)
+
+            await play(harness, interfere)
+        assert all(at >= begin + 0.11 for _, at in changes)
+        if duration_s < 0.1:
+            assert not changes
+            assert sum(len(s.orders) for s in harness.servers.values()) == 0
+            assert sum(len(s.runs) for s in harness.servers.values()) == 1
+
+
+@pytest.mark.parametrize("jitter_s", [0.0, 0.01, 0.03, 0.05])
+@cases.run_on_virtual_clock
+async def test_early_checks_of_sound_streams_are_a_small_share(jitter_s):
+    """Guards against connections for each event that is a little late."""
+    async with open_harness() as harness:
+        source = random.Random(1)
+        for stand_in in harness.servers.values():
+            wait = stand_in._wait_before_event
+
+            async def wait_longer(request_id, wait=wait):
+                await trio.sleep(source.uniform(0, jitter_s))
+                await wait(request_id)
+
+            stand_in._wait_before_event = wait_longer
+        for number in range(150):
+            recorder = gateways.ResponseRecorder()
+            await relay(harness, recorder, f"r{number}")
+        metrics = harness.context.metrics
+        opened = metrics.get_count("early_checks")
+        sent = 150 + metrics.get_count("probes")
+        assert opened <= silences.MAX_CREDIT + silences.CREDIT_SHARE * sent
+
+
+@cases.run_on_virtual_clock
+async def test_quarantined_stream_is_not_moved_to_a_further_server():
+    """Guards against a request that ends each server that takes it over."""
+    async with open_harness() as harness:
+        request = harness.make_request()
+        harness.servers["a0"].faults = [servers_module.Fault("stall", 3)]
+
+        async def kill(nursery):
+            await trio.sleep(BEGIN_S)
+            for number in range(quarantines.EXPLAINED_CRASH_LIMIT):
+                harness.context.quarantine.record_crash(
+                    request.fingerprint,
+                    crashes.Crash(2 * number),
+                    trio.current_time(),
+                )
+            move_streams_at_once(harness, nursery)
+            failovers.kill(harness, find_later(harness))
+
+        stream = relays.Stream(
+            harness.context,
+            harness.prober,
+            request,
+            gateways.ResponseRecorder(),
+        )
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(kill, nursery)
+            await stream.run()
+        assert not harness.servers["a0"].orders
