--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -13,6 +13,7 @@
     "processes": "bench.processes",
     "capacity": "bench.capacity",
     "layouts": "bench.layouts",
+    "pauses": "bench.pauses",
     "entry": "bench.entry",
 }
 
--- a/tests/support/failovers.py
+++ b/tests/support/failovers.py
@@ -65,6 +65,16 @@
     harness.kill(instance)
 
 
+def move_streams_at_once(harness, nursery):
+    """Lets streams move off a suspected server, as the process does."""
+
+    def move(instance):
+        for stream in harness.context.streams:
+            nursery.start_soon(stream.replace_server, instance)
+
+    harness.context.view.notify_leaving = move
+
+
 @contextlib.contextmanager
 def record_pauses(limit_s: float):
     """Yields a list that receives all pauses longer than a limit."""
--- a/tests/unit/test_stream_pauses.py
+++ b/tests/unit/test_stream_pauses.py
@@ -307,16 +307,6 @@
         assert pause.stages[pauses.Stage.PROBE] < 0.01
 
 
-def move_streams_at_once(harness, nursery):
-    """Lets streams move off a suspected server, as the process does."""
-
-    def move(instance):
-        for stream in harness.context.streams:
-            nursery.start_soon(stream.replace_server, instance)
-
-    harness.context.view.notify_leaving = move
-
-
 # Several servers with the same layers.
 SPARE_RANGES = (
     ("a0", "a", (0, 10)),
@@ -338,7 +328,7 @@
         lost = harness.servers["a1"]
         with failovers.record_pauses(PAUSE_S) as found:
             async with trio.open_nursery() as nursery:
-                move_streams_at_once(harness, nursery)
+                failovers.move_streams_at_once(harness, nursery)
                 for number in range(30):
                     nursery.start_soon(
                         relay,
@@ -398,7 +388,7 @@
     """
     async with open_harness() as harness:
         async with trio.open_nursery() as nursery:
-            move_streams_at_once(harness, nursery)
+            failovers.move_streams_at_once(harness, nursery)
 
             async def interfere(later):
                 failovers.kill(harness, later)
@@ -423,7 +413,7 @@
     async with open_harness() as harness:
         changes = []
         async with trio.open_nursery() as nursery:
-            move_streams_at_once(harness, nursery)
+            failovers.move_streams_at_once(harness, nursery)
             harness.context.view.notify_suspect = lambda server: changes.append(
                 (server.instance, trio.current_time())
             )
@@ -479,7 +469,7 @@
                     crashes.Crash(2 * number),
                     trio.current_time(),
                 )
-            move_streams_at_once(harness, nursery)
+            failovers.move_streams_at_once(harness, nursery)
             failovers.kill(harness, find_later(harness))
 
         stream = relays.Stream(
