Ascribe pauses to a lost server that another stream has found

If a stream left a server because another stream or entry had found it to be silent, its pause had the cause path_changed. It is server_lost now.

Evidence: test_stream_pauses, test_runs and test_relays passed; the new test fails without the change.

--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/runs.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/runs.py
@@ -296,11 +296,15 @@
             if not self.has_later_stage(instance):
                 return
             self._record_ends(self._successions)
-            if self._has_crashed(instance):
+            server = self._find_server(instance)
+            view = self._context.view
+            if view.is_suspected(server):
                 self._mark(pauses.Mark.SERVER_LOST)
-                if self._context.is_copy_quarantined(self._request):
-                    # A replacement would be the next server to crash.
-                    return
+            if view.has_ended(server) and self._context.is_copy_quarantined(
+                self._request
+            ):
+                # A replacement would be the next server to crash.
+                return
             path = self._plan_replacement(frozenset([instance]))
             if path is None:
                 return
@@ -312,10 +316,10 @@
                     path=describe_path(path),
                 )
 
-    def _has_crashed(self, instance: str) -> bool:
-        """Returns whether a server of the path is known to have ended."""
-        return any(
-            self._context.view.has_ended(stage.server)
+    def _find_server(self, instance: str) -> fleet.Server:
+        """Returns a server of the path."""
+        return next(
+            stage.server
             for stage in self._path
             if stage.server.instance == instance
         )
--- a/tests/unit/test_stream_pauses.py
+++ b/tests/unit/test_stream_pauses.py
@@ -317,6 +317,25 @@
 )
 
 
+@cases.run_on_virtual_clock
+async def test_pause_for_a_server_that_another_stream_found_has_its_cause():
+    """Guards against lost servers that show as planned changes of paths."""
+    async with open_harness(SPARE_RANGES) as harness:
+        with failovers.record_pauses(PAUSE_S) as found:
+            async with trio.open_nursery() as nursery:
+                failovers.move_streams_at_once(harness, nursery)
+                for number in range(5):
+                    nursery.start_soon(
+                        relay,
+                        harness,
+                        gateways.ResponseRecorder(),
+                        f"r{number}",
+                    )
+                await trio.sleep(0.7)
+                await harness.servers["a1"].fall_silent(2.0)
+        assert {pause.cause for pause in found} == {pauses.Cause.SERVER_LOST}
+
+
 @cases.run_on_virtual_clock
 async def test_streams_of_a_lost_server_are_spread_over_its_replacements():
     """Guards against a server that prefills all streams, one after the other.
