Check servers early in turn if the credit does not suffice for all

With little credit, only the first later server of a path was checked early, so that the end of one further back was found by the usual probe. The servers whose last check is the longest ago come first now.

--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/probes.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/probes.py
@@ -183,10 +183,10 @@
         self._count = count
         self.mean_probe_duration_s = 0.0
         self.credit = silences.Credit()
-        # Servers to which a check opens a connection, and the times at which
-        # others accepted one.
+        # Servers to which an early check opens a connection, and the times of
+        # the last ones that were not refused.
         self._connecting: set[str] = set()
-        self._accepted_at: dict[str, float] = {}
+        self._checked_at: dict[str, float] = {}
         self._limiter = trio.CapacityLimiter(MAX_CONCURRENT_PROBES)
         self._alive_at: dict[str, float] = {}
         self._probed_at: dict[str, float] = {}
@@ -432,32 +432,35 @@
         """Starts to find out which servers refuse connections.
 
         Those are suspected. A server that accepts the connection, or does
-        neither, is left to the probes.
+        neither, is left to the probes. If the credit does not suffice for all,
+        those whose last check is the longest ago come first.
         """
         if self._nursery is None:
             return
-        for server in servers:
+        for server in sorted(servers, key=self._get_checked_at):
             if self._needs_check(server) and self.credit.try_spend():
                 self._connecting.add(server.instance)
                 self._nursery.start_soon(self._check_connection, server)
 
     def _needs_check(self, server: fleet.Server) -> bool:
         name = server.instance
-        accepted_at = self._accepted_at.get(name, float("-inf"))
-        lifetime_s = trio.current_time() - accepted_at
+        age_s = trio.current_time() - self._get_checked_at(server)
         return not (
             name in self._connecting
             or name in self._running
-            or lifetime_s < POSITIVE_RESULT_LIFETIME_S
+            or age_s < POSITIVE_RESULT_LIFETIME_S
             or self._is_alive(name)
             or self._view.is_suspected(server)
         )
 
+    def _get_checked_at(self, server: fleet.Server) -> float:
+        return self._checked_at.get(server.instance, float("-inf"))
+
     async def _check_connection(self, server: fleet.Server) -> None:
         self._count("early_checks")
         try:
             await self._pool.try_connect(server.address)
-            self._accepted_at[server.instance] = trio.current_time()
+            self._checked_at[server.instance] = trio.current_time()
         except upstreams.RefusedError as error:
             self._count("early_checks_refused")
             self.credit.refund()
@@ -526,7 +529,7 @@
         self._probed_at = self._filter_listed(self._probed_at)
         self._alive_at = self._filter_listed(self._alive_at)
         self._longest = self._filter_listed(self._longest)
-        self._accepted_at = self._filter_listed(self._accepted_at)
+        self._checked_at = self._filter_listed(self._checked_at)
 
     def _filter_listed(self, values: dict) -> dict:
         """Returns the values of servers that are still in the list."""
--- a/tests/unit/test_probes.py
+++ b/tests/unit/test_probes.py
@@ -509,3 +509,42 @@
             await trio.sleep(0.01)
             harness.prober._nursery.cancel_scope.cancel()
         assert trio.current_time() - began < 0.03
+
+
+@cases.run_on_virtual_clock
+async def test_early_checks_with_little_credit_reach_all_servers():
+    """Guards against a lost server that is never checked, as it comes last."""
+    async with open_running_harness() as harness:
+        prober = harness.prober
+        while prober.credit.try_spend():
+            pass
+        harness.kill("s9")
+        for _ in range(len(SERVER_LAYERS)):
+            prober.credit.refund()
+            prober.check_early(list_servers(harness))
+            await trio.sleep(0.2)
+        assert harness.context.view.has_ended(list_servers(harness)[9])
+        count = harness.context.metrics.get_count
+        assert count("early_checks") == len(SERVER_LAYERS)
+        assert count("early_checks_refused") == 1
+
+
+@cases.run_on_virtual_clock
+async def test_early_check_suspects_no_silent_server():
+    """Guards against sound servers that are given up on weak evidence."""
+    async with open_running_harness() as harness:
+        harness.partition("s3")
+        harness.prober.check_early(list_servers(harness))
+        await trio.sleep(0.2)
+        assert harness.context.view.list_suspects() == []
+
+
+@cases.run_on_virtual_clock
+async def test_streams_share_the_early_checks_of_a_server():
+    """Guards against a connection for each stream of a slow server."""
+    async with open_running_harness() as harness:
+        for _ in range(20):
+            harness.prober.check_early(list_servers(harness))
+            await trio.sleep(0.0005)
+        checks = harness.context.metrics.get_count("early_checks")
+        assert checks == len(SERVER_LAYERS)
