--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/probes.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/probes.py
@@ -13,6 +13,7 @@
 from peridotyard_core import errors
 from peridotyard_core import exchanges
 from peridotyard_core import fleet
+from peridotyard_core import silences
 from returns import result
 import trio
 
@@ -164,6 +165,7 @@
         mean_probe_duration_s: Mean of the median duration of probes, at most
             `PROBE_TIMEOUT_S` each, and of delays of this process; it grows
             while this process is busy.
+        credit: Bounds the connections of early checks.
     """
 
     def __init__(
@@ -180,6 +182,11 @@
         self._codec = codec
         self._count = count
         self.mean_probe_duration_s = 0.0
+        self.credit = silences.Credit()
+        # Servers to which an early check opens a connection, and the times of
+        # the last ones that were not refused.
+        self._connecting: set[str] = set()
+        self._checked_at: dict[str, float] = {}
         self._limiter = trio.CapacityLimiter(MAX_CONCURRENT_PROBES)
         self._alive_at: dict[str, float] = {}
         self._probed_at: dict[str, float] = {}
@@ -187,6 +194,10 @@
         self._requested: dict[str, fleet.Server] = {}
         self._probe_requested = trio.Event()
         self._running: dict[str, trio.Event] = {}
+        # Called with each server whose probe has ended.
+        self._watchers: list[collections.abc.Callable[[fleet.Server], None]] = (
+            []
+        )
         self._reports: dict[str, exchanges.ServerReport] = {}
         # Nursery of `run` while it runs.
         self._nursery: trio.Nursery | None = None
@@ -204,18 +215,10 @@
         """Probes servers concurrently; returns the suspected instances."""
         servers = list(servers)
         failures = await self._probe_all(servers)
-        # A refused connection is conclusive: the process has ended.
-        inconclusive = [
-            server
-            for server, error in failures
-            if not isinstance(error, upstreams.RefusedError)
-        ]
+        inconclusive = [server for server, _ in failures]
         if inconclusive and self._is_inconclusive(
             len(inconclusive), len(servers)
         ):
-            self._suspect_failed(
-                item for item in failures if item[0] not in inconclusive
-            )
             _log.info(
                 "servers without a response probed again",
                 silent=len(inconclusive),
@@ -234,6 +237,66 @@
             if self._view.is_suspected(server)
         )
 
+    async def find_failed(
+        self, servers: collections.abc.Sequence[fleet.Server]
+    ) -> frozenset[str]:
+        """Returns the suspected instances of a path that has no events.
+
+        Does the same as `find_unresponsive`, but does not wait for slower
+        probes once it is clear what to do: the first server has ended, or it
+        responds and another one has ended. Only the ended ones are returned
+        then. The other probes continue, since other streams may wait for them.
+
+        Args:
+            servers: Servers of the path; orders are sent to the first one.
+        """
+        first = servers[0].instance
+        probed = set()
+        done = trio.Event()
+
+        def watch(server: fleet.Server) -> None:
+            probed.add(server.instance)
+            ended = self._list_ended(servers)
+            responds = first in probed and self._is_alive(first)
+            if first in ended or (ended and responds):
+                done.set()
+
+        failed: list[frozenset[str]] = []
+
+        async def probe_all() -> None:
+            try:
+                failed.append(await self.find_unresponsive(servers))
+            finally:
+                # Also if the prober ends, so that no stream waits for it.
+                done.set()
+
+        self._watchers.append(watch)
+        try:
+            async with self._open_nursery() as nursery:
+                nursery.start_soon(probe_all)
+                await done.wait()
+        finally:
+            self._watchers.remove(watch)
+        return failed[0] if failed else self._list_ended(servers)
+
+    def _is_alive(self, instance: str) -> bool:
+        """Returns whether a server has responded just now."""
+        alive_at = self._alive_at.get(instance, float("-inf"))
+        return trio.current_time() - alive_at < POSITIVE_RESULT_LIFETIME_S
+
+    def _list_ended(self, servers) -> frozenset[str]:
+        """Returns the suspected instances that have refused a connection.
+
+        In contrast to `views.View.has_ended`, those that are not listed any
+        more are not among them, as they may be silent for a time.
+        """
+        return frozenset(
+            server.instance
+            for server in servers
+            if self._view.is_suspected(server)
+            and self._view.get_health(server).ended
+        )
+
     async def _probe_all(
         self, servers, timeout_s: float | None = None
     ) -> list[ProbeFailure]:
@@ -325,16 +388,29 @@
     ) -> None:
         """Probes a server, unless it has responded just before.
 
-        If the server is already being probed, this waits for that probe.
+        If the server is already being probed, this waits for that probe. A
+        refused connection is conclusive, since the process has ended: the
+        server is suspected at once.
 
         Args:
             server: The server.
-            failures: Receives the server and the error if it does not respond.
+            failures: Receives the server and the error if it does not respond,
+                unless it refuses the connection.
             timeout_s: Time limit of the response; None for that of the server.
         """
+        await self._probe(server, failures, timeout_s)
+        for watch in tuple(self._watchers):
+            watch(server)
+
+    async def _probe(
+        self,
+        server: fleet.Server,
+        failures: list[ProbeFailure],
+        timeout_s: float | None,
+    ) -> None:
+        """Does the work of `probe`."""
         name = server.instance
-        alive_at = self._alive_at.get(name, float("-inf"))
-        if trio.current_time() - alive_at < POSITIVE_RESULT_LIFETIME_S:
+        if self._is_alive(name):
             return
         running = self._running.get(name)
         if running is not None:
@@ -343,11 +419,58 @@
         self._running[name] = trio.Event()
         try:
             error = await self._fetch_report(server, timeout_s)
-            if error is not None:
+            if isinstance(error, upstreams.RefusedError):
+                self._suspect_failed([(server, error)])
+            elif error is not None:
                 failures.append((server, error))
         finally:
             self._running.pop(name).set()
 
+    def check_early(
+        self, servers: collections.abc.Iterable[fleet.Server]
+    ) -> None:
+        """Starts to find out which servers refuse connections.
+
+        Those are suspected. A server that accepts the connection, or does
+        neither, is left to the probes. If the credit does not suffice for all,
+        those whose last check is the longest ago come first.
+        """
+        if self._nursery is None:
+            return
+        for server in sorted(servers, key=self._get_checked_at):
+            if self._needs_check(server) and self.credit.try_spend():
+                self._connecting.add(server.instance)
+                self._nursery.start_soon(self._check_connection, server)
+
+    def _needs_check(self, server: fleet.Server) -> bool:
+        name = server.instance
+        age_s = trio.current_time() - self._get_checked_at(server)
+        return not (
+            name in self._connecting
+            or name in self._running
+            or age_s < POSITIVE_RESULT_LIFETIME_S
+            or self._is_alive(name)
+            or self._view.is_suspected(server)
+        )
+
+    def _get_checked_at(self, server: fleet.Server) -> float:
+        return self._checked_at.get(server.instance, float("-inf"))
+
+    async def _check_connection(self, server: fleet.Server) -> None:
+        self._count("early_checks")
+        try:
+            await self._pool.try_connect(server.address)
+            self._checked_at[server.instance] = trio.current_time()
+        except upstreams.RefusedError as error:
+            self._count("early_checks_refused")
+            self.credit.refund()
+            self._suspect_failed([(server, error)])
+        except upstreams.UnsentError:
+            # Other failures do not show that the server has ended.
+            pass
+        finally:
+            self._connecting.discard(server.instance)
+
     def find_stalled(
         self, server: fleet.Server, request_id: str
     ) -> addresses.Address | None:
@@ -406,6 +529,7 @@
         self._probed_at = self._filter_listed(self._probed_at)
         self._alive_at = self._filter_listed(self._alive_at)
         self._longest = self._filter_listed(self._longest)
+        self._checked_at = self._filter_listed(self._checked_at)
 
     def _filter_listed(self, values: dict) -> dict:
         """Returns the values of servers that are still in the list."""
@@ -487,6 +611,7 @@
         self, server: fleet.Server, nursery: trio.Nursery
     ) -> _Probe:
         self._count("probes")
+        self.credit.earn()
         probe = _Probe(server)
         self._probed_at[server.instance] = probe.sent_at
         nursery.start_soon(probe.send, self._pool, self._codec.report_target)
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/relays.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/relays.py
@@ -13,6 +13,7 @@
 
 from peridotyard_core import admission
 from peridotyard_core import paths
+from peridotyard_core import pauses
 from peridotyard_core import verdicts
 import trio
 
@@ -46,7 +47,7 @@
         self._prober = prober
         self._request = request
         self._responder = responder
-        self._progress = runs.Progress(request.head.last_event_id)
+        self._progress = runs.Progress(context, request)
         # The runs in progress: one, and others while that is silent.
         self._runs: list[runs.Run] = []
         # Runs the others; set while a run is in progress.
@@ -194,6 +195,8 @@
         try:
             async with trio.open_nursery() as self._nursery:
                 run = self._make_run()
+                if self._sends:
+                    run.count_on(path)
                 self._nursery.start_soon(self._execute, run, find_path)
         except BaseExceptionGroup:
             # Errors of runs are not in the group, so the request is cancelled.
@@ -252,6 +255,7 @@
             self._handle_error(run, error)
         finally:
             self._runs.remove(run)
+            run.count_on(())
             # Also if the run was cancelled, by a time limit for example.
             outcome = outcome or run.describe_cancelled()
             self._may_have_run |= isinstance(outcome, runs.Broken)
@@ -379,6 +383,7 @@
         if not self._may_move(failed):
             return
         self._silent = failed
+        self._progress.pauses.mark(pauses.Mark.SECOND_PATH)
         context = self._context
         self._request.log(
             _log,
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/runs.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/runs.py
@@ -6,6 +6,7 @@
 """
 
 import collections.abc
+import contextlib
 import dataclasses
 import typing
 
@@ -16,6 +17,8 @@
 from peridotyard_core import exchanges
 from peridotyard_core import fleet
 from peridotyard_core import paths
+from peridotyard_core import pauses
+from peridotyard_core import silences
 from returns import result
 import trio
 
@@ -26,6 +29,7 @@
 from peridotyard_daemon.process import views
 from peridotyard_daemon.request import contexts
 from peridotyard_daemon.request import forwards
+from peridotyard_daemon.request import pauses as pauses_module
 
 # The path is probed after a silence of this many mean gaps between events, but
 # no later than after this fraction of the longest gap that the route allows.
@@ -109,19 +113,22 @@
     Attributes:
         sequence: Checks the order of the events.
         last_event_at: Time of the last event; of the start before the first.
-        mean_gap_s: Moving average of the gaps between events, seconds; None
-            before the second event.
+        gaps: Averages of the gaps between events; None before the second
+            event.
         longest_gap_s: Longest gap between two events, seconds.
         recorded_ends: Processes of servers whose end has been recorded, by
             instance and start.
+        pauses: Records what happens between two events.
     """
 
-    def __init__(self, last_event_id: int | None):
+    def __init__(self, context: contexts.Context, request: contexts.Request):
+        last_event_id = request.head.last_event_id
         self.sequence = events.Sequence(last_event_id)
         self.last_event_at = trio.current_time()
-        self.mean_gap_s: float | None = None
+        self.gaps: silences.Gaps | None = None
         self.longest_gap_s = 0.0
         self.recorded_ends: set[tuple[str, int]] = set()
+        self.pauses = pauses_module.StreamPauses(context, request)
 
 
 class Run:
@@ -186,6 +193,8 @@
         self._last_activity_at = progress.last_event_at
         self._check_at = self._last_activity_at
         self._check_interval_s = 0.0
+        # Time of the next early check of the later servers of the path.
+        self._early_at = float("inf")
         # Time of the last check, or of the last event if that is later.
         self._checked_at = self._last_activity_at
         # Times since when servers of the path do not respond to probes.
@@ -222,6 +231,7 @@
         reusable = False
         successions: tuple[int, ...] = ()
         outcome: Outcome | None = None
+        self._mark(pauses.Mark.DECIDED)
         try:
             connection = await context.pool.acquire(first_server.address)
             dispatch = request.make_dispatch(
@@ -235,10 +245,13 @@
                 context.codec.encode_request(request.head, dispatch),
                 request.body,
             )
+            self._mark(pauses.Mark.REQUEST_SENT)
+            self._prober.credit.earn()
             outcome = await self._relay(connection)
             reusable = not isinstance(outcome, Broken)
         except upstreams.UnsentError as error:
             refused = isinstance(error, upstreams.RefusedError)
+            self._mark(pauses.Mark.REFUSED)
             context.view.suspect(first_server, str(error), ended=refused)
             outcome = Refused(str(error), frozenset([first_server.instance]))
         except (upstreams.LostError, events.SequenceError) as error:
@@ -283,6 +296,15 @@
             if not self.has_later_stage(instance):
                 return
             self._record_ends(self._successions)
+            server = self._find_server(instance)
+            view = self._context.view
+            if view.is_suspected(server):
+                self._mark(pauses.Mark.SERVER_LOST)
+            if view.has_ended(server) and self._context.is_copy_quarantined(
+                self._request
+            ):
+                # A replacement would be the next server to crash.
+                return
             path = self._plan_replacement(frozenset([instance]))
             if path is None:
                 return
@@ -294,6 +316,14 @@
                     path=describe_path(path),
                 )
 
+    def _find_server(self, instance: str) -> fleet.Server:
+        """Returns a server of the path."""
+        return next(
+            stage.server
+            for stage in self._path
+            if stage.server.instance == instance
+        )
+
     def describe_cancelled(self) -> Broken | None:
         """Returns the outcome of a cancelled run; None if it was not sent."""
         if self._sent_at is not None:
@@ -318,16 +348,23 @@
             successions: Known crashes for the parts of the prompt when the
                 request was sent.
         """
+        self._mark(pauses.Mark.SILENT)
+        self._mark(pauses.Mark.PROBE_SENT)
         ended = await self._context.check_ended(server)
         if not ended:
             # The first server cuts a stream off if a later one has ended.
-            await self._prober.find_unresponsive(
-                stage.server for stage in self._path
+            await self._prober.find_failed(
+                [stage.server for stage in self._path]
             )
             ended = self._context.view.has_ended(server)
+        self._mark(pauses.Mark.PROBE_RESULT)
+        self._mark(pauses.Mark.SERVER_LOST)
         self._record_ends(successions)
         return Broken(reason, frozenset([server.instance]), ended)
 
+    def _mark(self, mark: pauses.Mark) -> None:
+        self._progress.pauses.mark(mark)
+
     def _record_ends(
         self, successions: tuple[int, ...], is_refused: bool = False
     ) -> None:
@@ -356,14 +393,22 @@
             progress = crashes.Progress.NOT_ANSWERED
         self._context.record_loss(self._request, ended, progress, successions)
 
-    def _set_path(self, path: paths.Path) -> None:
-        """Sets the path; moves the in-flight count from old to new servers."""
+    def count_on(self, path: paths.Path) -> None:
+        """Counts the stream on a path, and no longer on the one before.
+
+        A path that is chosen for a stream that has lost its own is counted
+        before it is used: all streams of a lost server choose at the same time.
+        """
         for health in self._counted_at:
             health.in_flight -= 1
         view = self._context.view
         self._counted_at = [view.get_health(stage.server) for stage in path]
         for health in self._counted_at:
             health.in_flight += 1
+
+    def _set_path(self, path: paths.Path) -> None:
+        """Sets the path; moves the in-flight count from old to new servers."""
+        self.count_on(path)
         self._path = path
         self._successions = self._context.parts.get_successions(
             self._request.shared_parts
@@ -385,6 +430,7 @@
             return await self._classify_refusal(head)
         if not head.signed or head.request_id != request.head.request_id:
             raise upstreams.LostError("response lacks a signature or id")
+        self._mark(pauses.Mark.ACCEPTED)
         if head.status != 200:
             body = await forwards.read_body(connection, request.hold)
             # Another run in progress may still succeed.
@@ -468,12 +514,14 @@
             self._progress.longest_gap_s = max(
                 self._progress.longest_gap_s, gap_s
             )
-            if self._progress.mean_gap_s is None:
-                self._progress.mean_gap_s = gap_s
-            self._progress.mean_gap_s += GAP_SMOOTHING * (
-                gap_s - self._progress.mean_gap_s
+            gaps = self._progress.gaps
+            self._progress.gaps = (
+                silences.Gaps.from_first(gap_s)
+                if gaps is None
+                else gaps.add(gap_s, GAP_SMOOTHING)
             )
         self._record_event()
+        self._progress.pauses.record_event()
         if begins:
             self._context.parts.record_answer(self._request.shared_parts)
         if self._responder.started:
@@ -482,6 +530,7 @@
             await self._start_response(head, data)
         # The next events may have arrived while the caller did not read.
         self._record_event()
+        self._mark(pauses.Mark.CALLER_READY)
 
     async def _start_response(self, head, data: bytes) -> None:
         """Sends the first events to the caller."""
@@ -502,8 +551,11 @@
         server in trouble may send bytes that never complete an event.
         """
         while True:
-            with trio.move_on_at(self._check_at):
+            with trio.move_on_at(min(self._early_at, self._check_at)):
                 return await receive()
+            if trio.current_time() < self._check_at:
+                self._check_early()
+                continue
             broken = await self._handle_silence()
             if broken is not None:
                 return broken
@@ -534,6 +586,7 @@
         self._unresponsive_since.clear()
         self._check_interval_s = self._compute_silence_limit()
         self._check_at = self._last_activity_at + self._check_interval_s
+        self._early_at = self._last_activity_at + self._compute_early_limit()
 
     def _compute_silence_limit(self) -> float:
         """Returns the silence after which the path is probed, seconds."""
@@ -541,14 +594,42 @@
         limit_s = SILENCE_GAP_FRACTION * (
             route.event_gap_objective_s or route.latency_objective_s
         )
-        if self._progress.mean_gap_s is not None:
-            limit_s = min(
-                limit_s, SILENCE_MEAN_GAPS * self._progress.mean_gap_s
-            )
+        gaps = self._progress.gaps
+        if gaps is not None:
+            limit_s = min(limit_s, SILENCE_MEAN_GAPS * gaps.mean_s)
         limit_s = min(max(limit_s, SILENCE_MIN_S), SILENCE_MAX_S)
-        # If this process is busy, events are delayed here and not at the
-        # servers. A long probe time shows that.
-        return limit_s + PROBE_TIME_FACTOR * self._prober.mean_probe_duration_s
+        return limit_s + self._busy_s
+
+    @property
+    def _busy_s(self) -> float:
+        """Time that is added to silences, seconds.
+
+        If this process is busy, events are delayed here and not at the servers.
+        A long probe time shows that.
+        """
+        return PROBE_TIME_FACTOR * self._prober.mean_probe_duration_s
+
+    def _compute_early_limit(self) -> float:
+        """Returns the silence of an early check, seconds; infinite for none.
+
+        A path without an event so far may be in its prefill. The end of the
+        first server is noticed by the connection to it.
+        """
+        gaps = self._progress.gaps
+        if gaps is None or self.is_unanswered or len(self._path) < 2:
+            return float("inf")
+        busy_s = self._busy_s
+        limit_s = gaps.compute_early_limit(self._check_interval_s - busy_s)
+        return float("inf") if limit_s is None else limit_s + busy_s
+
+    def _check_early(self) -> None:
+        """Checks the later servers of a path whose next event is missing.
+
+        If one has ended, the streams move off it, see `replace_server`.
+        """
+        self._early_at = float("inf")
+        if self._is_newest(self):
+            self._prober.check_early(stage.server for stage in self._path[1:])
 
     async def _handle_silence(self) -> Broken | None:
         """Probes and repairs a silent path; returns `Broken` if it is lost."""
@@ -557,7 +638,10 @@
             return None
         silent_s = trio.current_time() - self._last_activity_at
         servers = [stage.server for stage in self._path]
-        failed = await self._prober.find_unresponsive(servers)
+        self._mark(pauses.Mark.SILENT)
+        self._mark(pauses.Mark.PROBE_SENT)
+        failed = await self._prober.find_failed(servers)
+        self._mark(pauses.Mark.PROBE_RESULT)
         stalled = self._prober.find_stalled(
             servers[0], self._request.head.request_id
         )
@@ -595,6 +679,7 @@
         once the caller has left.
         """
         first = self._path[0].server
+        self._mark(pauses.Mark.SERVER_LOST)
         self._record_ends(self._successions)
         if self._context.is_copy_quarantined(self._request):
             # A replacement would be the next server to crash.
@@ -734,7 +819,11 @@
     async def _change_path(self, path: paths.Path) -> bool:
         """Orders a new path; returns whether the first server accepted it."""
         before = self._path
-        accepted = await self._send_order(before[0].server, path)
+        self._mark(pauses.Mark.DECIDED)
+        self._mark(pauses.Mark.ORDER_SENT)
+        with self._count_replacements(path):
+            accepted = await self._send_order(before[0].server, path)
+        self._mark(pauses.Mark.ACCEPTED if accepted else pauses.Mark.REFUSED)
         # The attempt on this path may have ended before the response to the
         # order; its servers' counts have been updated then.
         if accepted and self._path is before:
@@ -742,6 +831,28 @@
             self._set_path(path)
         return accepted
 
+    @contextlib.contextmanager
+    def _count_replacements(self, path: paths.Path):
+        """Counts the stream on the servers that are new on an ordered path.
+
+        All streams of a lost server choose at the same time. If each counted
+        only after its order, all would take the same replacement, which would
+        prefill them one after the other.
+        """
+        kept = paths.list_instances(self._path)
+        ordered = [
+            self._context.view.get_health(stage.server)
+            for stage in path
+            if stage.server.instance not in kept
+        ]
+        for health in ordered:
+            health.in_flight += 1
+        try:
+            yield
+        finally:
+            for health in ordered:
+                health.in_flight -= 1
+
     async def _send_order(self, first: fleet.Server, path: paths.Path) -> bool:
         context = self._context
         context.metrics.increment("orders")
@@ -773,6 +884,7 @@
             for stage in self._path
             if stage.server.address == head.failed_address
         ] or [self._path[0].server]
+        self._mark(pauses.Mark.REFUSED)
         for server in at_fault:
             self._context.view.record_refusal(server, self._request.service)
         # The server at fault may have failed instead of refusing work.
