Close connections to seeds once the entries are known

Cause: needless connections were looked for only when the wanted ones changed, and at that moment the pair counted as two hubs. They are looked for at every check now.

--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/mesh.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/mesh.py
@@ -799,14 +799,7 @@
                 self._peers.keep_connected(address)
             for address in self._dialed - wanted:
                 self._peers.stop_reconnecting(address)
-                connection = self._peers.find(str(address))
-                if (
-                    connection is not None
-                    and connection.dialed
-                    # Of two hubs, either one may have opened the connection.
-                    and (self.is_member or address not in self._topology.hubs)
-                ):
-                    connection.close("no longer needed")
+            self._close_unneeded(wanted)
             if wanted != self._dialed:
                 _log.info(
                     "entries to connect to changed",
@@ -819,6 +812,18 @@
                 self._fetch_servers()
             await trio.sleep(DIAL_INTERVAL_S)
 
+    def _close_unneeded(self, wanted: frozenset[addresses.Address]) -> None:
+        """Closes the connections that this entry has opened and needs no more.
+
+        Two hubs need their connection, whichever has opened it.
+        """
+        for connection in self._peers.connections:
+            address = connection.dialed
+            if address is None or address in wanted:
+                continue
+            if not {address, self._address} <= self._topology.hubs:
+                connection.close("no longer needed")
+
     def _list_seeds_to_dial(self) -> frozenset[addresses.Address]:
         """Returns the seeds, while no other entry can know of this one.
 
--- a/tests/unit/test_mesh.py
+++ b/tests/unit/test_mesh.py
@@ -684,3 +684,23 @@
                 assert 'internal_errors_total{kind="request"}' not in text
 
     virtual_clock.run(run)
+
+
+@cases.run_on_virtual_clock
+async def test_connections_to_seeds_end_once_the_entries_are_known():
+    """Guards against messages of a large fleet that pass twice.
+
+    Entries that start together connect to their seeds before their rows can
+    be read, and a part of the list makes all of them hubs.
+    """
+    async with deployments.open_deployment(entries=0) as deployment:
+        for number in range(1, 13):
+            deployment.start_entry(number, seeds=(1, 2, 3))
+        await trio.sleep(10)
+        for entry in deployment.entries:
+            mesh = entry._mesh
+            if mesh.is_member:
+                keys = {
+                    connection.key for connection in mesh._peers.connections
+                }
+                assert keys == {str(hub) for hub in mesh._topology.uplinks}
