Report prefix caches of engines to the entries that use them

Sidecars dropped the cache events of their engines, whose keys an entry could not relate to prompts anyway. Engines discard the cache of released layers, number only events with changes and can isolate workspaces. Fields are only added; without a request of an entry nothing is sent.

--- a/packages/peridotyard-daemon/src/peridotyard_daemon/connection/engines.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/connection/engines.py
@@ -72,6 +72,9 @@
     def handle_problem(self, problem: Problem) -> None:
         """Called for each `Lost`, `Stalled` or `Refused`."""
 
+    def handle_cache_event(self, event: ttypes.EngineCacheEvent) -> None:
+        """Called for each change of the engine's prefix cache."""
+
 
 @dataclasses.dataclass(frozen=True)
 class _Outstanding:
@@ -262,6 +265,8 @@
             self.load = frame.engine_load
         elif frame.engine_hello is not None:
             self._set_hello(frame.engine_hello)
+        elif frame.engine_cache_event is not None:
+            self._handler.handle_cache_event(frame.engine_cache_event)
 
     def _handle_done(self, done: ttypes.EngineDone) -> None:
         self._result_at = trio.current_time()
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/sidecar.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/sidecar.py
@@ -8,6 +8,7 @@
 
 from peridotyard_daemon.connection import engines
 from peridotyard_daemon.connection import peers
+from peridotyard_daemon.process import caches
 from peridotyard_daemon.process import lifecycle
 from peridotyard_daemon.process import logs
 from peridotyard_daemon.process import network as network_module
@@ -77,6 +78,10 @@
             )
             self.engine = engines.Engine.from_config(values, network, self)
             self.work_handler.engine = self.engine
+            self._cache_reporter = caches.CacheReporter(self.peers)
+            self.work_handler.record_prefixes = (
+                self._cache_reporter.record_prefixes
+            )
         else:
             self.work_handler = make_claims(self)
 
@@ -87,6 +92,7 @@
             await nursery.start(self.peers.run, self._values.peer_address)
             if self.engine is not None:
                 nursery.start_soon(self.engine.run)
+                nursery.start_soon(self._cache_reporter.run)
             nursery.start_soon(self._post_offers)
             nursery.start_soon(self.replicator.run)
             task_status.started()
@@ -165,6 +171,7 @@
             offer.end_layer = hello.end_layer
             offer.tokens_per_s = hello.tokens_per_s
             offer.accelerator = hello.accelerator
+            offer.cache = hello.cache
         return offer
 
     # connection.peers.Handler
@@ -228,6 +235,10 @@
         """Passes a problem of the engine to the affected streams."""
         self.work_handler.handle_problem(problem)
 
+    def handle_cache_event(self, event: ttypes.EngineCacheEvent) -> None:
+        """Collects a change of the engine's prefix cache for the entries."""
+        self._cache_reporter.record_event(event)
+
 
 def run(values: settings.SidecarSettings) -> int:
     """Runs the process until it is stopped and returns its exit status."""
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/stages.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/stages.py
@@ -94,6 +94,10 @@
             notify_changed: Called when the number of open streams changes.
         """
         self.engine: engines.Engine | None = None
+        # Called with the keys of the prefixes of each prompt that has some.
+        self.record_prefixes: typing.Callable[[list[int]], None] = (
+            lambda _: None
+        )
         self.is_draining = False
         self._peers = peers
         self._limit = limit
@@ -281,6 +285,9 @@
         stream.next_address = ""
         if len(request.chain) > 1:
             stream.next_address = request.chain[stream.next_index].address
+        if request.prefix_keys:
+            self.record_prefixes(request.prefix_keys)
+        cache = self.engine.hello.cache
         self.engine.open(
             ttypes.EngineOpen(
                 stream=request.stream,
@@ -292,6 +299,9 @@
                 adapter=request.adapter,
                 fingerprint=request.fingerprint,
                 sampling=request.sampling,
+                prefix_keys=request.prefix_keys,
+                key_positions=request.key_positions,
+                scope=request.workspace if cache and cache.isolated else None,
             )
         )
 
@@ -412,6 +422,8 @@
             if stream is not None and stream.guard.finish(
                 result.generation, result.position, result.count, result
             ):
+                if result.held is not None:
+                    _report_hit(stream, result)
                 if stream.is_last:
                     stream.tokens.append(_make_token(result))
                 finished.append((stream, result))
@@ -574,3 +586,12 @@
         [],
         result.activations,
     )
+
+
+def _report_hit(stream: _Stream, result: ttypes.StepResult) -> None:
+    """Tells the entry how much of the prompt the engine held."""
+    request = stream.request
+    hit = ttypes.PrefixHit(
+        request.stream, request.generation, request.index, result.held
+    )
+    stream.entry.post(ttypes.Frame(prefix_hit=hit))
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/wire/peridotyard.thrift
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/wire/peridotyard.thrift
@@ -27,6 +27,8 @@
   9: i32 idle_heartbeat_ms = 0,
   /** Processor capacity, in cores of normal speed; 0: unknown. */
   10: double capacity = 0.0,
+  /** Whether the sender, an entry, uses CacheNews; not set: no. */
+  15: optional bool uses_cache_news,
 }
 
 /** Sign of life; also the digest of the configuration exchange. */
@@ -39,6 +41,22 @@
   4: bool holds_duty = false,
 }
 
+/** Prefix cache of an engine. */
+struct PrefixCache {
+  /** Changes whenever the engine has lost its cache. */
+  1: i64 cache_id = 0,
+  /** Positions in a block. */
+  2: i32 block = 0,
+  /** Blocks in memory. */
+  3: i64 blocks = 0,
+  /** Whether prompts of different workspaces share no blocks. */
+  4: bool isolated = false,
+  /** Time to compute a position that is not held, microseconds. */
+  5: double position_us = 0,
+  /** Time of an iteration without any position, microseconds. */
+  6: double step_us = 0,
+}
+
 /** What a sidecar's backend server can do now. */
 struct Offer {
   1: string instance = "",
@@ -61,6 +79,8 @@
   /** Of the layers of a backend server, the start time of its process. */
   15: i64 sequence = 0,
   16: string accelerator = "",
+  /** Not set if the engine has no prefix cache. */
+  20: optional PrefixCache cache,
 }
 
 /** One stage of a chain. */
@@ -96,6 +116,10 @@
   17: bool suspect = false,
   /** JSON object of the sampling parameters, empty for the defaults. */
   20: string sampling = "",
+  /** Keys of the prefixes of the prompt; not set unless the entry uses them. */
+  21: optional list<i64> prefix_keys,
+  /** Positions that each key stands for. */
+  22: optional i32 key_positions,
 }
 
 struct StreamOpened {
@@ -384,6 +408,8 @@
   11: bool ready = false,
   /** Random for each start of the engine. */
   12: i64 incarnation = 0,
+  /** Not set if the engine has no prefix cache. */
+  13: optional PrefixCache cache,
 }
 
 struct EngineOpen {
@@ -397,6 +423,12 @@
   8: i64 fingerprint = 0,
   /** See StreamOpen. */
   20: string sampling = "",
+  /** See StreamOpen. */
+  21: optional list<i64> prefix_keys,
+  /** See StreamOpen. */
+  22: optional i32 key_positions,
+  /** Workspace of the request, only for an engine that isolates workspaces. */
+  23: optional string scope,
 }
 
 struct EngineRun {
@@ -414,6 +446,8 @@
   7: string finish = "",
   /** Empty, or why the engine could not run the step. */
   8: string error = "",
+  /** Positions that the engine held; only for a prompt with prefix_keys. */
+  9: optional i32 held,
 }
 
 struct EngineDone {
@@ -437,6 +471,14 @@
   1: i64 sequence = 0,
   2: list<i64> stored = [],
   3: list<i64> evicted = [],
+  /** See PrefixCache. */
+  4: optional i64 cache_id,
+  /** Keys of StreamOpen that are held now. */
+  5: optional list<i64> stored_prefixes,
+  /** Keys of StreamOpen that are no longer held. */
+  6: optional list<i64> evicted_prefixes,
+  /** Blocks stored since the cache was created. */
+  7: optional i64 stored_total,
 }
 
 struct EngineOrder {
@@ -470,6 +512,29 @@
   5: string error = "",
 }
 
+/** Changes of an engine's prefix cache, from its sidecar to an entry. */
+struct CacheNews {
+  1: i64 sequence = 0,
+  /** See PrefixCache. */
+  2: i64 cache_id = 0,
+  /** Keys of StreamOpen that are held now. */
+  3: list<i64> stored,
+  /** Keys of StreamOpen that are no longer held. */
+  4: list<i64> evicted,
+  /** Blocks stored since the cache was created. */
+  5: i64 stored_blocks = 0,
+  /** Events of the engine that were lost since the last message. */
+  6: i32 lost = 0,
+}
+
+/** Positions of a prompt that a stage held, once the prompt has run. */
+struct PrefixHit {
+  1: i64 stream = 0,
+  2: i32 generation = 0,
+  3: i32 index = 0,
+  4: i32 held = 0,
+}
+
 struct Frame {
   1: optional Hello hello,
   2: optional Heartbeat heartbeat,
@@ -498,6 +563,8 @@
   25: optional ServerStatements server_statements,
   26: optional ReservationRequest reservation_request,
   27: optional ReservationReply reservation_reply,
+  36: optional CacheNews cache_news,
+  37: optional PrefixHit prefix_hit,
   40: optional EngineHello engine_hello,
   41: optional EngineOpen engine_open,
   42: optional EngineRun engine_run,
--- a/packages/peridotyard-emulator/src/peridotyard_emulator/engine.py
+++ b/packages/peridotyard-emulator/src/peridotyard_emulator/engine.py
@@ -147,6 +147,13 @@
         "one cache event in this many is lost, 0 for none",
         minimum=0,
     )
+    cache_isolated: bool = options.declare(
+        "cache",
+        "isolated",
+        "bool",
+        False,
+        "prompts of different workspaces share no blocks",
+    )
     crash_marker: str = options.declare(
         "faults",
         "crash_marker",
@@ -228,10 +235,18 @@
 
 @dataclasses.dataclass(frozen=True)
 class _Block:
-    """Layer checksums after a block of positions, and the block's outputs."""
+    """Layer checksums after a block of positions, and the block's outputs.
+
+    Attributes:
+        checksums: Checksum of each layer.
+        outputs: Outputs of the last layer.
+        prefix: Key of the prompt up to the end of the block, as the entry
+            computed it; None if it did not send one.
+    """
 
     checksums: tuple[int, ...]
     outputs: tuple[int, ...]
+    prefix: int | None = None
 
 
 class PrefixCache:
@@ -245,19 +260,44 @@
         evicted: Keys evicted since the last event.
     """
 
-    def __init__(self, limit: int):
+    def __init__(self, limit: int, cache_id: int = 0):
+        """Creates an empty cache.
+
+        Args:
+            limit: Blocks in memory.
+            cache_id: Number that distinguishes this cache from others.
+        """
         self._limit = limit
+        self._cache_id = cache_id
+        # Whether a prefix that an entry has named is held, for those that
+        # changed since the last event.
+        self._prefixes: dict[int, bool] = {}
+        self._stored_total = 0
         self._blocks: collections.OrderedDict[int, _Block] = (
             collections.OrderedDict()
         )
         self.stored: list[int] = []
         self.evicted: list[int] = []
 
-    def find(self, key: int) -> _Block | None:
-        """Returns a block and marks it as most recently used."""
+    @property
+    def has_changes(self) -> bool:
+        """Whether there is something to report."""
+        return bool(self.stored or self.evicted or self._prefixes)
+
+    def find(self, key: int, prefix: int | None = None) -> _Block | None:
+        """Returns a block and marks it as most recently used.
+
+        Args:
+            key: Key of the block.
+            prefix: Key by which the entry knows the prefix, if it named one.
+        """
         block = self._blocks.get(key)
         if block is not None:
             self._blocks.move_to_end(key)
+            if prefix is not None and block.prefix != prefix:
+                block = dataclasses.replace(block, prefix=prefix)
+                self._blocks[key] = block
+                self._prefixes[prefix] = True
         return block
 
     def add(self, key: int, block: _Block) -> None:
@@ -266,14 +306,29 @@
             return
         self._blocks[key] = block
         self.stored.append(key)
+        self._stored_total += 1
+        if block.prefix is not None:
+            self._prefixes[block.prefix] = True
         while len(self._blocks) > self._limit:
-            self.evicted.append(self._blocks.popitem(last=False)[0])
+            evicted_key, evicted = self._blocks.popitem(last=False)
+            self.evicted.append(evicted_key)
+            if evicted.prefix is not None:
+                self._prefixes[evicted.prefix] = False
 
     def pop_event(self, sequence: int) -> ttypes.EngineCacheEvent:
         """Returns the keys stored and evicted since the last call."""
-        event = ttypes.EngineCacheEvent(sequence, self.stored, self.evicted)
+        event = ttypes.EngineCacheEvent(
+            sequence,
+            self.stored,
+            self.evicted,
+            self._cache_id,
+            [key for key, is_held in self._prefixes.items() if is_held],
+            [key for key, is_held in self._prefixes.items() if not is_held],
+            self._stored_total,
+        )
         self.stored = []
         self.evicted = []
+        self._prefixes = {}
         return event
 
 
@@ -305,6 +360,15 @@
         self.block_outputs: list[int] = []
         self.runs = bytearray()
 
+    def _find_prefix(self, end: int) -> int | None:
+        """Returns the key that the entry gave the positions before `end`."""
+        size = self.request.key_positions or 0
+        if size < 1 or end % size:
+            return None
+        keys = self.request.prefix_keys or ()
+        index = end // size - 1
+        return keys[index] if index < len(keys) else None
+
     def record_runs(self, position: int, count: int) -> None:
         missing = position + count - len(self.runs)
         self.runs.extend(bytes(max(0, missing)))
@@ -330,7 +394,8 @@
             offset += len(chunk)
             if len(chunk) == size:
                 key = _hash_block(self.key, chunk)
-                block = cache.find(key)
+                prefix = self._find_prefix(self.kv.length + size)
+                block = cache.find(key, prefix)
                 if block is not None:
                     self.kv.checksums = list(block.checksums)
                     self.kv.length += size
@@ -346,7 +411,11 @@
                 self.key = _hash_block(self.key, self.block_inputs)
                 cache.add(
                     self.key,
-                    _Block(tuple(self.kv.checksums), tuple(self.block_outputs)),
+                    _Block(
+                        tuple(self.kv.checksums),
+                        tuple(self.block_outputs),
+                        self._find_prefix(self.kv.length),
+                    ),
                 )
                 self.block_inputs = []
                 self.block_outputs = []
@@ -400,7 +469,8 @@
         self.adapters = list(values.adapters)
         self.ready = True
         self._incarnation = incarnation or random.getrandbits(62)
-        self._cache = PrefixCache(values.cache_blocks)
+        self._cache_id = self._incarnation
+        self._cache = PrefixCache(values.cache_blocks, self._cache_id)
         self._streams: dict[int, _Stream] = {}
         self._clients: set[_Client] = set()
         # Heap of waiting steps: priority, arrival number, client and step.
@@ -501,6 +571,20 @@
             tokens_per_s=self._settings.tokens_per_s,
             ready=self.ready,
             incarnation=self._incarnation,
+            cache=self._describe_cache(),
+        )
+
+    def _describe_cache(self) -> ttypes.PrefixCache | None:
+        values = self._settings
+        if values.cache_blocks == 0:
+            return None
+        return ttypes.PrefixCache(
+            self._cache_id,
+            values.cache_block,
+            values.cache_blocks,
+            values.cache_isolated,
+            values.per_token_s * 1e6,
+            values.base_s * 1e6,
         )
 
     async def _serve_client(self, stream) -> None:
@@ -560,7 +644,10 @@
                 return
             self._close_stream(request.stream)
         model_key = (self.model, self.version, self.first, self.end)
-        key = _hash_block(0, list(repr((model_key, request.adapter)).encode()))
+        owner = (model_key, request.adapter)
+        if self._settings.cache_isolated:
+            owner += (request.scope,)
+        key = _hash_block(0, list(repr(owner).encode()))
         stream = _Stream(request, client, self._make_kv(), key)
         self._streams[request.stream] = stream
         runs_key = (request.stream, request.generation, self.first, self.end)
@@ -660,6 +747,8 @@
         outputs, computed = stream.run(
             values, self._cache, self._settings.cache_block
         )
+        if stream.request.prefix_keys and step.position == 0:
+            result.held = step.count - computed
         stream.record_runs(step.position, step.count)
         self._steps_run += 1
         if self.end < self._settings.layers:
@@ -753,6 +842,11 @@
                 if order.adapter in self.adapters:
                     self.adapters.remove(order.adapter)
         if replaces_model:
+            # The memory of the released layers holds their cache as well.
+            self._cache_id += 1
+            self._cache = PrefixCache(
+                self._settings.cache_blocks, self._cache_id
+            )
             self.ready = True
         self._broadcast_hello()
 
@@ -781,11 +875,17 @@
                     client.post(engine_load=due[1])
 
     async def _report_cache(self) -> None:
-        for sequence in itertools.count(1):
+        sequence = 0
+        while True:
             await trio.sleep(self._settings.load_interval_s)
+            if not self._cache.has_changes:
+                continue
+            # Only events with changes are numbered, so that the receiver can
+            # tell lost ones.
+            sequence += 1
             event = self._cache.pop_event(sequence)
             gap = self._settings.cache_event_gap
-            if (event.stored or event.evicted) and (gap == 0 or sequence % gap):
+            if gap == 0 or sequence % gap:
                 self._nursery.start_soon(self._post_after_lag, event)
 
     async def _post_after_lag(self, event: ttypes.EngineCacheEvent) -> None:
--- a/tests/unit/test_engine.py
+++ b/tests/unit/test_engine.py
@@ -208,3 +208,68 @@
     await client.open()
     done = await client.run(make_step(PROMPT))
     assert done.results[0].error == ("refused" if status == 200 else "")
+
+
+async def run_keyed(client, stream, keys=(11, 12), **fields):
+    """Runs the prompt with the keys of its prefixes; returns the result."""
+    await client.open(
+        stream, prefix_keys=list(keys), key_positions=16, **fields
+    )
+    return (await client.run(make_step(PROMPT, stream))).results[0]
+
+
+@with_engine(
+    cache_block=8,
+    cache_blocks=6,
+    load_interval_s=5,
+    cache_event_lag_s=0,
+    cache_event_gap=2,
+)
+async def test_cache_events_name_the_keys_of_prompts(client):
+    """Guards against events that an entry cannot relate to its prompts."""
+    assert (await run_keyed(client, 1)).held == 0
+    assert (await run_keyed(client, 2)).held == 40
+    first = await client.receive("engine_cache_event")
+    assert first.cache_id == client.engine._make_hello().cache.cache_id
+    assert (first.sequence, first.stored_total) == (1, 5)
+    assert (first.stored_prefixes, first.evicted_prefixes) == ([11, 12], [])
+    # Events without changes are not numbered, and the second one is lost.
+    await trio.sleep(20)
+    await client.open(3)
+    await client.run(make_step(PROMPT[::-1], 3))
+    await trio.sleep(20)
+    await run_keyed(client, 4, (11, 12))
+    third = await client.receive("engine_cache_event")
+    assert third.sequence == 3
+    assert third.stored_prefixes == [11, 12]
+
+
+@with_engine(cache_isolated=True)
+async def test_isolated_workspaces_share_no_blocks(client):
+    """Guards against a hit that shows one workspace the prompts of another."""
+    assert client.engine._make_hello().cache.isolated
+    assert (await run_keyed(client, 1, scope="north")).held == 0
+    assert (await run_keyed(client, 2, scope="south")).held == 0
+    assert (await run_keyed(client, 3, scope="north")).held == 32
+
+
+@with_engine()
+async def test_released_layers_lose_their_cache(client):
+    """Guards against a cache that outlives the layers that computed it."""
+    await run_keyed(client, 1)
+    before = client.engine._make_hello().cache.cache_id
+    for order, end in ((1, 2), (2, 4)):
+        message = ttypes.EngineOrder(
+            order, order, "set-layers", first_layer=0, end_layer=end
+        )
+        await client.send(engine_order=message)
+        await client.receive("engine_order_reply")
+    assert client.engine._make_hello().cache.cache_id != before
+    assert (await run_keyed(client, 2)).held == 0
+
+
+@with_engine(cache_blocks=0)
+async def test_engine_without_cache_states_none(client):
+    """Guards against entries that expect hits where nothing is retained."""
+    assert client.engine._make_hello().cache is None
+    assert (await run_keyed(client, 1)).held == 0
--- a/tests/unit/test_stages.py
+++ b/tests/unit/test_stages.py
@@ -30,13 +30,19 @@
 
     def __init__(self, network):
         self.received = collections.defaultdict(list)
+        self.uses_cache_news = None
         self.tokens = {}
         self.copies = 0
         self.peers = peers.Peers(network.join(str(ENTRY)), self, TIMING)
 
     def make_hello(self):
         return ttypes.Hello(
-            "entry", role="entry", address=str(ENTRY), incarnation=1, protocol=1
+            "entry",
+            role="entry",
+            address=str(ENTRY),
+            incarnation=1,
+            protocol=1,
+            uses_cache_news=self.uses_cache_news,
         )
 
     def make_heartbeat(self):
@@ -118,7 +124,9 @@
         address = self.stages[index].address
         return self.entry.peers.find(address).post(ttypes.Frame(**field))
 
-    async def open(self, stream=1, generation=1, count=12, tokens=PROMPT):
+    async def open(
+        self, stream=1, generation=1, count=12, tokens=PROMPT, keys=None
+    ):
         """Opens a stream on all stages and sends its prefix."""
         for index in range(len(self.stages)):
             request = ttypes.StreamOpen(
@@ -126,6 +134,8 @@
             )
             request.max_tokens = count
             request.prompt_tokens = len(PROMPT)
+            request.prefix_keys = keys
+            request.key_positions = 8 if keys else None
             self.post(index, stream_open=request)
         await trio.sleep(0.01)
         self.send_step(stream, generation, tokens)
