Select chains by the prefixes that engines hold, if enabled

Prompts with a shared prefix were computed again on whichever servers had the least load. With [prefixes] enabled (off by default) an entry requests the cache news of its sidecars, sends the keys of a prompt to its stages, records what they report to hold, and selects the chain with the least expected time to the first token. Off, no field, message or state is added; the platform's entry does not use any of it.

--- a/packages/peridotyard-core/src/peridotyard_core/prefixes.py
+++ b/packages/peridotyard-core/src/peridotyard_core/prefixes.py
@@ -192,12 +192,12 @@
     """When a server was last known to use a key.
 
     Attributes:
-        cache_id: Id of the cache that held the key.
+        epoch: Epoch of the server's state at the time.
         stored_blocks: Blocks that the server had stored by then.
         at: Time, seconds.
     """
 
-    cache_id: int
+    epoch: int
     stored_blocks: float
     at: float
 
@@ -208,6 +208,7 @@
 
     Attributes:
         cache: What the server states.
+        epoch: Number that is different for each state of this entry.
         sequence: Sequence of its last news, 0 before the first.
         stored_blocks: Estimated blocks that it has stored.
         own_blocks: Part of them that this entry has sent since the last news.
@@ -216,6 +217,7 @@
     """
 
     cache: Cache
+    epoch: int
     sequence: int = 0
     stored_blocks: float = 0.0
     own_blocks: float = 0.0
@@ -229,14 +231,14 @@
 
     Attributes:
         address: Address of the server.
-        cache_id: Id of its cache at the time.
+        epoch: Epoch of the server's state at the time.
         expected: Positions that the server was expected to hold.
         unweighted: The same, regardless of the trust in its records.
         pending: Positions that were counted as pending.
     """
 
     address: str
-    cache_id: int
+    epoch: int
     expected: float
     unweighted: float
     pending: float
@@ -253,6 +255,7 @@
         """
         self._records_limit = records_limit
         self._servers: dict[str, _Server] = {}
+        self._epoch = 0
         # Least recently used first.
         self._records: collections.OrderedDict[tuple[str, int], _Record] = (
             collections.OrderedDict()
@@ -281,9 +284,10 @@
             self.remove_server(address)
             return
         server = self._servers.get(address)
-        # Records of the server's previous cache no longer match its id.
         if server is None or server.cache.cache_id != cache.cache_id:
-            self._servers[address] = _Server(cache)
+            # Records of an earlier epoch no longer count.
+            self._epoch += 1
+            self._servers[address] = _Server(cache, self._epoch)
         else:
             server.cache = cache
 
@@ -363,7 +367,7 @@
         server.own_blocks += missing / cache.block
         for key in keys:
             self._add(address, server, key, now)
-        return Sent(address, cache.cache_id, expected, unweighted, missing)
+        return Sent(address, server.epoch, expected, unweighted, missing)
 
     def record_run(self, sent: Sent, held: int) -> None:
         """Records how many positions the server did hold.
@@ -387,15 +391,15 @@
             server.pending = max(0.0, server.pending - sent.pending)
 
     def _find_same(self, sent: Sent) -> _Server | None:
-        """Returns the server if it still has the cache of that time."""
+        """Returns the server if it still has the state of that time."""
         server = self._servers.get(sent.address)
-        if server is None or server.cache.cache_id != sent.cache_id:
+        if server is None or server.epoch != sent.epoch:
             return None
         return server
 
     def _add(self, address: str, server: _Server, key: int, now: float) -> None:
         self._records[address, key] = _Record(
-            server.cache.cache_id, server.stored_blocks, now
+            server.epoch, server.stored_blocks, now
         )
         self._records.move_to_end((address, key))
         while len(self._records) > self._records_limit:
@@ -421,7 +425,7 @@
     the probability falls linearly with the number of blocks stored.
     """
     age_s = max(0.0, now - record.at)
-    if record.cache_id != server.cache.cache_id or age_s >= RETENTION_S:
+    if record.epoch != server.epoch or age_s >= RETENTION_S:
         return 0.0
     stored = max(0.0, server.stored_blocks - record.stored_blocks)
     pressure = max(0.0, 1 - stored / server.cache.blocks)
--- a/packages/peridotyard-core/src/peridotyard_core/settings.py
+++ b/packages/peridotyard-core/src/peridotyard_core/settings.py
@@ -260,6 +260,13 @@
         minimum=0,
         maximum=100,
     )
+    prefixes_enabled: bool = options.declare(
+        "prefixes",
+        "enabled",
+        "bool",
+        False,
+        "select servers by the prefixes of prompts that their engines hold",
+    )
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/entry.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/entry.py
@@ -211,6 +211,7 @@
             address=str(settings.peer_address),
             incarnation=self._incarnation,
             protocol=peers_module.PROTOCOL_VERSION,
+            uses_cache_news=settings.prefixes_enabled or None,
         )
         self.replicator.fill_hello(hello)
         return hello
@@ -239,6 +240,8 @@
             return
         if frame.offer is not None:
             self.table.record_offer(address, make_offer(frame.offer, address))
+            if self.completions.holders is not None:
+                self.completions.holders.set_cache(address, frame.offer.cache)
             self.completions.handle_capacity()
         elif frame.leaving is not None:
             self.table.record_leaving(address)
@@ -263,6 +266,8 @@
         # one may remain.
         if self.peers.find(address) is None:
             self.table.record_disconnected(address)
+            if self.completions.holders is not None:
+                self.completions.holders.remove_server(address)
         self.completions.handle_closed(connection)
         if self.calls is not None:
             self.calls.handle_closed(connection)
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/chains.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/chains.py
@@ -13,6 +13,7 @@
 from peridotyard_core import budgets
 from peridotyard_core import membership
 from peridotyard_core import pipelines
+from peridotyard_core import prefixes
 from peridotyard_core import streams
 from peridotyard_core import verdicts
 import trio
@@ -20,6 +21,7 @@
 from peridotyard_daemon.connection import peers as peers_module
 from peridotyard_daemon.process import logs
 from peridotyard_daemon.process import metrics as metrics_module
+from peridotyard_daemon.request import holders as holders_module
 from peridotyard_daemon.wire.generated import ttypes
 
 # Pause between searches for a replacement stage while there is none.
@@ -50,6 +52,8 @@
         fingerprint: Signed 64-bit hash of the request.
         deadline: trio time at which the entry ends the response.
         sampling: JSON object of the sampling parameters, empty without any.
+        keyed_prompt: The prompt with the keys of its prefixes, None if chains
+            are selected by load alone.
     """
 
     request_id: str
@@ -65,6 +69,7 @@
     fingerprint: int
     deadline: float
     sampling: str = ""
+    keyed_prompt: prefixes.Prompt | None = None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -147,10 +152,16 @@
     timing: Timing
     metrics: metrics_module.Metrics
     random: random_module.Random
+    # None if chains are selected by load alone.
+    holders: holders_module.PrefixTracker | None = None
 
     def find_chain(self, job: Job) -> pipelines.Chain | None:
         """Returns a chain that has capacity for a new response."""
         offers = self.table.find_stages(job.model, job.version, job.adapter)
+        if self.holders is not None and job.keyed_prompt is not None:
+            return self.holders.select_chain(
+                job.keyed_prompt, offers, job.layers
+            )
         return self.selector.select_chain(offers, job.layers)
 
     def has_chain(self, job: Job) -> bool:
@@ -342,6 +353,10 @@
             if stage.offer.address not in new_addresses:
                 self._post_close(stage, "replaced")
         self._context.table.remove_stream(before)
+        if self.job.keyed_prompt is not None:
+            self._context.holders.record_sent(
+                self.stream_id, generation, chain, self.job.keyed_prompt
+            )
         for index, stage in enumerate(chain):
             connection = self._context.peers.find(stage.offer.address)
             if connection is None:
@@ -355,6 +370,11 @@
         self._incarnations[stage.offer.address] = connection.peer.incarnation
         job = self.job
         remaining_s = max(0.0, job.deadline - trio.current_time())
+        keys = key_positions = None
+        if job.keyed_prompt is not None:
+            keys, key_positions = self._context.holders.find_keys(
+                stage.offer.address, job.keyed_prompt
+            )
         connection.post(
             ttypes.Frame(
                 stream_open=ttypes.StreamOpen(
@@ -383,6 +403,8 @@
                     fingerprint=job.fingerprint,
                     sampling=job.sampling,
                     resume_position=self.state.next_position,
+                    prefix_keys=keys,
+                    key_positions=key_positions,
                 )
             )
         )
@@ -620,6 +642,8 @@
         for stage in chain:
             self._post_close(stage, reason)
         self._context.table.remove_stream(chain)
+        if self.job.keyed_prompt is not None:
+            self._context.holders.record_ended(self.stream_id)
 
     def _post_close(self, stage: pipelines.ChainStage, reason: str) -> None:
         self._context.close_outbox.post(
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/completions.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/completions.py
@@ -10,6 +10,7 @@
 from peridotyard_core import errors
 from peridotyard_core import membership
 from peridotyard_core import pipelines
+from peridotyard_core import prefixes
 from peridotyard_core import tokens
 from peridotyard_core import verdicts
 import trio
@@ -17,6 +18,7 @@
 from peridotyard_daemon.connection import http
 from peridotyard_daemon.process import logs
 from peridotyard_daemon.request import chains
+from peridotyard_daemon.request import holders
 from peridotyard_daemon.request import parameters
 from peridotyard_daemon.request import traces
 from peridotyard_daemon.wire.generated import ttypes
@@ -75,10 +77,16 @@
         self._queues: dict[tuple[str, str], admission.Queue] = {}
         self._responses: dict[int, chains.Response] = {}
         self._traces = traces.Traces()
+        selector = pipelines.LeastLoadSelector(random)
+        self.holders = None
+        if settings.prefixes_enabled:
+            self.holders = holders.PrefixTracker(
+                selector, metrics, random, settings.zone
+            )
         self.context = chains.ResponseContext(
             peers,
             table,
-            pipelines.LeastLoadSelector(random),
+            selector,
             budgets.RetryBudget(),
             chains.CloseOutbox(
                 peers,
@@ -87,6 +95,7 @@
             chains.Timing.from_config(settings),
             metrics,
             random,
+            self.holders,
         )
 
     @property
@@ -128,6 +137,12 @@
                 response.handle_failed(
                     chains.find_address(connection), frame.stream_failed
                 )
+        elif self.holders is not None and frame.prefix_hit is not None:
+            address = chains.find_address(connection)
+            self.holders.record_hit(address, frame.prefix_hit)
+        elif self.holders is not None and frame.cache_news is not None:
+            address = chains.find_address(connection)
+            self.holders.apply_news(address, frame.cache_news)
         else:
             return False
         return True
@@ -312,6 +327,15 @@
             values.hash_content(),
             trio.current_time() + self._settings.request_timeout_s,
             values.sampling,
+            None
+            if self.holders is None
+            else prefixes.Prompt(
+                values.prompt,
+                model.name,
+                model.version,
+                adapter,
+                workspace.name,
+            ),
         )
 
     def _find_response(self, connection, message) -> chains.Response | None:
--- a/tests/support/sidecars.py
+++ b/tests/support/sidecars.py
@@ -39,6 +39,8 @@
         ran: Stream, generation and length of the sequence of each step.
         opens: Received StreamOpen messages in order.
         limit: Number of concurrent streams that it offers to run.
+        cache: Prefix cache that its offers state, if any.
+        held: Positions that it reports to hold, None to report nothing.
         is_ready: Whether its offers say that it is ready.
         is_draining: Whether its offers say that it is draining.
         streams: StreamOpen message of each open stream.
@@ -52,6 +54,7 @@
         self.name = f"s{number}"
         self.layers = (first_layer, end_layer)
         self.limit = limit
+        self.cache = self.held = None
         self.step_s = 0.01
         self.refusal = ""
         self.ignores_open = self.is_stalled = self.drops_tokens = False
@@ -109,6 +112,7 @@
                     draining=self.is_draining,
                     limit=self.limit,
                     sequence=self._sequence,
+                    cache=self.cache,
                 )
             )
         )
@@ -194,6 +198,11 @@
             self._report_failure(message)
             return
         self.ran.append(step_id)
+        if self.held is not None and step.position == 0:
+            hit = ttypes.PrefixHit(
+                step.stream, step.generation, message.index, self.held
+            )
+            self.entry.post(ttypes.Frame(prefix_hit=hit))
         if message.index + 1 < len(message.chain):
             await self._forward(message, message.index + 1, step.position)
         else:
