Compare selections by prefixes on the product's own engines

python -m bench prefixes starts entries, sidecars and emulated engines for each pattern of prompts and each selection and prints hit ratio, time to the first token and throughput.

Deployments of peridotyard local can be started with other processes, for the bench.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -14,6 +14,7 @@
     "capacity": "bench.capacity",
     "layouts": "bench.layouts",
     "entry": "bench.entry",
+    "prefixes": "bench.prefixes",
 }
 
 
--- a/packages/peridotyard-cli/src/peridotyard_cli/local.py
+++ b/packages/peridotyard-cli/src/peridotyard_cli/local.py
@@ -73,12 +73,15 @@
         zone: Availability zone.
         sections: Content of the settings file: sections with their options
             and values.
+        command: Command without the option --settings; empty for the usual one
+            of the role.
     """
 
     name: str
     role: str
     zone: str
     sections: dict[str, dict[str, typing.Any]]
+    command: tuple[str, ...] = ()
 
     @property
     def is_daemon(self) -> bool:
@@ -286,6 +289,8 @@
 
 def make_command(plan: Plan) -> list[str]:
     """Returns the command of a process, without the option --settings."""
+    if plan.command:
+        return list(plan.command)
     if plan.is_daemon:
         scripts = pathlib.Path(sysconfig.get_path("scripts"))
         return [str(scripts / "peridotyardd"), plan.role]
@@ -348,7 +353,11 @@
     """
 
     def __init__(
-        self, directory: str | None = None, *, keep_logs: bool = False
+        self,
+        directory: str | None = None,
+        *,
+        keep_logs: bool = False,
+        make_plans: collections.abc.Callable[[str], list[Plan]] | None = None,
     ):
         """Prepares the deployment; nothing is started yet.
 
@@ -356,6 +365,9 @@
             directory: Where settings and logs are written; a new temporary
                 directory if None.
             keep_logs: Whether `stop` keeps a temporary directory.
+            make_plans: Function from the administration token to all processes
+                in the order in which they are started; `plan_processes` if
+                None.
         """
         self._is_temporary = directory is None
         self._keep_logs = keep_logs
@@ -366,7 +378,7 @@
         )
         self.admin_token = secrets.token_hex(16)
         self.keys = {name: secrets.token_hex(16) for name in WORKSPACES}
-        plans = plan_processes(self.admin_token)
+        plans = (make_plans or plan_processes)(self.admin_token)
         self._processes = {
             plan.name: _Process(plan, self.directory) for plan in plans
         }
@@ -603,6 +615,11 @@
 
     def _wait_until_served(self, waiter: "_Waiter") -> None:
         prompt = {"model": MODEL, "prompt": "ready?", "max_tokens": 1}
+        served = {
+            plan.sections["service"]["kind"]
+            for plan in self.plans
+            if plan.role == "service"
+        }
         for url in self.entry_urls:
             for name, service in WORKSPACES.items():
                 key = self.keys[name]
@@ -612,6 +629,8 @@
                         send, "POST", f"{url}/v1/completions", key, prompt
                     ),
                 )
+                if service not in served:
+                    continue
                 path = make_path(service, "none")
                 waiter.wait(
                     f"{url} serves {service} to {name}",
--- a/packages/peridotyard-core/src/peridotyard_core/prefixes.py
+++ b/packages/peridotyard-core/src/peridotyard_core/prefixes.py
@@ -529,7 +529,7 @@
         figures: _Figures,
         length: int,
     ) -> float:
-        """Returns the expected time at a stage, seconds.
+        """Returns the expected time and the delay of others, seconds.
 
         Args:
             offer: The server.
@@ -545,7 +545,11 @@
             1 - utilisation
         )
         missing = max(0.0, length - figures.held)
-        prefill_s = missing * figures.position_s * share
+        # An iteration ends for all of its streams at once, so that a prefill
+        # delays each stream in progress as well. Without this term, a prompt
+        # is computed again elsewhere as soon as its own wait is longer, which
+        # takes time from all others.
+        prefill_s = missing * figures.position_s * share * (1 + offer.load)
         link_s = ZONE_LINK_S if offer.zone != self._zone else 0.0
         tie_break = 1 + pipelines.TIE_BREAK_SHARE * self._random.random()
         total_s = wait_s + prefill_s + link_s + step_s * share
--- a/tests/unit/test_prefixes.py
+++ b/tests/unit/test_prefixes.py
@@ -123,6 +123,21 @@
     assert max(entry.counts.values()) < 2 * 200 / len(SERVERS)
 
 
+@pytest.mark.parametrize(("other_load", "moves"), [(0, True), (8, False)])
+def test_prefill_elsewhere_counts_the_streams_it_delays(
+    entry, other_load, moves
+):
+    """Guards against a hot prefix that is computed on every busy server."""
+    holder = entry.start(make_shared(0))
+    entry.finish()
+    entry.loads = dict.fromkeys(SERVERS, other_load)
+    entry.loads[holder] = 8
+    # The prompts before it keep the holder busy for longer than a prefill.
+    for number in range(1, 12):
+        entry.knowledge.record_sent(holder, make_shared(number), 0.0)
+    assert (entry.select(make_shared(20)) != holder) == moves
+
+
 def test_full_holder_leaves_the_request_to_others(entry):
     """Guards against a request that waits or fails because of its holder."""
     holder = entry.start(make_shared(0))
