--- a/tests/unit/test_local.py
+++ b/tests/unit/test_local.py
@@ -153,3 +153,11 @@
     assert [item.name for item in pathlib.Path(tmp_path).iterdir()] == [
         "ready.json"
     ]
+
+
+def test_plan_may_name_its_own_command():
+    """Guards against a bench that starts the usual entry, not its own."""
+    plan = local.Plan("entry-1", "entry", "z", {}, ("python", "-m", "bench"))
+    assert local.make_command(plan) == ["python", "-m", "bench"]
+    engine = local.Plan("engine-1", "engine", "z", {})
+    assert local.make_command(engine)[-1] == "engine"
