--- a/bench/prefixes.py
+++ b/bench/prefixes.py
@@ -117,6 +117,7 @@
     def make(self) -> callers.Prompt:
         """Returns the next prompt."""
         self._number += 1
+        # Begins with zeros, which prompts with the same prefix share as well.
         own = f"{self._number:0{OWN_POSITIONS}d}"
         prefix = self._choose_prefix()
         if prefix is None:
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/caches.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/caches.py
@@ -58,9 +58,10 @@
         """Counts a request that uses prefixes.
 
         Args:
-            keys: Keys of the prefixes of its prompt.
+            keys: Keys of the prefixes of its prompt, at most
+                `prefixes.PROMPT_KEYS_LIMIT`.
         """
-        for key in keys[: prefixes.PROMPT_KEYS_LIMIT]:
+        for key in keys:
             self._requests[key] = self._requests.pop(key, 0) + 1
         while len(self._requests) > CHANGES_LIMIT:
             self._requests.popitem(last=False)
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/stages.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/stages.py
@@ -10,6 +10,7 @@
 import typing
 
 from peridotyard_core import addresses
+from peridotyard_core import prefixes
 from peridotyard_core import steps
 import trio
 
@@ -285,8 +286,10 @@
         stream.next_address = ""
         if len(request.chain) > 1:
             stream.next_address = request.chain[stream.next_index].address
-        if request.prefix_keys:
-            self.record_prefixes(request.prefix_keys)
+        keys = request.prefix_keys
+        if keys:
+            keys = keys[: prefixes.PROMPT_KEYS_LIMIT]
+            self.record_prefixes(keys)
         cache = self.engine.hello.cache
         self.engine.open(
             ttypes.EngineOpen(
@@ -299,7 +302,7 @@
                 adapter=request.adapter,
                 fingerprint=request.fingerprint,
                 sampling=request.sampling,
-                prefix_keys=request.prefix_keys,
+                prefix_keys=keys,
                 key_positions=request.key_positions,
                 scope=request.workspace if cache and cache.isolated else None,
             )
--- a/tests/unit/test_caches.py
+++ b/tests/unit/test_caches.py
@@ -122,3 +122,13 @@
     assert not chain.entry.received["prefix_hit"]
     assert not chain.entry.received["cache_news"]
     chain.check_tokens()
+
+
+@test_stages.with_chain(OPTIONS)
+async def test_keys_of_a_prompt_are_bounded(chain):
+    """Guards against an entry that makes sidecars keep any number of keys."""
+    await chain.open(keys=list(range(1000)))
+    await trio.sleep(1)
+    requests = chain.sidecars[0]._cache_reporter._requests
+    assert len(requests) == prefixes.PROMPT_KEYS_LIMIT
+    chain.check_tokens()
--- a/tests/unit/test_engine.py
+++ b/tests/unit/test_engine.py
@@ -273,3 +273,14 @@
     """Guards against entries that expect hits where nothing is retained."""
     assert client.engine._make_hello().cache is None
     assert (await run_keyed(client, 1)).held == 0
+
+
+@pytest.mark.parametrize("size", [None, 0, -16, 7])
+@with_engine(load_interval_s=5, cache_event_lag_s=0)
+async def test_keys_at_invalid_positions_are_not_reported(client, size):
+    """Guards against keys that stand for other positions than the entry's."""
+    await client.open(1, prefix_keys=[11, 12], key_positions=size)
+    await client.run(make_step(PROMPT))
+    event = await client.receive("engine_cache_event")
+    assert len(event.stored) == 2
+    assert event.stored_prefixes == []
