--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/stages.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/stages.py
@@ -10,6 +10,7 @@
 import typing
 
 from peridotyard_core import addresses
+from peridotyard_core import prefixes
 from peridotyard_core import steps
 import trio
 
@@ -94,6 +95,10 @@
             notify_changed: Called when the number of open streams changes.
         """
         self.engine: engines.Engine | None = None
+        # Called with the keys of the prefixes of each prompt that has some.
+        self.record_prefixes: typing.Callable[[list[int]], None] = (
+            lambda _: None
+        )
         self.is_draining = False
         self._peers = peers
         self._limit = limit
@@ -281,6 +286,11 @@
         stream.next_address = ""
         if len(request.chain) > 1:
             stream.next_address = request.chain[stream.next_index].address
+        keys = request.prefix_keys
+        if keys:
+            keys = keys[: prefixes.PROMPT_KEYS_LIMIT]
+            self.record_prefixes(keys)
+        cache = self.engine.hello.cache
         self.engine.open(
             ttypes.EngineOpen(
                 stream=request.stream,
@@ -292,6 +302,9 @@
                 adapter=request.adapter,
                 fingerprint=request.fingerprint,
                 sampling=request.sampling,
+                prefix_keys=keys,
+                key_positions=request.key_positions,
+                scope=request.workspace if cache and cache.isolated else None,
             )
         )
 
@@ -412,6 +425,8 @@
             if stream is not None and stream.guard.finish(
                 result.generation, result.position, result.count, result
             ):
+                if result.held is not None:
+                    _report_hit(stream, result)
                 if stream.is_last:
                     stream.tokens.append(_make_token(result))
                 finished.append((stream, result))
@@ -574,3 +589,12 @@
         [],
         result.activations,
     )
+
+
+def _report_hit(stream: _Stream, result: ttypes.StepResult) -> None:
+    """Tells the entry how much of the prompt the engine held."""
+    request = stream.request
+    hit = ttypes.PrefixHit(
+        request.stream, request.generation, request.index, result.held
+    )
+    stream.entry.post(ttypes.Frame(prefix_hit=hit))
