Keep idle connections from locking callers out of the product's entry

At the limit of connections, callers that hold idle connections, or send the head of a request slowly, kept all others out for up to 75 s. A new connection now replaces the one that has waited longest, and at least 1 s, for the head of a request; only without such a one it gets 503. Replaced connections are counted as input_limits.idle_connections.

--- a/packages/peridotyard-daemon/src/peridotyard_daemon/connection/listeners.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/connection/listeners.py
@@ -18,6 +18,9 @@
 
 KEEP_ALIVE_TIMEOUT_S = 75
 HEAD_BYTES = 32 << 10
+# Time for which a connection is not closed for a new one. The head of a request
+# arrives within it, also if a packet was lost once.
+IDLE_MIN_S = 1.0
 # Response to a connection above the limit. Its request was not read.
 TOO_MANY_CONNECTIONS = (
     b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\n"
@@ -71,14 +74,34 @@
 
 def _define_server() -> type:
     """Returns the class of one connection."""
+    from hypercorn import events  # noqa: PLC0415
     from hypercorn.trio import tcp_server  # noqa: PLC0415
 
     class Server(tcp_server.TCPServer):
         """A connection that ends when its peer closes it between requests.
 
         Hypercorn keeps it until the time limit for the next request passes.
+
+        Attributes:
+            idle_since: Time since which the connection waits for the head of a
+                request; None while a request is in progress.
+            scope: Ends the connection.
         """
 
+        def __init__(self, *arguments):
+            super().__init__(*arguments)
+            self.idle_since: float | None = trio.current_time()
+            self.scope = trio.CancelScope()
+
+        async def run(self) -> None:
+            with self.scope:
+                await super().run()
+
+        async def protocol_send(self, event) -> None:
+            if isinstance(event, events.Updated):
+                self.idle_since = trio.current_time() if event.idle else None
+            await super().protocol_send(event)
+
         async def _read_data(self) -> None:
             await super()._read_data()
             await self.idle_task.stop()
@@ -89,8 +112,9 @@
 class Listener:
     """The connections of one address, owned by the process.
 
-    Attributes:
-        connections: Number of open connections.
+    At the limit of connections, a new one replaces the one that has waited
+    longest for the head of a request, so that idle connections do not keep
+    others out.
     """
 
     def __init__(
@@ -119,7 +143,7 @@
         config.include_server_header = False
         config.accesslog = None
         config.errorlog = None
-        self.connections = 0
+        self._servers = set()
         self._context = worker_context.WorkerContext(None)
         self._make_server = functools.partial(
             _define_server(),
@@ -170,23 +194,42 @@
             )
 
     async def _serve(self, stream: trio.SocketStream) -> None:
-        if self.connections >= self._limits.connections:
+        if len(self._servers) >= self._limits.connections and (
+            not self._end_idle()
+        ):
             await self._reject(stream)
             return
-        self.connections += 1
+        server = self._make_server(_TimedStream(stream, self._limits.write_s))
+        self._servers.add(server)
         try:
-            await self._make_server(_TimedStream(stream, self._limits.write_s))
+            await server.run()
         except Exception as error:
             # An error in one connection must not end all others.
             self._violations.record("malformed_connection", repr(error))
         finally:
-            self.connections -= 1
+            self._servers.discard(server)
             with trio.CancelScope(shield=True):
                 await trio.aclose_forcefully(stream)
 
+    def _end_idle(self) -> bool:
+        """Ends the connection that is idle longest; returns whether it did."""
+        latest = trio.current_time() - IDLE_MIN_S
+        idle = [
+            server
+            for server in self._servers
+            if server.idle_since is not None and server.idle_since <= latest
+        ]
+        if not idle:
+            return False
+        server = min(idle, key=lambda item: item.idle_since)
+        self._violations.record("idle_connections", "an idle one was closed")
+        self._servers.remove(server)
+        server.scope.cancel()
+        return True
+
     async def _reject(self, stream: trio.SocketStream) -> None:
         self._violations.record(
-            "connections", f"{self.connections} connections are open"
+            "connections", f"{len(self._servers)} connections are open"
         )
         with (
             trio.move_on_after(REJECTION_TIMEOUT_S),
