Keep silent connections from locking peers out of the port of entries

1,024 connections without a hello made an entry close every further one until their time limit of up to 1 s had passed, and a process that opens them again kept the other entries out. A new connection now replaces the one that has waited longest for its hello.

--- a/packages/peridotyard-daemon/src/peridotyard_daemon/connection/peers.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/connection/peers.py
@@ -30,7 +30,8 @@
 RECONNECT_DELAY_MIN_S = 0.05
 RECONNECT_DELAY_MAX_S = 2.0
 # Limit of accepted connections that have sent no hello. They are in no table
-# yet, so a peer could otherwise open any number of them.
+# yet, so a peer could otherwise open any number of them. Above the limit, a new
+# one replaces the oldest.
 HELLO_LIMIT = 1024
 # Limits of a hello. Its texts take 2 KB at most.
 HELLO_FRAME_LIMITS = frames.Limits(
@@ -439,7 +440,8 @@
         self._connections: dict[str, Connection] = {}
         self._dials: dict[str, trio.Event] = {}
         self._reconnect_scopes: dict[str, trio.CancelScope] = {}
-        self._pending_hellos = 0
+        # Accepted connections without a hello, oldest first.
+        self._pending_hellos: dict[Connection, trio.CancelScope] = {}
         self._nursery: trio.Nursery | None = None
 
     @classmethod
@@ -599,27 +601,26 @@
             connection.end_by_error(error)
 
     async def _accept(self, stream) -> None:
-        if self._pending_hellos >= HELLO_LIMIT:
-            self._violations.record(
-                "peer_hellos", "too many connections without a hello"
-            )
-            await trio.aclose_forcefully(stream)
-            return
+        if len(self._pending_hellos) >= HELLO_LIMIT:
+            self._end_oldest_pending()
         connection = self._make_connection(stream, None)
-        self._pending_hellos += 1
+        scope = trio.CancelScope(
+            deadline=trio.current_time() + self._timing.dial_s
+        )
+        self._pending_hellos[connection] = scope
         try:
-            with trio.fail_after(self._timing.dial_s):
+            with scope:
                 await connection.exchange_hello()
-        except (
-            trio.TooSlowError,
-            trio.BrokenResourceError,
-            frames.FrameError,
-        ) as error:
+        except (trio.BrokenResourceError, frames.FrameError) as error:
             self._violations.record("peer_hello", error)
             await trio.aclose_forcefully(stream)
             return
         finally:
-            self._pending_hellos -= 1
+            self._pending_hellos.pop(connection, None)
+        if scope.cancelled_caught:
+            self._violations.record("peer_hello", "no hello in time")
+            await trio.aclose_forcefully(stream)
+            return
         if self._accepted >= self._limits.connections:
             self._violations.record(
                 "peer_connections",
@@ -635,6 +636,17 @@
         finally:
             self._accepted -= 1
 
+    def _end_oldest_pending(self) -> None:
+        """Ends the connection that has waited longest for its hello.
+
+        A peer sends its hello at once, so that it is seldom the oldest one.
+        """
+        self._violations.record(
+            "peer_hellos", "too many connections without a hello"
+        )
+        oldest = next(iter(self._pending_hellos))
+        self._pending_hellos.pop(oldest).cancel()
+
     async def _run_connection(self, connection: Connection, key: str) -> None:
         reason = "cancelled"
         try:
--- a/tests/unit/test_peers.py
+++ b/tests/unit/test_peers.py
@@ -387,6 +387,22 @@
         assert len(handler.connected) == 4
 
 
+@cases.run_on_virtual_clock
+async def test_silent_connections_do_not_keep_peers_out(monkeypatch):
+    """Guards against connections without a hello that lock out all peers."""
+    monkeypatch.setattr(peers, "HELLO_LIMIT", 5)
+    async with open_listener(peers.Limits()) as (listener, handler, _, dial):
+        silent = [await dial() for _ in range(20)]
+        await trio.sleep(0.01)
+        assert len(listener._pending_hellos) == 5
+        await dial(encode_hello())
+        await trio.sleep(0.1)
+        assert len(handler.connected) == 1
+        await trio.sleep(TIMING.dial_s)
+        assert not listener._pending_hellos
+        assert all([await is_closed(stream) for stream in silent])
+
+
 @cases.run_on_virtual_clock
 async def test_frame_that_arrives_byte_by_byte_is_given_up():
     """Guards against a connection that is kept busy with one frame for ever."""
