Release the memory of an input that was given up at once

The reader of an incomplete frame, and the traceback of an incomplete response, kept what had been received after it was given up, until the connection or the error was collected.

--- a/packages/peridotyard-daemon/src/peridotyard_daemon/connection/frames.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/connection/frames.py
@@ -186,9 +186,12 @@
                 )
             finally:
                 self._buffers.close(buffer)
+        size = len(self._buffer)
+        # The connection may keep this reader for some time.
+        self._buffer.clear()
         raise FrameError(
             f"frame incomplete after {FRAME_TIMEOUT_S:g} s, or given up for"
-            f" memory, with {len(self._buffer)} bytes"
+            f" memory, with {size} bytes"
         )
 
     async def _receive_payload(self, notify_size) -> bytes:
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/connection/upstreams.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/connection/upstreams.py
@@ -364,13 +364,20 @@
         self, buffer: buffers_module.Buffer, limit_bytes: int
     ) -> bytes:
         body = bytearray()
-        while not isinstance(event := await self.receive(), h11.EndOfMessage):
-            body += event.data
-            if len(body) > limit_bytes:
-                raise self._reject(
-                    "response_length", "response body is too long"
-                )
-            self._buffers.resize(buffer, len(body), trio.current_time())
+        try:
+            while not isinstance(
+                event := await self.receive(), h11.EndOfMessage
+            ):
+                body += event.data
+                if len(body) > limit_bytes:
+                    raise self._reject(
+                        "response_length", "response body is too long"
+                    )
+                self._buffers.resize(buffer, len(body), trio.current_time())
+        except BaseException:
+            # The traceback may keep this frame for some time.
+            body.clear()
+            raise
         return bytes(body)
 
     async def skip_response(self, limit_bytes: int) -> None:
