--- a/packages/peridotyard-daemon/src/peridotyard_daemon/connection/http.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/connection/http.py
@@ -88,7 +88,12 @@
     body = bytearray()
     with trio.move_on_after(timeout_s) as scope:
         while True:
-            message = await receive()
+            try:
+                message = await receive()
+            except RequestError:
+                # The traceback keeps this frame while the caller is informed.
+                body.clear()
+                raise
             if message["type"] == "http.disconnect":
                 raise CallerGoneError("the caller disconnected")
             body += message.get("body", b"")
