Split decisions of the core into functions without effects

An explanation of a decision must use the code that decides about real requests, and change nothing. Four decisions changed state while they were made, or returned only their result:

- links.LinkShare: estimate_chance returns how likely a new stream may change zones, without the random draw; _update uses the same computation.
- admission.Queue: check returns the failure of add without adding.
- paths.Planner: find_zone_paths returns the costs by zone that choose_path compares.
- fleet.Routing: find_key finds a key of a workspace by its name.

No change of behaviour. Ran: tests of links, paths, admission, views, rooms, reservations, relays and forwards, all passed.

--- a/packages/peridotyard-core/src/peridotyard_core/admission.py
+++ b/packages/peridotyard-core/src/peridotyard_core/admission.py
@@ -113,6 +113,19 @@
         Returns:
             None, or the failure with which the request is rejected as not run.
         """
+        failure = self.check(ticket, now)
+        if failure is None:
+            self._queues[ticket.priority].add(ticket)
+            self._waiting.add(ticket)
+        return failure
+
+    def check(self, ticket: Ticket, now: float) -> verdicts.Failure | None:
+        """Returns the failure with which `add` rejects a ticket, else None.
+
+        Args:
+            ticket: The ticket.
+            now: Current time, seconds.
+        """
         wait_s = self.estimate_wait(ticket.priority)
         if len(self._waiting) >= self._limit:
             return verdicts.make_not_run_failure(
@@ -126,8 +139,6 @@
                 f"The expected wait of {wait_s:.1f} s exceeds the deadline.",
                 max(1.0, wait_s),
             )
-        self._queues[ticket.priority].add(ticket)
-        self._waiting.add(ticket)
         return None
 
     def count_ahead(self, priority: int) -> int:
--- a/packages/peridotyard-core/src/peridotyard_core/fleet.py
+++ b/packages/peridotyard-core/src/peridotyard_core/fleet.py
@@ -336,6 +336,13 @@
                 return route
         return None
 
+    def find_key(self, name: str) -> str | None:
+        """Returns a key of the workspace with this name, None if unknown."""
+        for key, workspace in (self._workspaces or {}).items():
+            if workspace.name == name:
+                return key
+        return None
+
     def authenticate(self, key: str) -> Workspace | None:
         """Returns the workspace of an API key, None if the key is unknown."""
         return self._workspaces.get(key) if self._workspaces else None
--- a/packages/peridotyard-core/src/peridotyard_core/links.py
+++ b/packages/peridotyard-core/src/peridotyard_core/links.py
@@ -68,6 +68,18 @@
         self._update(rate_per_s, now)
         return self._allowed > 0
 
+    def estimate_chance(self, rate_per_s: float, now: float) -> float:
+        """Returns how likely `has_room` is true now; changes nothing.
+
+        Args:
+            rate_per_s: This entry's share of the zone changes per second.
+            now: Current time, seconds.
+        """
+        if rate_per_s == float("inf"):
+            return 1.0
+        allowed, chance = self._compute_allowed(rate_per_s, now)
+        return 1.0 if allowed > 0 else chance or 0.0
+
     def record_changes(self, count: int, rate_per_s: float, now: float) -> None:
         """Records the zone changes of a stream that was sent.
 
@@ -84,14 +96,29 @@
             self._allowed -= count
 
     def _update(self, rate_per_s: float, now: float) -> None:
-        elapsed_s = now - self._updated_at
-        if elapsed_s < INTERVAL_S:
+        if now - self._updated_at < INTERVAL_S:
             return
+        allowed, chance = self._compute_allowed(rate_per_s, now)
+        if chance is not None:
+            allowed += self._random.random() < chance
+        self._allowed = allowed
         self._updated_at = now
+
+    def _compute_allowed(
+        self, rate_per_s: float, now: float
+    ) -> tuple[float, float | None]:
+        """Returns the zone changes that are allowed now.
+
+        Returns:
+            Their number, and the probability of one more, which is drawn at
+            random; None if nothing is drawn.
+        """
+        elapsed_s = now - self._updated_at
+        if elapsed_s < INTERVAL_S:
+            return self._allowed, None
         if self._allowed < 0:
             # Only time makes up for what was used too much.
-            self._allowed = min(0.0, self._allowed + rate_per_s * elapsed_s)
-            return
+            return min(0.0, self._allowed + rate_per_s * elapsed_s), None
         share = rate_per_s * min(elapsed_s, SAVED_S)
         whole = int(share)
-        self._allowed = whole + (self._random.random() < share - whole)
+        return whole, share - whole
--- a/packages/peridotyard-core/src/peridotyard_core/paths.py
+++ b/packages/peridotyard-core/src/peridotyard_core/paths.py
@@ -96,11 +96,34 @@
             load: Function that returns the number of streams of a server.
             not_first: Instances with which the path must not begin.
         """
+        found = self.find_zone_paths(servers, load, not_first)
+        if found:
+            return min(found.values(), key=lambda item: item[0])[1]
+        all_layers = fleet.LayerRange(0, self.engine.layers)
+        best = self._search_path(servers, all_layers, load, not_first=not_first)
+        return None if best is None else best[1]
+
+    def find_zone_paths(
+        self,
+        servers: Servers,
+        load: LoadFunction,
+        not_first: frozenset[str] = frozenset(),
+    ) -> dict[str, tuple[float, Path]]:
+        """Returns the cheapest path within each zone that holds all layers.
+
+        Args:
+            servers: Servers that accept new work.
+            load: Function that returns the number of streams of a server.
+            not_first: Instances with which the path must not begin.
+
+        Returns:
+            The cost in milliseconds and the path, by zone.
+        """
         all_layers = fleet.LayerRange(0, self.engine.layers)
         by_zone: dict[str, list[fleet.Server]] = {}
         for server in servers:
             by_zone.setdefault(server.zone, []).append(server)
-        best = None
+        paths_by_zone = {}
         for zone, members in by_zone.items():
             found = self._search_path(
                 members, all_layers, load, not_first=not_first
@@ -110,13 +133,8 @@
             cost, path = found
             if zone != self.zone:
                 cost += self._compute_remote_cost()
-            if best is None or cost < best[0]:
-                best = (cost, path)
-        if best is None:
-            best = self._search_path(
-                servers, all_layers, load, not_first=not_first
-            )
-        return None if best is None else best[1]
+            paths_by_zone[zone] = (cost, path)
+        return paths_by_zone
 
     def replace_failed_stages(
         self,
