Split the choice of a server or path into functions without effects

Searching a path recorded since when a service has none, created the state of servers that were never observed and used the share of the links. Failures were made while they were sent, and waiting began with the check whether it is allowed, so none of these decisions could be shown without being taken.

- View: find_path searches only, choose_path records; find_exclusion names why a server gets no work, list_usable uses it; loads_at is the time of the last load of another entry.
- RoomQueue.may_wait, Reservations.find_denial, Stream.make_failure and find_first_path, Forwarder.list_candidates and make_failure are parts of the functions that used to contain them.
- Gateway._admit takes the function that chooses among the services of a route.

No change of behaviour. Ran: the tests of views, forwards, relays, reservations, rooms, links, paths and admission, all passed.

--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/gateway.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/gateway.py
@@ -535,9 +535,22 @@
         await stream.run()
 
     def _admit(
-        self, head: exchanges.RequestHead, body: bytes, arrived_at: float
+        self,
+        head: exchanges.RequestHead,
+        body: bytes,
+        arrived_at: float,
+        choose=None,
     ) -> contexts.Request | verdicts.Failure:
-        """Returns a request that may run, or the reason of its refusal."""
+        """Returns a request that may run, or the reason of its refusal.
+
+        Args:
+            head: Head of the request.
+            body: Its body.
+            arrived_at: Time of its arrival.
+            choose: Chooses among names with weights, as `random.choices` does,
+                which is the default.
+        """
+        choose = choose or self.context.random.choices
         if self._is_refusing:
             # A request that starts now could be interrupted by the end of the
             # process.
@@ -563,7 +576,7 @@
                 )
         names = [name for name, _ in route.targets]
         weights = [weight for _, weight in route.targets]
-        chosen = self.context.random.choices(names, weights)[0]
+        chosen = choose(names, weights)[0]
         service = routing.services.get(chosen)
         if service is None:
             return verdicts.make_not_run_failure(
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/reservations.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/reservations.py
@@ -97,6 +97,18 @@
         """Returns whether no request can be reserved now."""
         return self.get_wait_s(server) > 0
 
+    def find_denial(
+        self, server: fleet.Server, max_wait_s: float
+    ) -> limits.Denied | None:
+        """Returns a denial that is known without asking the coordinator.
+
+        Args:
+            server: The server.
+            max_wait_s: Longest time to wait, seconds.
+        """
+        wait_s = self.get_wait_s(server)
+        return limits.Denied(wait_s) if wait_s > max_wait_s else None
+
     async def reserve(
         self, server: fleet.Server, max_wait_s: float = 0.0
     ) -> bool:
@@ -113,8 +125,8 @@
         record = self._statements.find_record(server)
         if record is None or record.limit_per_s is None:
             return True
-        decision: limits.Decision = limits.Denied(self.get_wait_s(server))
-        if decision.wait_s <= max_wait_s:
+        decision: limits.Decision | None = self.find_denial(server, max_wait_s)
+        if decision is None:
             inquiry = Inquiry(server.instance, record, max_wait_s)
             decision = await self._ask(inquiry)
         match decision:
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/rooms.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/rooms.py
@@ -38,7 +38,25 @@
 
     def has_precedence(self, priority: int) -> bool:
         """Returns whether waiting requests come before a new one."""
-        return self._queue.count_ahead(_clamp(priority)) > 0
+        return self.count_ahead(priority) > 0
+
+    def count_ahead(self, priority: int) -> int:
+        """Returns the number of requests that a new one would wait for."""
+        return self._queue.count_ahead(_clamp(priority))
+
+    def estimate_wait(self, priority: int) -> float:
+        """Returns the expected time until a new request is next, seconds."""
+        return self._queue.estimate_wait(_clamp(priority))
+
+    def may_wait(self, ticket: admission.Ticket) -> bool:
+        """Returns whether the turn of a request is expected in time.
+
+        Args:
+            ticket: The request.
+        """
+        now = trio.current_time()
+        ticket = dataclasses.replace(ticket, priority=_clamp(ticket.priority))
+        return now < ticket.deadline and self._queue.check(ticket, now) is None
 
     async def wait(
         self,
@@ -59,9 +77,9 @@
         ticket = dataclasses.replace(
             ticket, priority=_clamp(ticket.priority), item=(has_room, turn)
         )
-        now = trio.current_time()
-        if now >= ticket.deadline or self._queue.add(ticket, now) is not None:
+        if not self.may_wait(ticket):
             return False
+        self._queue.add(ticket, trio.current_time())
         try:
             with trio.move_on_at(ticket.deadline):
                 await turn.wait()
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/views.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/views.py
@@ -11,6 +11,7 @@
 import collections
 import collections.abc
 import dataclasses
+import enum
 import random as random_module
 
 from peridotyard_core import addresses
@@ -65,6 +66,15 @@
 _log = logs.Logger("fleet")
 
 
+class Exclusion(enum.Enum):
+    """Why a server gets no new work."""
+
+    LEAVING = "leaving"
+    SUSPECTED = "suspected"
+    REFUSING = "refusing"
+    STATED_WAIT = "stated wait"
+
+
 @dataclasses.dataclass
 class Health:
     """State of one server as observed by this entry.
@@ -160,6 +170,7 @@
             an earlier one stays in effect; else None.
         servers: Servers of the platform's list that may be used, by instance.
         servers_at: Time at which the store last confirmed the list.
+        loads_at: Time at which another entry last reported its load.
         notify_suspect: Called with each server that this entry suspects, also
             when it has been suspected for `SUSPICION_ANNOUNCE_S` more.
         notify_cleared: Called with each server whose suspicion was cleared.
@@ -188,6 +199,7 @@
         self.rejected_routing: RejectedRouting | None = None
         self.servers: dict[str, fleet.Server] = {}
         self.servers_at = float("-inf")
+        self.loads_at = float("-inf")
         self.entry_count = 0
         self.notify_suspect: collections.abc.Callable[[fleet.Server], None] = (
             _ignore
@@ -672,17 +684,27 @@
 
     def list_usable(self, service: str) -> list[fleet.Server]:
         """Returns the servers of a service that accept new work."""
-        now = trio.current_time()
         return [
             server
             for server in self.servers.values()
-            if server.service == service
-            and server.ready
-            and not self.is_suspected(server)
-            and now >= self._health[server.instance].refused_until
-            and not self.get_stated_wait_s(server)
+            if server.service == service and self.find_exclusion(server) is None
         ]
 
+    def find_exclusion(self, server: fleet.Server) -> Exclusion | None:
+        """Returns why a server gets no new work, None if it does."""
+        if not server.ready:
+            return Exclusion.LEAVING
+        health = self._health.get(server.instance)
+        if health is not None:
+            now = trio.current_time()
+            if now < health.suspected_until:
+                return Exclusion.SUSPECTED
+            if now < health.refused_until:
+                return Exclusion.REFUSING
+        if self.get_stated_wait_s(server):
+            return Exclusion.STATED_WAIT
+        return None
+
     def find_server(self, address: addresses.Address) -> fleet.Server | None:
         """Returns the most recently started server at an address."""
         found = [s for s in self.servers.values() if s.address == address]
@@ -704,6 +726,10 @@
         load = self.get_load(server)
         return load + 1 > planner.estimate_stream_capacity(server)
 
+    def has_room(self, planner: paths.Planner, server: fleet.Server) -> bool:
+        """Returns whether a server has room for a new stream."""
+        return not self._is_full(planner, server)
+
     def _is_nearly_full(
         self, service: fleet.Service, server: fleet.Server
     ) -> bool:
@@ -748,6 +774,7 @@
             self._peer_loads.pop(entry, None)
         else:
             self._peer_loads[entry] = counts
+            self.loads_at = trio.current_time()
         self.notify_load()
 
     def estimate_cost(self, server: fleet.Server) -> float:
@@ -756,7 +783,7 @@
         It is the expected response time: requests in flight per slot plus this
         one, times the mean response time, raised by the failure rate.
         """
-        health = self._health[server.instance]
+        health = self._health.get(server.instance, _UNOBSERVED)
         load = self.get_load(server) / max(server.slots, 1)
         failure_factor = 1 + FAILURE_WEIGHT * health.failure_rate
         return (1 + load) * failure_factor * max(health.mean_duration_s, 0.001)
@@ -821,14 +848,7 @@
         Returns:
             The path; None if some layer is on no usable server.
         """
-        planner = self.make_planner(service)
-        servers = [
-            server
-            for server in self.list_usable(service.name)
-            if server.instance not in avoid
-            and not (needs_room and self._is_full(planner, server))
-        ]
-        path = planner.choose_path(servers, self.get_load, not_first)
+        path = self.find_path(service, avoid, not_first, needs_room)
         if (
             needs_room
             and path is not None
@@ -848,6 +868,45 @@
                 )
         return path
 
+    def find_path(
+        self,
+        service: fleet.Service,
+        avoid: frozenset[str] = frozenset(),
+        not_first: frozenset[str] = frozenset(),
+        needs_room: bool = False,
+    ) -> paths.Path | None:
+        """Returns what `choose_path` does, but changes nothing.
+
+        Whether the links between zones have room for it is not considered, see
+        `estimate_link_chance`.
+        """
+        planner = self.make_planner(service)
+        servers = [
+            server
+            for server in self.list_usable(service.name)
+            if server.instance not in avoid
+            and not (needs_room and self._is_full(planner, server))
+        ]
+        return planner.choose_path(servers, self.get_load, not_first)
+
+    def estimate_link_chance(
+        self, service: fleet.Service, path: paths.Path
+    ) -> float:
+        """Returns how likely the links have room for a new stream now.
+
+        Args:
+            service: The service.
+            path: Path of the stream.
+        """
+        if not paths.count_zone_changes(path):
+            return 1.0
+        share = self._link_shares.get(
+            service.name, links.LinkShare(self._random)
+        )
+        return share.estimate_chance(
+            self._compute_link_rate(service), trio.current_time()
+        )
+
     def record_path(self, service: fleet.Service, path: paths.Path) -> None:
         """Records that a stream is sent on a path."""
         changes = paths.count_zone_changes(path)
@@ -992,6 +1051,8 @@
     )
 
 
+# State of a server that this entry has not observed; never changed.
+_UNOBSERVED = Health()
 # Sort key of servers without layers, which come first.
 _NO_LAYER_RANGE = fleet.LayerRange(-1, -1)
 
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/forwards.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/forwards.py
@@ -69,6 +69,9 @@
 
 Outcome = Responded | Refused | Lost | TimedOut
 
+# Outcome before the first attempt.
+NO_SERVER = Refused("no server is known", sent=False)
+
 
 async def receive_head(
     connection: upstreams.Connection,
@@ -134,9 +137,9 @@
         tried: set[str] = set()
         possible_runs = 0
         sends = 0
-        last: Outcome = Refused("no server is known", sent=False)
+        last: Outcome = NO_SERVER
         while sends < SEND_LIMIT and request.get_remaining_s() > 0:
-            server = await self._reserve_server(request, tried)
+            server = await self.reserve_server(request, tried)
             if server is None:
                 break
             if sends:
@@ -158,8 +161,8 @@
                 break
         await self._respond(request, responder, last, possible_runs)
 
-    async def _reserve_server(
-        self, request: contexts.Request, tried: set[str]
+    async def reserve_server(
+        self, request: contexts.Request, tried: collections.abc.Set[str]
     ) -> fleet.Server | None:
         """Returns a server that accepts the request within its limit.
 
@@ -192,9 +195,20 @@
             tried: Instances that are not used.
             compute_cost: Cost of a server; `View.estimate_cost` by default.
         """
+        compute_cost = compute_cost or self._context.view.estimate_cost
+        candidates = self.list_candidates(service)
+        untried = [s for s in candidates if s.instance not in tried]
+        random = self._context.random
+        return min(
+            untried,
+            key=lambda s: (compute_cost(s), random.random()),
+            default=None,
+        )
+
+    def list_candidates(self, service: str) -> list[fleet.Server]:
+        """Returns the servers of a service that may get a request."""
         view = self._context.view
-        compute_cost = compute_cost or view.estimate_cost
-        usable = view.list_usable(service) or [
+        return view.list_usable(service) or [
             # A suspicion may be wrong. If all servers are suspected, an
             # attempt is cheaper for the caller than a refusal.
             server
@@ -203,13 +217,6 @@
             and server.ready
             and not view.get_stated_wait_s(server)
         ]
-        untried = [s for s in usable if s.instance not in tried]
-        random = self._context.random
-        return min(
-            untried,
-            key=lambda s: (compute_cost(s), random.random()),
-            default=None,
-        )
 
     def _may_retry(
         self, request: contexts.Request, outcome: Outcome, possible_runs: int
@@ -365,19 +372,34 @@
                     request, responder, head, body
                 )
                 return
+        failure = self.make_failure(request, outcome, possible_runs)
+        await self._context.fail(request, responder, failure)
+
+    def make_failure(
+        self,
+        request: contexts.Request,
+        outcome: Outcome,
+        possible_runs: int,
+    ) -> verdicts.Failure:
+        """Returns the failure of a request without a response.
+
+        Args:
+            request: The request.
+            outcome: Outcome of its last attempt, `NO_SERVER` without one.
+            possible_runs: Number of servers that may have run it.
+        """
+        match outcome:
             case Refused(reason=reason) if not possible_runs:
-                failure = self._context.refuse_unavailable(request, reason)
+                return self._context.refuse_unavailable(request, reason)
             case TimedOut(sent=False) if not possible_runs:
-                failure = self._context.refuse_unsent(request)
+                return self._context.refuse_unsent(request)
             case TimedOut():
-                failure = verdicts.make_may_have_run_failure(
+                return verdicts.make_may_have_run_failure(
                     "backend-timeout", "The server did not respond in time."
                 )
-            case _:
-                failure = verdicts.make_may_have_run_failure(
-                    "backend-lost", "The server's response was lost."
-                )
-        await self._context.fail(request, responder, failure)
+        return verdicts.make_may_have_run_failure(
+            "backend-lost", "The server's response was lost."
+        )
 
 
 def _classify_response(
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/relays.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/relays.py
@@ -107,6 +107,34 @@
             failure = self._context.refuse_unsent(self._request)
         await self._context.fail(self._request, self._responder, failure)
 
+    async def find_first_path(self) -> paths.Path | None:
+        """Returns the path on which the request is sent first.
+
+        None if it is not sent; `make_failure` returns the response then.
+        """
+        return await self._find_path(None)
+
+    def make_failure(self, reason: str) -> verdicts.Failure:
+        """Returns the failure of a stream without a response.
+
+        Args:
+            reason: Why its last path did not respond, for the log.
+        """
+        context, request = self._context, self._request
+        failure = (
+            context.refuse_without_room(request)
+            if self._is_without_room
+            else context.refuse_unavailable(request, reason)
+        )
+        if self._may_have_run:
+            failure = dataclasses.replace(
+                failure,
+                code="stream-lost",
+                verdict=verdicts.Verdict.MAY_HAVE_RUN,
+                message="The stream was lost before its first event.",
+            )
+        return failure
+
     def has_later_stage(self, instance: str) -> bool:
         """Returns whether a server runs a stage after the first.
 
@@ -586,16 +614,5 @@
                     request, self._responder, head, body
                 )
             case runs.Refused(reason=reason) | runs.Broken(reason=reason):
-                failure = (
-                    context.refuse_without_room(request)
-                    if self._is_without_room
-                    else context.refuse_unavailable(request, reason)
-                )
-                if self._may_have_run:
-                    failure = dataclasses.replace(
-                        failure,
-                        code="stream-lost",
-                        verdict=verdicts.Verdict.MAY_HAVE_RUN,
-                        message="The stream was lost before its first event.",
-                    )
+                failure = self.make_failure(reason)
                 await context.fail(request, self._responder, failure)
