Explain where a request would be sent, at /admin/v1/explain

Operators saw what an entry knows (peridotyard fleet) and what it did (log), but not why a request would get this path, wait or be refused now; they had to work it out from costs and loads by hand.

GET /admin/v1/explain?host=H&path=P&workspace=NAME at the metrics address answers that. request/rehearsals.py runs the code that decides about real requests (Gateway._admit, Stream.find_first_path, Forwarder.reserve_server, Context.reserve, make_failure) over read-only stand-ins for the state that it would change; an effect that a stand-in does not offer is an error. request/explanations.py checks the query and puts the answer together, request/candidates.py describes servers, stages and zones. Bounded: 4096 characters of target, 64 parts, at most 200 servers a list, one at a time.

They compare the explained path with that of a real request right after it (100 generated states, and on a running entry), and the state of the context before and after.

--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/gateway.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/gateway.py
@@ -40,6 +40,7 @@
 from peridotyard_daemon.process import synchronization
 from peridotyard_daemon.process import views
 from peridotyard_daemon.request import contexts
+from peridotyard_daemon.request import explanations
 from peridotyard_daemon.request import forwards
 from peridotyard_daemon.request import relays
 
@@ -186,6 +187,7 @@
         self.view.get_stated_wait_s = statements.get_wait_s
         self._prober = probes.Prober(self.view, pool, codec, count, statements)
         self._forwarder = forwards.Forwarder(self.context)
+        self._explainer = explanations.Explainer(self.context, self._admit)
         self._synchronizer = synchronization.Synchronizer(
             self.view, store, schema, random, count
         )
@@ -435,7 +437,10 @@
         body = b"ready\n" if ready else b"not ready\n"
         await responder.send_complete(200 if ready else 503, [], body)
 
-    async def _send_metrics(self, _method, target, _headers, _body, responder):
+    async def _send_metrics(self, _method, target, headers, _body, responder):
+        if target.partition("?")[0] == explanations.TARGET:
+            await self._explainer.respond(target, headers, responder)
+            return
         if target == FLEET_TARGET:
             fleet_state = self._describe_fleet() | {
                 "instance": self._settings.instance,
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/views.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/views.py
@@ -504,6 +504,10 @@
         """Returns the observed state of a server."""
         return self._health[server.instance]
 
+    def find_health(self, server: fleet.Server) -> Health:
+        """Returns the observed state of a server, which must not be changed."""
+        return self._health.get(server.instance, _UNOBSERVED)
+
     def is_suspected(self, server: fleet.Server) -> bool:
         """Returns whether a server is suspected of failure."""
         health = self._health.get(server.instance)
@@ -783,7 +787,7 @@
         It is the expected response time: requests in flight per slot plus this
         one, times the mean response time, raised by the failure rate.
         """
-        health = self._health.get(server.instance, _UNOBSERVED)
+        health = self.find_health(server)
         load = self.get_load(server) / max(server.slots, 1)
         failure_factor = 1 + FAILURE_WEIGHT * health.failure_rate
         return (1 + load) * failure_factor * max(health.mean_duration_s, 0.001)
