Add the command peridotyard explain for platform entries

The command prints /admin/v1/explain of an entry as text or JSON. The API key is read from a file and sent as the token, not in the request target.

The rehearsal also ignored the state of a queue without waiting requests, since such a queue is false: the explained Retry-After did not follow the callers that were refused before.

--- a/packages/peridotyard-cli/src/peridotyard_cli/main.py
+++ b/packages/peridotyard-cli/src/peridotyard_cli/main.py
@@ -65,6 +65,9 @@
         add_arguments="add_fleet_arguments",
         run="run_fleet",
     ),
+    "explain": Command(
+        "show where a platform entry would send a request, and why", "explain"
+    ),
     "local": Command("run a trial deployment on this machine", "local"),
     "demo": Command("show how a stream survives a failed stage", "demo"),
 }
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/explanations.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/explanations.py
@@ -26,6 +26,8 @@
 from peridotyard_daemon.request import rehearsals
 from peridotyard_daemon.request import relays
 
+# Token of an operator who gives no API key: clients always send a token.
+NO_KEY = "-"
 # Request target at the metrics address, before the query.
 TARGET = "/admin/v1/explain"
 # Longest target with its query, characters.
@@ -423,7 +425,7 @@
     for name, value in headers:
         if name.lower() == b"authorization":
             scheme, _, token = value.decode("latin-1").partition(" ")
-            if scheme.lower() == "bearer":
+            if scheme.lower() == "bearer" and token.strip() != NO_KEY:
                 return token.strip()
     return ""
 
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/rehearsals.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/rehearsals.py
@@ -267,7 +267,10 @@
     def find_queue(self, service: str) -> QueueReader:
         """Returns a reader of the queue for room in a service."""
         if service not in self._queues:
-            queue = self._real_queues.get(service) or rooms.RoomQueue()
+            queue = self._real_queues.get(service)
+            # A queue without requests is false.
+            if queue is None:
+                queue = rooms.RoomQueue()
             self._queues[service] = QueueReader(queue)
         return self._queues[service]
 
--- a/tests/unit/test_cli.py
+++ b/tests/unit/test_cli.py
@@ -236,3 +236,50 @@
         "  i-1       -",
         "  i-2       leaving=yes,limit_per_s=2.000",
     ]
+
+
+@pytest.fixture
+def explained(monkeypatch):
+    """Requests for explanations, with the token of each."""
+    requests = []
+
+    def request(self, method, path, value=None):
+        requests.append((method, path, self._token))
+        return {
+            "verdict": {"outcome": "send"},
+            "path": [{"instance": "i-1", "reason": "the only candidate"}],
+            "candidates": [],
+        }
+
+    monkeypatch.setattr(client.Client, "request", request)
+    return requests
+
+
+def test_explain_shows_the_path_and_sends_the_key_as_token(
+    explained, tmp_path, capsys
+):
+    """Guards against API keys in request targets, and against lost options."""
+    file = tmp_path / "key"
+    file.write_text("key-1\n")
+    arguments = ["explain", "api.example", "/chat/x", "--priority", "0"]
+    assert main.main([*arguments, "--key-file", str(file)]) == 0
+    path = "explain?host=api.example&path=%2Fchat%2Fx&priority=0"
+    assert explained == [("GET", path, "key-1")]
+    lines = capsys.readouterr().out.splitlines()
+    assert lines[:2] == ["verdict:", "  outcome: send"]
+    assert lines[4].split() == ["i-1", "the", "only", "candidate"]
+    assert main.main([*arguments, "--prompt-tokens", "9", "--json"]) == 0
+    path = path.replace("priority", "prompt_tokens=9&priority")
+    assert explained[1] == ("GET", path, "-")
+    assert json.loads(capsys.readouterr().out)["candidates"] == []
+
+
+def test_unusable_key_file_is_a_usage_error(explained, tmp_path, capsys):
+    """Guards against a traceback, and against a request without the key."""
+    file = tmp_path / "key"
+    file.write_text("two words")
+    for name in (str(file), "/nonexistent"):
+        arguments = ["explain", "api.example", "/", "--key-file", name]
+        assert main.main(arguments) == client.EXIT_USAGE
+        assert "--key-file" in capsys.readouterr().err
+    assert explained == []
--- a/tests/unit/test_explanations.py
+++ b/tests/unit/test_explanations.py
@@ -224,14 +224,20 @@
             "other", dict.fromkeys(harness.servers, 1000)
         )
         route = {"latency_objective_s": 0.0}
-        explained = await explain(harness, route=route)
-        assert explained["verdict"]["outcome"] == "reject"
-        assert explained["verdict"]["code"] == "overloaded"
-        assert explained["path"] == []
-        assert explained["layers_without_candidate"] == ["0-20"]
-        recorder = await send(harness, route=route)
-        assert recorder.status == 503
-        check_retry_after(explained["verdict"], recorder)
+        for _ in range(3):
+            # Each refused caller moves the time at which the next one returns.
+            await check_rejection(harness, route)
+
+
+async def check_rejection(harness, route):
+    explained = await explain(harness, route=route)
+    assert explained["verdict"]["outcome"] == "reject"
+    assert explained["verdict"]["code"] == "overloaded"
+    assert explained["path"] == []
+    assert explained["layers_without_candidate"] == ["0-20"]
+    recorder = await send(harness, route=route)
+    assert recorder.status == 503
+    check_retry_after(explained["verdict"], recorder)
 
 
 @cases.run_on_virtual_clock
@@ -352,6 +358,12 @@
     harness.context.view.apply_peer_load("other", loads)
 
 
+async def reject_some(harness):
+    await fill_all(harness)
+    for _ in range(2):
+        assert (await send(harness)).status == 503
+
+
 async def remove_path(harness):
     for name in ("a0", "b0"):
         suspect(harness, name)
@@ -372,7 +384,15 @@
 
 
 @pytest.mark.parametrize(
-    "prepare", [keep_sound, fill_all, remove_path, change_zones, serve_some]
+    "prepare",
+    [
+        keep_sound,
+        fill_all,
+        reject_some,
+        remove_path,
+        change_zones,
+        serve_some,
+    ],
 )
 def test_explanation_of_a_stream_changes_nothing(prepare):
     """Guards against an explanation that has effects on real requests."""
