--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/candidates.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/candidates.py
@@ -20,6 +20,10 @@
 FULL = "full"
 STATED_LIMIT = "stated limit"
 
+# Servers that are looked at in one step of the event loop, some 10 ms. All of a
+# large fleet take longer than requests in progress may wait.
+SERVERS_PER_STEP = 1000
+
 Row = dict[str, typing.Any]
 
 
@@ -66,7 +70,7 @@
         ]
 
 
-def survey(
+async def survey(
     context: contexts.Context,
     service: fleet.Service,
     needs_room: bool,
@@ -83,7 +87,9 @@
     view = context.view
     planner = view.make_planner(service) if service.engine else None
     candidates, left = [], []
-    for server in view.servers.values():
+    for number, server in enumerate(list(view.servers.values()), 1):
+        if not number % SERVERS_PER_STEP:
+            await trio.lowlevel.checkpoint()
         if server.service != service.name:
             continue
         item = None
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/explanations.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/explanations.py
@@ -1,8 +1,9 @@
 """Explains where a request would be sent now, and why.
 
 The code that decides about real requests runs in a rehearsal, see `rehearsals`,
-so an explanation changes nothing. It is one step of the event loop, so that all
-parts of it describe the same moment.
+so an explanation changes nothing. The decision is one step of the event loop.
+The servers are described right after it, in further steps, since those of a
+large fleet would delay requests.
 """
 
 import collections.abc
@@ -341,11 +342,11 @@
             )
         place = rehearsal.find_queue(request.service.name).place
         explained = _describe_verdict(rehearsal, path, place, failures)
-        return explained | self._describe_stream(
+        return explained | await self._describe_stream(
             query, rehearsal, request, path
         )
 
-    def _describe_stream(
+    async def _describe_stream(
         self,
         query: Query,
         rehearsal: rehearsals.Context,
@@ -355,15 +356,17 @@
         """Returns the servers and paths among which a stream chooses."""
         view, service = self._context.view, request.service
         used = paths.list_instances(path or ())
-        survey = candidates.survey(
+        survey = await candidates.survey(
             self._context, service, bool(rehearsal.view.needs_room), used
         )
+        await trio.lowlevel.checkpoint()
         streams = candidates.Streams(view, service)
         not_first = rehearsal.list_exhausted(service.name) - used
         explained: Value = {
             "path": streams.describe_path(path or (), survey.candidates),
             "zones": streams.describe_zones(survey.candidates, not_first),
         }
+        await trio.lowlevel.checkpoint()
         missing = streams.find_missing_layers(survey.candidates)
         if missing:
             explained["layers_without_candidate"] = missing
@@ -397,7 +400,7 @@
         if usable and view.find_exclusion(usable[0]) is not None:
             explained["note"] = "No server is sound; one is tried anyway."
             used |= {item.instance for item in usable}
-        survey = candidates.survey(self._context, service, False, used)
+        survey = await candidates.survey(self._context, service, False, used)
         chosen = {server.instance} if server else set()
         rows = candidates.describe_plain(
             view, survey.candidates, chosen, query.rows
--- a/tests/unit/test_explanations.py
+++ b/tests/unit/test_explanations.py
@@ -11,6 +11,7 @@
 from peridotyard_core import links
 from peridotyard_core import verdicts
 from peridotyard_daemon.process import gateway
+from peridotyard_daemon.request import candidates
 from peridotyard_daemon.request import contexts
 from peridotyard_daemon.request import explanations
 from peridotyard_daemon.request import forwards
@@ -462,6 +463,28 @@
         assert explained["excluded_by_reason"] == {"suspected": 50}
 
 
+@cases.run_on_virtual_clock
+async def test_large_fleet_is_described_in_several_steps(monkeypatch):
+    """Guards against an explanation that delays all requests of an entry."""
+    monkeypatch.setattr(candidates, "SERVERS_PER_STEP", 10)
+    steps = 0
+
+    async def count_steps():
+        nonlocal steps
+        while True:
+            await trio.lowlevel.checkpoint()
+            steps += 1
+
+    servers = gateways.make_plain_servers(100)
+    async with gateways.open_harness(servers) as harness:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(count_steps)
+            await explain(harness, SAFE)
+            nursery.cancel_scope.cancel()
+    # The first step is that of the counting task itself.
+    assert steps >= 9
+
+
 @pytest.mark.parametrize(
     ("query", "expected"),
     [
