Explain the chain of a completion request, at the administration API

Operators of a deployment with sidecars saw routes (peridotyard status), but not why a request waits or gets this chain. GET /admin/v1/explain below the administration API answers that for a workspace and a model, for operators who are not bound to a workspace.

--- a/packages/peridotyard-core/src/peridotyard_core/pipelines.py
+++ b/packages/peridotyard-core/src/peridotyard_core/pipelines.py
@@ -147,6 +147,15 @@
             available, 0, layers, self._make_cost_function(available)
         )
 
+    def estimate_costs(self, offers: Offers) -> list[float]:
+        """Returns the cost of each offer as a stage of all its layers."""
+        available = [offer for offer in offers if not offer.is_full]
+        compute_cost = self._make_cost_function(available)
+        return [
+            compute_cost(offer, offer.end_layer - offer.first_layer)
+            for offer in offers
+        ]
+
     def replace_stage(
         self, chain: Chain, index: int, offers: Offers
     ) -> Chain | None:
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/entry.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/entry.py
@@ -29,6 +29,7 @@
 from peridotyard_daemon.process import tables
 from peridotyard_daemon.request import administration
 from peridotyard_daemon.request import calls
+from peridotyard_daemon.request import chain_explanations
 from peridotyard_daemon.request import chains
 from peridotyard_daemon.request import completions
 from peridotyard_daemon.version import replication
@@ -199,6 +200,13 @@
         """Returns the trace of a request, None if there is none."""
         return self.completions.find_trace(request_id)
 
+    def explain(self, query: chain_explanations.Query) -> dict:
+        """Returns where a request would be sent, as a JSON value."""
+        explainer = chain_explanations.Explainer(
+            self.completions, self.replicator, self._check_request
+        )
+        return explainer.explain(query)
+
     # Methods of `connection.peers.Handler`.
 
     def make_hello(self) -> ttypes.Hello:
@@ -377,21 +385,42 @@
             return "draining"
         return "" if self.replicator.catalog.revision else "no configuration"
 
-    def _check_accepting(self) -> None:
+    def _check_accepting(self, added: int = 0) -> None:
+        """Checks that requests are accepted.
+
+        Args:
+            added: Requests that are not counted as active yet.
+
+        Raises:
+            http.RequestError: They are not.
+        """
         if self._is_draining:
             raise make_error("draining", "This entry is stopping.", 1.0)
-        if self._active_requests > self.settings.connection_limit:
+        active = self._active_requests + added
+        if active > self.settings.connection_limit:
             raise make_error(
                 "overloaded", "Too many requests in progress.", 1.0
             )
 
-    def _authenticate(self, request: http.Request) -> typing.Any:
+    def _check_configured(self) -> None:
         if not self.replicator.catalog.revision:
             # Without a configuration, valid keys cannot be distinguished from
             # unknown ones.
             raise make_error(
                 "store-unavailable", "No configuration is known yet.", 1.0
             )
+
+    def _check_request(self) -> None:
+        """Checks what a further request is refused for in any case.
+
+        Raises:
+            http.RequestError: It is refused.
+        """
+        self._check_configured()
+        self._check_accepting(added=1)
+
+    def _authenticate(self, request: http.Request) -> typing.Any:
+        self._check_configured()
         workspace = self.replicator.catalog.authenticate(request.token)
         if workspace is None:
             raise make_error(
@@ -535,6 +564,7 @@
         entry.metrics.histograms,
         entry.describe,
         entry.find_trace,
+        entry.explain,
     )
 
 
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/administration.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/administration.py
@@ -14,6 +14,8 @@
 import returns.result
 
 from peridotyard_daemon.connection import http
+from peridotyard_daemon.request import chain_explanations
+from peridotyard_daemon.request import queries
 
 PREFIX = "/admin/v1/"
 # Allows a change that creates every object of a deployment of the target size:
@@ -62,6 +64,7 @@
         read_status: typing.Callable[[], typing.Any],
         find_trace: typing.Callable[[str], typing.Any],
         token_hash: str = "",
+        explain: typing.Callable[[typing.Any], typing.Any] | None = None,
     ):
         """Creates the application.
 
@@ -74,7 +77,11 @@
                 by id, or None.
             token_hash: SHA-256 of the bootstrap token in hexadecimal, empty for
                 none.
+            explain: Returns the JSON value that explains where a request, given
+                by a `chain_explanations.Query`, would be sent; None if it is
+                not offered.
         """
+        self._explain = explain
         self._replicator = replicator
         self._histograms = histograms
         self._read_status = read_status
@@ -93,10 +100,18 @@
             "histograms": {"GET": self._get_histograms},
             "traces/": {"GET": self._get_trace},
         }
+        if explain is not None:
+            self._routes["explain"] = {"GET": self._get_explanation}
 
     @classmethod
     def from_config(
-        cls, settings, replicator, histograms, read_status, find_trace
+        cls,
+        settings,
+        replicator,
+        histograms,
+        read_status,
+        find_trace,
+        explain=None,
     ) -> "Administration":
         """Creates the application of a `settings.EntrySettings`."""
         return cls(
@@ -105,6 +120,7 @@
             read_status,
             find_trace,
             settings.admin_token_sha256,
+            explain,
         )
 
     async def __call__(self, scope, receive, send) -> None:
@@ -258,6 +274,20 @@
             )
         return trace
 
+    async def _get_explanation(self, call: _Call) -> typing.Any:
+        # Servers and queues are shared by all workspaces.
+        _require_unbound(call)
+        try:
+            query = chain_explanations.Query.from_parameters(call.request.query)
+        except queries.QueryError as error:
+            raise _refuse(
+                "bad-request",
+                str(error),
+                "query",
+                ", ".join(chain_explanations.PARSERS),
+            ) from error
+        return self._explain(query)
+
 
 def _refuse(code: str, message: str, place: str, allowed: str):
     return _RefusedError(
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/completions.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/completions.py
@@ -160,7 +160,7 @@
             exchange.parameters = parameters.Parameters.from_body(
                 http.parse_json(body), request.path == CHAT_PATH
             )
-            job = self._make_job(exchange.parameters, workspace, request_id)
+            job = self.make_job(exchange.parameters, workspace, request_id)
             response = chains.Response(job, self.context)
             disconnected = await self._serve(
                 response, workspace, exchange, receive
@@ -215,16 +215,7 @@
     async def _admit(self, job: chains.Job, workspace) -> pipelines.Chain:
         now = trio.current_time()
         queued = _QueuedRequest(job)
-        # A request that starts after this would exceed the time limit of its
-        # first token.
-        deadline = min(now + self.context.timing.first_token_s, job.deadline)
-        ticket = admission.Ticket(
-            workspace.name,
-            job.priority,
-            workspace.weight,
-            deadline,
-            item=queued,
-        )
+        ticket = self.make_ticket(job, workspace, now, queued)
         queue = self._queues.setdefault(
             (job.model, job.version), admission.Queue()
         )
@@ -233,7 +224,7 @@
             raise http.RequestError(failure)
         try:
             self._start_queued(queue)
-            with trio.move_on_at(deadline):
+            with trio.move_on_at(ticket.deadline):
                 await queued.started.wait()
         except trio.Cancelled:
             # The request may have been started just before its cancellation.
@@ -245,35 +236,64 @@
         if queued.chain is not None:
             return queued.chain
         raise http.RequestError(
-            queued.failure
-            or verdicts.make_not_run_failure(
-                "deadline-exceeded",
-                "All servers were busy until the time limit.",
-                max(1.0, queue.estimate_wait(job.priority)),
-            )
+            queued.failure or make_late_failure(queue, job.priority)
         )
 
+    def make_ticket(
+        self, job: chains.Job, workspace, now: float, item=None
+    ) -> admission.Ticket:
+        """Returns the ticket with which a request waits for a chain.
+
+        Args:
+            job: What the request requires.
+            workspace: Its workspace.
+            now: Current time, seconds.
+            item: Value to attach.
+        """
+        # A request that starts after this would exceed the time limit of its
+        # first token.
+        deadline = min(now + self.context.timing.first_token_s, job.deadline)
+        return admission.Ticket(
+            workspace.name,
+            job.priority,
+            workspace.weight,
+            deadline,
+            item=item,
+        )
+
+    def find_queue(self, job: chains.Job) -> admission.Queue | None:
+        """Returns the queue of a model, None before its first request."""
+        return self._queues.get((job.model, job.version))
+
     def _start_queued(self, queue: admission.Queue) -> None:
         while (ticket := queue.peek()) is not None:
             queued = ticket.item
-            queued.chain = self.context.find_chain(queued.job)
-            if queued.chain is None:
-                if self.context.has_chain(queued.job):
-                    return
-                queued.failure = verdicts.make_not_run_failure(
-                    "no-capacity",
-                    "No servers hold all layers of the model now.",
-                    1.0,
-                )
+            choice = choose_chain(self.context, queued.job)
+            if choice is None:
+                return
+            if isinstance(choice, verdicts.Failure):
+                queued.failure = choice
             else:
+                queued.chain = choice
                 # Counted at once, so that it limits the next queued request.
                 self.context.table.add_stream(queued.chain)
             queue.pop(trio.current_time())
             queued.started.set()
 
-    def _make_job(
+    def make_job(
         self, values: parameters.Parameters, workspace, request_id: str
     ) -> chains.Job:
+        """Returns what a request requires of its stages.
+
+        Args:
+            values: Parameters of the request.
+            workspace: Workspace of the caller.
+            request_id: Id of the request.
+
+        Raises:
+            http.RequestError: The workspace has no such model, or a length is
+                above the limits of the model.
+        """
         name, _, adapter = values.model.partition(":")
         model = self._find_catalog().find_model(name)
         if (
@@ -363,6 +383,36 @@
         )
 
 
+def choose_chain(
+    context: chains.ResponseContext, job: chains.Job
+) -> pipelines.Chain | verdicts.Failure | None:
+    """Returns the chain of the next request of a queue; changes nothing else.
+
+    Returns:
+        The chain, the failure if there is none, or None if the request waits
+        until the servers have capacity.
+    """
+    chain = context.find_chain(job)
+    if chain is not None:
+        return chain
+    if context.has_chain(job):
+        return None
+    return verdicts.make_not_run_failure(
+        "no-capacity", "No servers hold all layers of the model now.", 1.0
+    )
+
+
+def make_late_failure(
+    queue: admission.Queue, priority: int
+) -> verdicts.Failure:
+    """Returns the failure of a request whose turn did not come in time."""
+    return verdicts.make_not_run_failure(
+        "deadline-exceeded",
+        "All servers were busy until the time limit.",
+        max(1.0, queue.estimate_wait(priority)),
+    )
+
+
 def make_trace(response: chains.Response, outcome: str) -> dict:
     """Returns the trace of a response, a JSON value for operators."""
     job = response.job
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/explanations.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/explanations.py
@@ -24,6 +24,7 @@
 from peridotyard_daemon.request import candidates
 from peridotyard_daemon.request import contexts
 from peridotyard_daemon.request import forwards
+from peridotyard_daemon.request import queries
 from peridotyard_daemon.request import rehearsals
 from peridotyard_daemon.request import relays
 
@@ -35,22 +36,13 @@
 TARGET_LIMIT = 4096
 # Number of parts of a prompt in a query. Those of callers have a few.
 PARTS_LIMIT = 64
-# Servers of each list that are shown by default, and at most.
-ROWS_DEFAULT = 20
-ROWS_MAX = 200
 # Retry-After while another explanation is in progress.
 RETRY_AFTER_S = 1.0
-# Largest number in a query.
-NUMBER_MAX = 10**9
 
 Value = dict[str, typing.Any]
 Admit = collections.abc.Callable[..., "contexts.Request | verdicts.Failure"]
 
 
-class QueryError(ValueError):
-    """A query cannot be understood; the message names the parameter."""
-
-
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Query:
     """What to explain.
@@ -83,7 +75,7 @@
     priority: int | None = None
     time_limit_s: float | None = None
     last_event_id: int | None = None
-    rows: int = ROWS_DEFAULT
+    rows: int = queries.ROWS_DEFAULT
 
     @classmethod
     def from_target(cls, target: str, key: str) -> "Query":
@@ -94,23 +86,21 @@
             key: API key, empty if none was given.
 
         Raises:
-            QueryError: It is too long, or a parameter is unknown or invalid.
+            queries.QueryError: It is too long, or a parameter is unknown or
+                invalid.
         """
         if len(target) > TARGET_LIMIT:
-            raise QueryError(f"The query has over {TARGET_LIMIT} characters.")
+            raise queries.QueryError(
+                f"The query has over {TARGET_LIMIT} characters."
+            )
         text = target.partition("?")[2]
-        values: Value = {}
-        for name, value in urllib.parse.parse_qsl(text, True):
-            if name not in _PARSERS:
-                allowed = ", ".join(sorted(_PARSERS))
-                raise QueryError(f"{name!r} is unknown; allowed: {allowed}.")
-            if name in values:
-                raise QueryError(f"{name!r} is given twice.")
-            values[name] = _PARSERS[name](name, value)
+        values = queries.parse(urllib.parse.parse_qsl(text, True), _PARSERS)
         if not values.get("path", "").startswith("/"):
-            raise QueryError("'path' is required and begins with a slash.")
+            raise queries.QueryError(
+                "'path' is required and begins with a slash."
+            )
         if "workspace" in values and key:
-            raise QueryError("Give a key or a workspace, not both.")
+            raise queries.QueryError("Give a key or a workspace, not both.")
         return cls(key=key, **values)
 
     def make_head(self, key: str) -> exchanges.RequestHead:
@@ -134,10 +124,6 @@
         )
 
 
-def _parse_text(_name: str, value: str) -> str:
-    return value
-
-
 def _parse_host(_name: str, value: str) -> str:
     return value.partition(":")[0].lower()
 
@@ -145,51 +131,22 @@
 def _parse_parts(name: str, value: str) -> tuple[str, ...]:
     parts = tuple(part.strip() for part in value.split(",") if part.strip())
     if len(parts) > PARTS_LIMIT:
-        raise QueryError(f"{name!r} has over {PARTS_LIMIT} parts.")
+        raise queries.QueryError(f"{name!r} has over {PARTS_LIMIT} parts.")
     return parts
 
 
-def _parse_number(name: str, value: str) -> int:
-    if not (value.isascii() and value.isdigit() and len(value) < 11):
-        raise QueryError(f"{name!r} is not a number from 0 to {NUMBER_MAX}.")
-    return min(int(value), NUMBER_MAX)
-
-
-def _parse_priority(name: str, value: str) -> int:
-    if not (value.isascii() and value.isdigit() and len(value) == 1):
-        raise QueryError(f"{name!r} is not a number from 0 to 9.")
-    return int(value)
-
-
-def _parse_rows(name: str, value: str) -> int:
-    number = _parse_number(name, value)
-    if number > ROWS_MAX:
-        raise QueryError(f"{name!r} is over {ROWS_MAX}.")
-    return number
-
-
-def _parse_seconds(name: str, value: str) -> float:
-    try:
-        seconds = float(value)
-    except ValueError:
-        seconds = 0.0
-    if not 0 < seconds <= 86400:
-        raise QueryError(f"{name!r} is not above 0 and up to 86400 seconds.")
-    return seconds
-
-
 _PARSERS: dict[str, collections.abc.Callable[[str, str], typing.Any]] = {
     "host": _parse_host,
-    "path": _parse_text,
-    "workspace": _parse_text,
-    "service": _parse_text,
+    "path": queries.parse_text,
+    "workspace": queries.parse_text,
+    "service": queries.parse_text,
     "parts": _parse_parts,
-    "prompt_tokens": _parse_number,
-    "response_tokens": _parse_number,
-    "priority": _parse_priority,
-    "time_limit_s": _parse_seconds,
-    "last_event_id": _parse_number,
-    "rows": _parse_rows,
+    "prompt_tokens": queries.parse_number,
+    "response_tokens": queries.parse_number,
+    "priority": queries.parse_priority,
+    "time_limit_s": queries.parse_seconds,
+    "last_event_id": queries.parse_number,
+    "rows": queries.parse_rows,
 }
 
 
@@ -242,7 +199,7 @@
     async def _send_explanation(self, target, headers, responder) -> None:
         try:
             query = Query.from_target(target, _read_key(headers))
-        except QueryError as error:
+        except queries.QueryError as error:
             failure = verdicts.make_not_run_failure("bad-request", str(error))
             await contexts.send_failure(responder, failure, "")
             return
@@ -529,9 +486,8 @@
     """Returns the servers among which the choice is random."""
     free = [s for s in usable if not rehearsal.reservations.is_exhausted(s)]
     lowest = min(map(view.estimate_cost, free), default=None)
-    return sorted(s.instance for s in free if view.estimate_cost(s) == lowest)[
-        :ROWS_MAX
-    ]
+    equals = [s.instance for s in free if view.estimate_cost(s) == lowest]
+    return sorted(equals)[: queries.ROWS_MAX]
 
 
 def _describe_servers(
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/version/catalog.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/version/catalog.py
@@ -44,6 +44,15 @@
         """Returns the workspace of an API key, None if the key is unknown."""
         return self._workspaces.get(configuration_module.hash_secret(api_key))
 
+    def find_workspace(
+        self, name: str
+    ) -> configuration_module.Workspace | None:
+        """Returns a workspace with an API key by name, None if unknown."""
+        for workspace in self._workspaces.values():
+            if workspace.name == name:
+                return workspace
+        return None
+
     def authenticate_operator(
         self, token: str
     ) -> configuration_module.Operator | None:
--- a/tests/unit/test_explanations.py
+++ b/tests/unit/test_explanations.py
@@ -15,6 +15,7 @@
 from peridotyard_daemon.request import contexts
 from peridotyard_daemon.request import explanations
 from peridotyard_daemon.request import forwards
+from peridotyard_daemon.request import queries
 from peridotyard_daemon.request import relays
 import pytest
 import trio
@@ -503,7 +504,7 @@
 )
 def test_invalid_query_is_rejected_with_the_parameter(query, expected):
     """Guards against unbounded input, and against a misspelt parameter."""
-    with pytest.raises(explanations.QueryError) as caught:
+    with pytest.raises(queries.QueryError) as caught:
         explanations.Query.from_target(f"{explanations.TARGET}?{query}", "")
     assert expected in str(caught.value)
 
