Test the explanations of chains, and add peridotyard explain-model

The command prints /admin/v1/explain of the administration API. The cost of a full server without a known limit or rate divided by zero; full servers have no cost any more (found by the test of the place in the queue).

--- a/packages/peridotyard-cli/src/peridotyard_cli/explain.py
+++ b/packages/peridotyard-cli/src/peridotyard_cli/explain.py
@@ -1,6 +1,7 @@
-"""The subcommand explain."""
+"""The subcommands explain and explain-model."""
 
 import argparse
+import collections.abc
 import pathlib
 import urllib.parse
 
@@ -22,6 +23,12 @@
     "last-event-id": "id of the event after which a stream continues",
     "rows": "servers to show in each list (default: 20)",
 }
+MODEL_PARAMETERS = {
+    "prompt-tokens": "length of the prompt, tokens (default: 1)",
+    "max-tokens": "limit of generated tokens",
+    "priority": "priority to assume: high, normal or low",
+    "rows": "servers to show in each list (default: 20)",
+}
 
 
 def add_arguments(parser: argparse.ArgumentParser) -> None:
@@ -41,14 +48,51 @@
 def run(options: argparse.Namespace) -> int:
     """Prints where a request would be sent now and why, without sending it."""
     query = {"host": options.host, "path": options.path}
-    for name in PARAMETERS:
+    # The API key is sent as the token, since targets may be logged.
+    key = _read_key(options.key_file)
+    entry = client.Client(options.admin, key, options.request_timeout)
+    return _print_explanation(entry, query, PARAMETERS, options)
+
+
+def add_model_arguments(parser: argparse.ArgumentParser) -> None:
+    """Adds the arguments of explain-model."""
+    parser.add_argument(
+        "workspace", metavar="WORKSPACE", help="name of the workspace"
+    )
+    parser.add_argument(
+        "model", metavar="MODEL", help="name of the model, or MODEL:ADAPTER"
+    )
+    for name, text in MODEL_PARAMETERS.items():
+        parser.add_argument(f"--{name}", help=text)
+    main.add_shared_arguments(parser)
+
+
+def run_model(options: argparse.Namespace) -> int:
+    """Prints which chain a completion request would get now and why."""
+    query = {"workspace": options.workspace, "model": options.model}
+    entry = main.connect(options)
+    return _print_explanation(entry, query, MODEL_PARAMETERS, options)
+
+
+def _print_explanation(
+    entry: client.Client,
+    query: dict[str, str],
+    parameters: collections.abc.Iterable[str],
+    options: argparse.Namespace,
+) -> int:
+    """Prints the explanation of a request.
+
+    Args:
+        entry: Client of the entry.
+        query: Required parameters of the query.
+        parameters: Options that are sent with the query if they are given.
+        options: Options of the command.
+    """
+    for name in parameters:
         parameter = name.replace("-", "_")
         value = getattr(options, parameter)
         if value is not None:
             query[parameter] = value
-    # The API key is sent as the token, since targets may be logged.
-    key = _read_key(options.key_file)
-    entry = client.Client(options.admin, key, options.request_timeout)
     target = f"explain?{urllib.parse.urlencode(query)}"
     status.print_value(entry.get(target), options.json)
     return 0
--- a/packages/peridotyard-cli/src/peridotyard_cli/main.py
+++ b/packages/peridotyard-cli/src/peridotyard_cli/main.py
@@ -68,6 +68,12 @@
     "explain": Command(
         "show where a platform entry would send a request, and why", "explain"
     ),
+    "explain-model": Command(
+        "show which chain a completion request would get, and why",
+        "explain",
+        add_arguments="add_model_arguments",
+        run="run_model",
+    ),
     "local": Command("run a trial deployment on this machine", "local"),
     "demo": Command("show how a stream survives a failed stage", "demo"),
 }
--- a/packages/peridotyard-core/src/peridotyard_core/pipelines.py
+++ b/packages/peridotyard-core/src/peridotyard_core/pipelines.py
@@ -147,14 +147,20 @@
             available, 0, layers, self._make_cost_function(available)
         )
 
-    def estimate_costs(self, offers: Offers) -> list[float]:
-        """Returns the cost of each offer as a stage of all its layers."""
+    def estimate_costs(self, offers: Offers) -> dict[str, float]:
+        """Returns costs as stages of all layers that an offer has, by address.
+
+        Args:
+            offers: The offers; full ones have no cost.
+        """
         available = [offer for offer in offers if not offer.is_full]
         compute_cost = self._make_cost_function(available)
-        return [
-            compute_cost(offer, offer.end_layer - offer.first_layer)
-            for offer in offers
-        ]
+        return {
+            offer.address: compute_cost(
+                offer, offer.end_layer - offer.first_layer
+            )
+            for offer in available
+        }
 
     def replace_stage(
         self, chain: Chain, index: int, offers: Offers
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/chain_explanations.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/chain_explanations.py
@@ -215,13 +215,7 @@
     """Returns the chain, the candidates and the servers that are left out."""
     offers = context.table.find_stages(job.model, job.version, job.adapter)
     offers.sort(key=lambda offer: (offer.first_layer, offer.end_layer))
-    costs = dict(
-        zip(
-            (offer.address for offer in offers),
-            context.selector.estimate_costs(offers),
-            strict=True,
-        )
-    )
+    costs = context.selector.estimate_costs(offers)
     chosen = {stage.offer.address for stage in chain}
     free = [offer for offer in offers if not offer.is_full]
     free.sort(key=lambda offer: offer.address not in chosen)
--- a/tests/support/entries.py
+++ b/tests/support/entries.py
@@ -37,12 +37,14 @@
 CATALOG = types.SimpleNamespace(
     revision=1,
     authenticate={KEY: WORKSPACE}.get,
+    find_workspace={"north": WORKSPACE}.get,
     find_model={"peri": MODEL}.get,
 )
 # Replaces a `version.replication.Replicator`.
 REPLICATOR = mock.Mock(
     catalog=CATALOG,
     run=trio.sleep_forever,
+    confirmed_age_s=0.5,
     **{"handle_frame.return_value": False},
 )
 
--- a/tests/unit/test_administration.py
+++ b/tests/unit/test_administration.py
@@ -46,6 +46,7 @@
             lambda: {"streams": 0},
             {"r1": {"events": []}}.get,
             configuration.hash_secret(ROOT),
+            lambda query: {"model": query.model, "rows": query.rows},
         )
         body = value if isinstance(value, bytes) else json.dumps(value).encode()
         path, _, query = path.partition("?")
@@ -274,3 +275,19 @@
     assert status == 503
     assert response["error"]["code"] == "store-unavailable"
     assert response["error"]["verdict"] == "not-run"
+
+
+def test_explanations_are_for_operators_of_the_deployment(entry):
+    """Guards against operators of a workspace who see servers and queues."""
+    path = "/admin/v1/explain?workspace=north&model=peri&rows=5"
+    for token in (ROOT, "reader-token"):
+        assert entry.call("GET", path, token=token) == (
+            200,
+            {"model": "peri", "rows": 5},
+        )
+    for token, status in (("bound-token", 403), ("guess", 401)):
+        assert entry.call("GET", path, token=token)[0] == status
+    for query in ("", "?workspace=north", "?workspace=n&model=m&other=1"):
+        status, response = entry.call("GET", f"/admin/v1/explain{query}")
+        assert status == 400
+        assert response["error"]["code"] == "bad-request"
--- a/tests/unit/test_cli.py
+++ b/tests/unit/test_cli.py
@@ -283,3 +283,15 @@
         assert main.main(arguments) == client.EXIT_USAGE
         assert "--key-file" in capsys.readouterr().err
     assert explained == []
+
+
+def test_explain_model_uses_the_administration_api(
+    explained, monkeypatch, capsys
+):
+    """Guards against a command without the operator token."""
+    monkeypatch.setenv(main.TOKEN_VARIABLE, "operator")
+    arguments = ["explain-model", "north", "peri", "--max-tokens", "5"]
+    assert main.main(arguments) == 0
+    path = "explain?workspace=north&model=peri&max_tokens=5"
+    assert explained == [("GET", path, "operator")]
+    assert "outcome: send" in capsys.readouterr().out
