--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/explanations.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/explanations.py
@@ -469,9 +469,9 @@
         }
     if inquiries:
         explained["limits"] = [
-            {
-                "instance": item.server.instance,
-                "limit_per_s": rehearsal.statements.find_limit(item.server),
+            {"instance": item.server.instance}
+            | rehearsal.statements.describe(item.server)
+            | {
                 "wait_s": round(item.wait_s, 3),
                 "decided_by": "this entry" if item.is_denied else "coordinator",
             }
--- a/tests/unit/test_explanations.py
+++ b/tests/unit/test_explanations.py
@@ -265,6 +265,33 @@
             assert explained["verdict"] == {"outcome": "wait", "for": "room"}
 
 
+@cases.run_on_virtual_clock
+async def test_want_of_room_on_the_links_is_explained():
+    """Guards against free servers without a reason why none gets the request."""
+    layers = [("a0", "a", (0, 10)), ("b0", "b", (10, 20))]
+    async with gateways.open_harness(gateways.make_servers(layers)) as harness:
+        view = harness.context.view
+        service = harness.make_request().service
+        explained = await explain(harness)
+        assert explained["verdict"] == {"outcome": "send"}
+        assert explained["chance_of_room_on_links"] == 1.0
+        path = view.choose_path(service, needs_room=True)
+        for _ in range(1000):
+            view.record_path(service, path)
+        route = {"latency_objective_s": 0.0}
+        explained = await explain(harness, route=route)
+        assert explained["verdict"]["code"] == "overloaded"
+        assert explained["chance_of_room_on_links"] == 0.0
+        assert explained["excluded"] == []
+        missing = {r["zone"]: r["missing_layers"] for r in explained["zones"]}
+        assert missing == {"a": ["10-20"], "b": ["0-10"]}
+        recorder = await send(harness, route=route)
+        assert b"overloaded" in recorder.body
+        # A stream that has begun may always change zones.
+        explained = await explain(harness, last_event_id=3)
+        assert list_path(explained) == ["a0", "b0"]
+
+
 @cases.run_on_virtual_clock
 async def test_plain_server_is_explained_with_those_of_equal_cost():
     """Guards against a random choice that is presented as the only one."""
@@ -315,6 +342,7 @@
         assert explained["verdict"]["outcome"] == "reject"
         assert explained["limits"][0]["limit_per_s"] == 0.5
         assert explained["limits"][0]["wait_s"] > 0
+        assert explained["limits"][0]["age_s"] >= 0
         assert explained["excluded_by_reason"] == {"stated limit": 2}
         recorder = await send(harness, SAFE)
         assert explained["verdict"]["code"].encode() in recorder.body
--- a/tests/unit/test_links.py
+++ b/tests/unit/test_links.py
@@ -156,3 +156,40 @@
     for _ in range(100):
         assert share.has_room(rate_per_s, 0.0)
         share.record_changes(3, rate_per_s, 0.0)
+
+
+@hypothesis.given(
+    strategies.lists(
+        strategies.tuples(strategies.floats(0, 2), strategies.integers(0, 3)),
+        max_size=20,
+    ),
+    strategies.floats(0.1, 10),
+)
+@hypothesis.settings(**cases.DERANDOMIZED)
+def test_estimated_chance_is_that_of_the_next_decision(steps, rate_per_s):
+    """Guards against an explained room on the links that a request lacks."""
+    share = links.LinkShare(random.Random(0))
+    now = 0.0
+    for elapsed_s, changes in steps:
+        now += elapsed_s
+        share.record_changes(changes, rate_per_s, now)
+        now += elapsed_s
+        chance = share.estimate_chance(rate_per_s, now)
+        assert share.estimate_chance(rate_per_s, now) == chance
+        if share.has_room(rate_per_s, now):
+            assert chance > 0
+        else:
+            assert chance < 1
+        # The decision holds until the next interval.
+        settled = float(share.has_room(rate_per_s, now))
+        assert share.estimate_chance(rate_per_s, now) == settled
+
+
+def test_estimated_chance_is_the_share_of_draws_with_room():
+    """Guards against a chance that is not that of the random draw."""
+    drawn = [
+        links.LinkShare(random.Random(seed)).has_room(0.3, 1.0)
+        for seed in range(2000)
+    ]
+    chance = links.LinkShare(random.Random(0)).estimate_chance(0.3, 1.0)
+    assert abs(sum(drawn) / len(drawn) - chance) < 0.05
--- a/tests/unit/test_paths.py
+++ b/tests/unit/test_paths.py
@@ -261,3 +261,27 @@
     loads = {"a": 6, "b": 0, "c": 6, "d": 0, "e": 6}
     path = planner.choose_path(servers, lambda server: loads[server.instance])
     assert [stage.server.instance for stage in path] == ["a", "c", "e"]
+
+
+def test_path_of_the_cheapest_zone_is_chosen():
+    """Guards against explained costs by zone that do not decide."""
+    engine = fleets.make_engine(layers=20)
+    servers = [
+        fleets.make_server(f"{zone}{first}", zone, layer_range=layer_range)
+        for zone in "abc"
+        for first, layer_range in enumerate(
+            (fleet.LayerRange(0, 10), fleet.LayerRange(10, 20))
+        )
+        if (zone, first) != ("c", 1)
+    ]
+    planner = paths.Planner(engine, "a")
+    for loads in ({}, {"a0": 9}, {"a1": 9, "b0": 3}, {"b1": 9}):
+        found = planner.find_zone_paths(
+            servers, lambda s, loads=loads: loads.get(s.instance, 0)
+        )
+        assert set(found) == {"a", "b"}
+        path = planner.choose_path(
+            servers, lambda s, loads=loads: loads.get(s.instance, 0)
+        )
+        cheapest = min(found.values(), key=lambda item: item[0])
+        assert path == cheapest[1]
--- a/tests/unit/test_pipelines.py
+++ b/tests/unit/test_pipelines.py
@@ -99,3 +99,18 @@
     replace = make_selector().replace_stage
     assert describe(replace(chain, 0, [])) == [("b", 0, 8)]
     assert describe(replace(chain, 1, [])) == [("a", 0, 8)]
+
+
+def test_estimated_costs_are_those_of_the_selection():
+    """Guards against explained costs that do not decide."""
+    offers = [
+        make_offer("busy", 0, 8, load=3, limit=8),
+        make_offer("idle", 0, 8, load=1, limit=8),
+        make_offer("full", 0, 8, load=1, limit=1),
+    ]
+    selector = make_selector()
+    costs = selector.estimate_costs(offers)
+    assert set(costs) == {"busy", "idle"}
+    chosen = selector.select_chain(offers, 8)[0].offer.address
+    assert min(costs, key=costs.get) == chosen
+    assert selector.estimate_costs([offers[2]]) == {}
