--- a/tests/unit/test_explanations.py
+++ b/tests/unit/test_explanations.py
@@ -622,6 +622,36 @@
             assert [p.partition("=")[0] for p in path.split(",")] == addresses
 
 
+@cases.run_on_virtual_clock
+async def test_entry_explains_the_server_of_its_next_plain_request():
+    """Guards against explanations of plain requests that do not hold."""
+    async with deployments.open_deployment(plain_servers=3) as deployment:
+        value = deployments.encode_routing(5, kind="safe")
+        deployment.rows.put("op", "config", value)
+        await trio.sleep(2)
+        entry = deployment.entries[0]
+        target = EXPLAIN.replace("/chat/", "/ledger/") + "&workspace=north"
+        for loads in ({"p1": 2, "p2": 9}, {"p3": 2, "p2": 9}, {"p1": 90}):
+            entry.view.apply_peer_load("other", loads)
+            before = get_admitted_state(entry)
+            _, explained = await fetch(deployment, target)
+            assert get_admitted_state(entry) == before
+            counts = {
+                name: len(item.requests)
+                for name, item in deployment.servers.items()
+            }
+            data = await deployment.call(target="/ledger/x")
+            assert data.startswith(b"HTTP/1.1 200")
+            (used,) = (
+                name
+                for name, item in deployment.servers.items()
+                if len(item.requests) > counts[name]
+            )
+            assert used in explained["equal_cost"]
+            if len(explained["equal_cost"]) == 1:
+                assert used == explained["server"]
+
+
 @cases.run_on_virtual_clock
 async def test_unknown_route_and_key_are_reported_as_such():
     """Guards against an error in place of the answer that callers get."""
