--- a/tests/unit/test_explanations.py
+++ b/tests/unit/test_explanations.py
@@ -267,7 +267,7 @@
 
 @cases.run_on_virtual_clock
 async def test_want_of_room_on_the_links_is_explained():
-    """Guards against free servers without a reason why none gets the request."""
+    """Guards against free servers that are not used for no stated reason."""
     layers = [("a0", "a", (0, 10)), ("b0", "b", (10, 20))]
     async with gateways.open_harness(gateways.make_servers(layers)) as harness:
         view = harness.context.view
--- a/tests/unit/test_rehearsals.py
+++ b/tests/unit/test_rehearsals.py
@@ -17,7 +17,7 @@
             with pytest.raises(AttributeError):
                 getattr(rehearsal.view, name)
         with pytest.raises(AttributeError):
-            rehearsal.reservations.decide
+            rehearsal.reservations.decide(None, 1.0)
         with pytest.raises(AttributeError):
             rehearsal.find_queue("model").end_stream(1.0)
         request = rehearsals.Request.from_request(harness.make_request(), 0)
