--- a/tests/unit/test_explanations.py
+++ b/tests/unit/test_explanations.py
@@ -348,6 +348,23 @@
         assert explained["verdict"]["code"].encode() in recorder.body
 
 
+@cases.run_on_virtual_clock
+async def test_limit_of_the_first_server_of_a_path_is_explained():
+    """Guards against a limited server that the path seems to avoid."""
+    layers = [("a0", "a", (0, 20)), ("spare", "a", (0, 20))]
+    async with gateways.open_harness(gateways.make_servers(layers)) as harness:
+        harness.servers["a0"].stated = ((b"Server-Limit", b"0.5"),)
+        while not harness.context.reservations.has_denials:
+            assert (await send(harness)).status == 200
+        explained = await explain(harness)
+        assert list_path(explained) == ["spare"]
+        assert find_row(explained["excluded"], "a0")["reason"] == "stated limit"
+        for item in harness.servers.values():
+            item.requests.clear()
+        await send(harness)
+        assert list_used_path(harness) == ["spare"]
+
+
 @cases.run_on_virtual_clock
 async def test_quarantined_part_of_the_prompt_is_named():
     """Guards against a rejection whose cause cannot be found."""
