--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/gateway.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/gateway.py
@@ -41,6 +41,7 @@
 from peridotyard_daemon.process import synchronization
 from peridotyard_daemon.process import views
 from peridotyard_daemon.request import contexts
+from peridotyard_daemon.request import explanations
 from peridotyard_daemon.request import forwards
 from peridotyard_daemon.request import relays
 
@@ -197,6 +198,7 @@
         self.view.get_stated_wait_s = statements.get_wait_s
         self._prober = probes.Prober(self.view, pool, codec, count, statements)
         self._forwarder = forwards.Forwarder(self.context)
+        self._explainer = explanations.Explainer(self.context, self._admit)
         self._synchronizer = synchronization.Synchronizer(
             self.view, store, schema, random, count
         )
@@ -481,7 +483,10 @@
         body = b"ready\n" if ready else b"not ready\n"
         await responder.send_complete(200 if ready else 503, [], body)
 
-    async def _send_metrics(self, _method, target, _headers, _body, responder):
+    async def _send_metrics(self, _method, target, headers, _body, responder):
+        if target.partition("?")[0] == explanations.TARGET:
+            await self._explainer.respond(target, headers, responder)
+            return
         if target == FLEET_TARGET:
             fleet_state = self._describe_fleet() | {
                 "instance": self._settings.instance,
@@ -528,7 +533,7 @@
         arrived_at = trio.current_time()
         head = self.context.codec.decode_request(method, target, headers)
         await self._wait_initialized()
-        admitted = self._admit(head, body, arrived_at, responder)
+        admitted = self._admit(head, body, arrived_at, hold=responder.hold)
         if isinstance(admitted, verdicts.Failure):
             self._record_refusal(head, admitted)
             await contexts.send_failure(responder, admitted, head.request_id)
@@ -632,9 +637,20 @@
         head: exchanges.RequestHead,
         body: bytes,
         arrived_at: float,
-        responder: callers.Responder,
+        choose=None,
+        hold: collections.abc.Callable[[int], bool] = lambda _: True,
     ) -> contexts.Request | verdicts.Failure:
-        """Returns a request that may run, or the reason of its refusal."""
+        """Returns a request that may run, or the reason of its refusal.
+
+        Args:
+            head: Head of the request.
+            body: Its body.
+            arrived_at: Time of its arrival.
+            choose: Chooses among names with weights, as `random.choices` does,
+                which is the default.
+            hold: See `contexts.Request`.
+        """
+        choose = choose or self.context.random.choices
         failure = self._find_failure(head)
         if failure is not None:
             return failure
@@ -645,7 +661,7 @@
             workspace = routing.authenticate(head.key)
         names = [name for name, _ in route.targets]
         weights = [weight for _, weight in route.targets]
-        chosen = self.context.random.choices(names, weights)[0]
+        chosen = choose(names, weights)[0]
         service = routing.services.get(chosen)
         if service is None:
             return verdicts.make_not_run_failure(
@@ -665,5 +681,5 @@
             deadline=arrived_at + limit_s,
             answer_limit=self.context.answer_limit,
             priority=routing.rank(route, workspace),
-            hold=responder.hold,
+            hold=hold,
         )
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/administration.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/administration.py
@@ -16,6 +16,8 @@
 from peridotyard_daemon.connection import bodies
 from peridotyard_daemon.connection import http
 from peridotyard_daemon.connection import listeners
+from peridotyard_daemon.request import chain_explanations
+from peridotyard_daemon.request import queries
 
 PREFIX = "/admin/v1/"
 # Allows a change that creates every object of a deployment of the target size:
@@ -69,6 +71,7 @@
         find_trace: typing.Callable[[str], typing.Any],
         token_hash: str = "",
         count: typing.Callable[[str], None] = lambda _: None,
+        explain: typing.Callable[[typing.Any], typing.Any] | None = None,
     ):
         """Creates the application.
 
@@ -82,8 +85,12 @@
             token_hash: SHA-256 of the bootstrap token in hexadecimal, empty for
                 none.
             count: Increases the counter of the given name.
+            explain: Returns the JSON value that explains where a request, given
+                by a `chain_explanations.Query`, would be sent; None if it is
+                not offered.
         """
         self._bodies = bodies.Bodies(BODY_LIMIT_BYTES, BODY_MEMORY_BYTES, count)
+        self._explain = explain
         self._replicator = replicator
         self._histograms = histograms
         self._read_status = read_status
@@ -102,6 +109,8 @@
             "histograms": {"GET": self._get_histograms},
             "traces/": {"GET": self._get_trace},
         }
+        if explain is not None:
+            self._routes["explain"] = {"GET": self._get_explanation}
 
     @classmethod
     def from_config(
@@ -112,6 +121,7 @@
         read_status,
         find_trace,
         count: typing.Callable[[str], None] = lambda _: None,
+        explain=None,
     ) -> "Administration":
         """Creates the application of a `settings.EntrySettings`."""
         return cls(
@@ -121,6 +131,7 @@
             find_trace,
             settings.admin_token_sha256,
             count,
+            explain,
         )
 
     async def __call__(self, scope, receive, send) -> None:
@@ -276,6 +287,20 @@
             )
         return trace
 
+    async def _get_explanation(self, call: _Call) -> typing.Any:
+        # Servers and queues are shared by all workspaces.
+        _require_unbound(call)
+        try:
+            query = chain_explanations.Query.from_parameters(call.request.query)
+        except queries.QueryError as error:
+            raise _refuse(
+                "bad-request",
+                str(error),
+                "query",
+                ", ".join(chain_explanations.PARSERS),
+            ) from error
+        return self._explain(query)
+
 
 def _refuse(code: str, message: str, place: str, allowed: str):
     return _RefusedError(
