--- a/packages/peridotyard-core/src/peridotyard_core/fleet.py
+++ b/packages/peridotyard-core/src/peridotyard_core/fleet.py
@@ -276,15 +276,6 @@
     idle_timeout_s: float = 15.0
 
 
-# Number of ranks of requests; backend servers know as many priorities.
-RANKS = 10
-
-
-def _pair_priorities(workspace: int | None, route: int) -> tuple[int, int]:
-    """Returns the sort key of requests; a workspace may have no priority."""
-    return (route if workspace is None else workspace), route
-
-
 class Routing:
     """One accepted configuration of routes, services and workspaces.
 
@@ -324,38 +315,6 @@
             self._routes.setdefault(route.host, []).append(route)
         for items in self._routes.values():
             items.sort(key=lambda route: -len(route.prefix))
-        self._ranks = self._rank_priorities(routes)
-
-    def _rank_priorities(
-        self, routes: tuple[Route, ...]
-    ) -> dict[tuple[int, int], int]:
-        """Returns the rank of each pair of priorities of requests."""
-        workspaces = set((self._workspaces or {}).values())
-        known = {workspace.priority for workspace in workspaces} | {None}
-        pairs = sorted(
-            {
-                _pair_priorities(priority, route.priority)
-                for priority in known
-                for route in routes
-            }
-        )
-        # Equal steps if there are more pairs than ranks.
-        step = max(1.0, len(pairs) / RANKS)
-        return {pair: int(number / step) for number, pair in enumerate(pairs)}
-
-    def rank(self, route: Route, workspace: Workspace | None) -> int:
-        """Returns the rank of a request from 0, the first, to `RANKS` - 1.
-
-        The priority of the workspace takes precedence over that of the route,
-        which orders the requests of workspaces with the same one: callers who
-        wait for a response come before batch work of the same workspace.
-
-        Args:
-            route: A route of this configuration.
-            workspace: The caller's workspace, None for a public route.
-        """
-        priority = workspace.priority if workspace else None
-        return self._ranks[_pair_priorities(priority, route.priority)]
 
     @property
     def needs_keys(self) -> bool:
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/gateway.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/gateway.py
@@ -680,6 +680,5 @@
             arrived_at=arrived_at,
             deadline=arrived_at + limit_s,
             answer_limit=self.context.answer_limit,
-            priority=routing.rank(route, workspace),
             hold=hold,
         )
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/contexts.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/contexts.py
@@ -76,7 +76,6 @@
         arrived_at: Time of arrival.
         deadline: Time at which the complete response is due.
         answer_limit: Time until which this entry can answer.
-        priority: Its rank, see `fleet.Routing.rank`; 0 is the first.
         hold: Returns whether the entry may keep a number of further bytes for
             the caller, those of a response.
     """
@@ -92,7 +91,6 @@
     answer_limit: lifecycle.AnswerLimit = dataclasses.field(
         default_factory=lifecycle.AnswerLimit
     )
-    priority: int = 0
     hold: collections.abc.Callable[[int], bool] = lambda _: True
 
     def get_remaining_s(self) -> float:
@@ -140,6 +138,13 @@
             priority=self.priority,
         )
 
+    @property
+    def priority(self) -> int:
+        """Priority of the workspace if it has one, else of the route."""
+        if self.workspace is not None and self.workspace.priority is not None:
+            return self.workspace.priority
+        return self.route.priority
+
     @property
     def relative_size(self) -> float:
         """Tokens of prompt and answer, relative to the mean of the model."""
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/rehearsals.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/rehearsals.py
@@ -73,22 +73,27 @@
 
 @dataclasses.dataclass(frozen=True)
 class Request(contexts.Request):
-    """A request that is not logged."""
+    """A request that is not logged.
+
+    Attributes:
+        assumed_priority: Priority to decide by; None for the actual one.
+    """
+
+    assumed_priority: int | None = None
 
     @classmethod
     def from_request(
         cls, request: contexts.Request, priority: int | None
     ) -> "Request":
-        """Returns the rehearsed form of an admitted request.
+        """Returns the rehearsed form of an admitted request."""
+        return cls(**_read_fields(request), assumed_priority=priority)
 
-        Args:
-            request: The request.
-            priority: Priority to decide by; None for the actual one.
-        """
-        fields = _read_fields(request)
-        if priority is not None:
-            fields["priority"] = priority
-        return cls(**fields)
+    @property
+    def priority(self) -> int:
+        """The assumed priority, else that of the workspace or route."""
+        if self.assumed_priority is not None:
+            return self.assumed_priority
+        return super().priority
 
     def log(self, logger, message: str, **fields) -> None:
         """Logs nothing."""
--- a/tests/support/gateways.py
+++ b/tests/support/gateways.py
@@ -154,7 +154,6 @@
             arrived_at=now,
             deadline=now + (head.time_limit_s or 20.0),
             answer_limit=self.context.answer_limit,
-            priority=route.priority,
         )
 
     def kill(self, instance: str) -> None:
