Withhold capacity from lower priorities by the demand of all entries

With 25 to 34 entries, callers of the highest priority were rejected as often as those of a surge of the lowest one: queues are local and seldom hold two requests, and a request that finds no queue took the last capacity whatever its priority.

Entries now measure arrivals and streams by priority and workspace for services whose configuration has several priorities, exchange them in the messages on requests in flight (added field 3 of InFlight) and let new streams use only the capacity that is not withheld for others. Where a priority has little capacity left, each entry begins its part of the streams per second.

Services with one priority are neither measured nor reported, and paths are chosen as before (tests in test_views, test_relays, test_mesh). Messages of the previous version decode alike, and its bytes are unchanged without the field.

--- a/packages/peridotyard-core/src/peridotyard_core/fleet.py
+++ b/packages/peridotyard-core/src/peridotyard_core/fleet.py
@@ -6,6 +6,7 @@
 
 import dataclasses
 import enum
+import functools
 
 from peridotyard_core import addresses
 
@@ -329,6 +330,24 @@
         """All routes."""
         return tuple(r for items in self._routes.values() for r in items)
 
+    @functools.cached_property
+    def priorities(self) -> dict[str, frozenset[int]]:
+        """Priorities that the requests of each service may have."""
+        workspaces = (self._workspaces or {}).values()
+        replacing = {workspace.priority for workspace in workspaces}
+        found: dict[str, set[int]] = {}
+        for route in self.routes:
+            if self.needs_keys and not route.public:
+                own = {
+                    route.priority if priority is None else priority
+                    for priority in replacing
+                }
+            else:
+                own = {route.priority}
+            for name, _ in route.targets:
+                found.setdefault(name, set()).update(own)
+        return {name: frozenset(own) for name, own in found.items()}
+
     def match(self, host: str, path: str) -> Route | None:
         """Returns the route with the longest matching prefix, else None."""
         for route in self._routes.get(host, ()):
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/gateway.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/gateway.py
@@ -25,6 +25,7 @@
 from peridotyard_daemon.connection import http
 from peridotyard_daemon.connection import upstreams
 from peridotyard_daemon.process import delays
+from peridotyard_daemon.process import demands
 from peridotyard_daemon.process import duties
 from peridotyard_daemon.process import lifecycle
 from peridotyard_daemon.process import logs
@@ -180,6 +181,7 @@
             make_budget=self._make_budget,
             statements=statements,
             reservations=reservations_module.Reservations(statements, count),
+            shares=demands.CapacityShares(self.view, count),
         )
         statements.notify_leaving = self.view.apply_stated_leaving
         self.view.is_stated_leaving = statements.is_leaving
@@ -203,6 +205,7 @@
             self.context.parts,
             statements,
             self.context.reservations,
+            self.context.shares,
             self._network,
             name,
             own,
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/mesh.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/mesh.py
@@ -24,6 +24,7 @@
 from peridotyard_daemon.connection import peers as peers_module
 from peridotyard_daemon.process import announcements
 from peridotyard_daemon.process import delays
+from peridotyard_daemon.process import demands
 from peridotyard_daemon.process import duties
 from peridotyard_daemon.process import logs
 from peridotyard_daemon.process import network as network_module
@@ -53,6 +54,12 @@
 # Time between two messages with the requests in flight between a hub and a
 # member of its group.
 GROUP_LOAD_INTERVAL_S = 0.5
+# Time between two reports on the demand, and between those of hubs to more than
+# `DEMAND_HUBS` others. A little shorter than the intervals of the messages that
+# carry them, whose timers are not exact.
+DEMAND_INTERVAL_S = 0.45
+DEMAND_HUB_INTERVAL_S = 0.95
+DEMAND_HUBS = 16
 # Key of the requests in flight that a member receives from its hub.
 FLEET_KEY = "fleet"
 # Time for which an entry tries to connect to a hub before it does without it,
@@ -104,6 +111,7 @@
         parts: prompts_module.PartMonitor,
         statements: statements_module.Statements,
         reservations: reservations_module.Reservations,
+        shares: demands.CapacityShares,
         network: network_module.Network,
         name: str,
         own: topologies.Entry,
@@ -124,6 +132,7 @@
             parts: Receives the evidence of other entries on parts of prompts.
             statements: Receives what other entries have heard of servers.
             reservations: Reservations of requests to limited servers.
+            shares: Receives the demand at other entries.
             network: Opens and accepts connections.
             name: Name of this entry, unique for each process start.
             own: This entry as the others know it.
@@ -136,6 +145,7 @@
         self._presence = own_presence
         self._quarantine = quarantine
         self._parts = parts
+        self._shares = shares
         self._name = name
         self._own = own
         self._address = own.address
@@ -420,6 +430,7 @@
             ):
                 self._silent.add(connection.key)
             self._view.apply_peer_load(connection.key, None)
+            self._shares.drop_report(connection.key)
             self._reporting.discard(connection.key)
             self._store_seen_at.pop(connection.key, None)
             self._presence.record_entry_lost(connection.peer.instance)
@@ -462,10 +473,15 @@
             instance: min(max(0, count), MAX_LOAD)
             for instance, count in message.requests.items()
         }
+        demand = message.demand
         if not message.total:
             self._reporting.add(connection.key)
+            if demand is not None:
+                self._shares.apply_report(connection.key, demand)
             self._view.apply_peer_load(connection.key, loads)
         elif connection is self._primary:
+            if demand is not None:
+                self._shares.apply_report(FLEET_KEY, demand, is_total=True)
             for instance, count in self._sent_loads.items():
                 loads[instance] = max(0, loads.get(instance, 0) - count)
             self._view.apply_peer_load(FLEET_KEY, loads)
@@ -823,32 +839,56 @@
         else:
             # The last sum of a former hub would otherwise stay in effect.
             self._view.apply_peer_load(FLEET_KEY, None)
+            self._shares.drop_report(FLEET_KEY)
             self._post_changed_loads(
                 members, [c for c in connections if self._is_hub(c)]
             )
+        if members:
+            self._post_totals(members)
+
+    def _post_totals(self, members) -> None:
+        """Sends the requests in flight and the demand of all to members."""
         totals = self._view.sum_in_flight(self._reporting | {FLEET_KEY})
+        demand = self._shares.make_due_report(
+            "members", DEMAND_INTERVAL_S, self._reporting, is_own=False
+        )
         keys = {member.key for member in members}
-        if members and (totals, keys) != self._sent_totals:
+        if (totals, keys) != self._sent_totals or demand is not None:
             self._sent_totals = totals, keys
-            message = ttypes.InFlight(requests=totals, total=True)
+            message = ttypes.InFlight(totals, True, demand)
             self._peers.post_all(ttypes.Frame(in_flight=message), members)
 
     def _post_changed_loads(self, members, receivers) -> None:
-        loads = self._view.sum_in_flight({member.key for member in members})
-        if loads != self._sent_loads:
+        keys = {member.key for member in members}
+        loads = self._view.sum_in_flight(keys)
+        demand = None
+        if receivers:
+            is_large = len(receivers) > DEMAND_HUBS
+            demand = self._shares.make_due_report(
+                "hubs",
+                DEMAND_HUB_INTERVAL_S if is_large else DEMAND_INTERVAL_S,
+                keys,
+            )
+        if loads != self._sent_loads or demand is not None:
             self._sent_loads = loads
-            message = ttypes.InFlight(requests=loads)
+            message = ttypes.InFlight(loads, False, demand)
             self._peers.post_all(ttypes.Frame(in_flight=message), receivers)
 
     def _report_to_primary(self) -> None:
-        """Sends the own requests in flight to the primary hub, if changed."""
+        """Sends the own requests in flight and demand to the primary hub.
+
+        Sends nothing if the requests have not changed and no report is due.
+        """
         primary = self._find_primary()
         loads = self._view.count_in_flight()
-        if primary is self._reported_to and loads == self._sent_loads:
+        demand = self._shares.make_due_report("primary", DEMAND_INTERVAL_S)
+        is_known = primary is self._reported_to and loads == self._sent_loads
+        if is_known and demand is None:
             return
         self._reported_to = primary
         self._sent_loads = loads
-        primary.post(ttypes.Frame(in_flight=ttypes.InFlight(requests=loads)))
+        message = ttypes.InFlight(loads, False, demand)
+        primary.post(ttypes.Frame(in_flight=message))
 
 
 def _make_prompt_parts(evidence: prompts.Evidence) -> ttypes.Frame:
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/views.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/views.py
@@ -17,6 +17,7 @@
 from peridotyard_core import fleet
 from peridotyard_core import links
 from peridotyard_core import paths
+from peridotyard_core import shares
 import trio
 
 from peridotyard_daemon.process import logs
@@ -697,12 +698,28 @@
         health = self._health.get(name)
         return peer_requests + (health.in_flight if health else 0)
 
-    def _is_full(self, planner: paths.Planner, server: fleet.Server) -> bool:
-        """Returns whether a server has no room for another stream."""
+    def _is_full(
+        self,
+        planner: paths.Planner,
+        server: fleet.Server,
+        withheld: float = 0.0,
+    ) -> bool:
+        """Returns whether a server has no room for another stream.
+
+        Args:
+            planner: Planner of the service.
+            server: The server.
+            withheld: Fraction of its room that the stream may not use.
+        """
         if server.layer_range is None:
             return False
         load = self.get_load(server)
-        return load + 1 > planner.estimate_stream_capacity(server)
+        capacity = planner.estimate_stream_capacity(server)
+        if load + 1 > capacity:
+            return True
+        if not withheld or capacity == float("inf"):
+            return False
+        return shares.exceeds_share(load, capacity, withheld, server.instance)
 
     def _is_nearly_full(
         self, service: fleet.Service, server: fleet.Server
@@ -809,6 +826,7 @@
         avoid: frozenset[str] = frozenset(),
         not_first: frozenset[str] = frozenset(),
         needs_room: bool = False,
+        withheld: float = 0.0,
     ) -> paths.Path | None:
         """Chooses servers that together run all layers of a service's model.
 
@@ -817,6 +835,7 @@
             avoid: Instances that are not used.
             not_first: Instances with which the path must not begin.
             needs_room: Whether each server must have room for the stream.
+            withheld: Fraction of that room that the stream may not use.
 
         Returns:
             The path; None if some layer is on no usable server.
@@ -826,7 +845,7 @@
             server
             for server in self.list_usable(service.name)
             if server.instance not in avoid
-            and not (needs_room and self._is_full(planner, server))
+            and not (needs_room and self._is_full(planner, server, withheld))
         ]
         path = planner.choose_path(servers, self.get_load, not_first)
         if (
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/contexts.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/contexts.py
@@ -8,6 +8,7 @@
 
 from peridotyard_core import budgets
 from peridotyard_core import crashes
+from peridotyard_core import demands
 from peridotyard_core import exchanges
 from peridotyard_core import fleet
 from peridotyard_core import paths
@@ -19,6 +20,7 @@
 from peridotyard_daemon.connection import callers
 from peridotyard_daemon.connection import http
 from peridotyard_daemon.connection import upstreams
+from peridotyard_daemon.process import demands as demands_module
 from peridotyard_daemon.process import lifecycle
 from peridotyard_daemon.process import logs
 from peridotyard_daemon.process import metrics as metrics_module
@@ -141,6 +143,15 @@
             return self.workspace.priority
         return self.route.priority
 
+    @functools.cached_property
+    def demand_key(self) -> demands.Key:
+        """What its demand for capacity is counted under."""
+        return demands.Key(
+            self.service.name,
+            demands_module.clamp_priority(self.priority),
+            self.workspace_name,
+        )
+
     @property
     def relative_size(self) -> float:
         """Tokens of prompt and answer, relative to the mean of the model."""
@@ -168,6 +179,7 @@
         make_budget: Returns a new retry budget for a service.
         statements: What the servers state about themselves.
         reservations: Reservations of requests to limited servers.
+        shares: Shares of the capacity by priority and workspace.
         answer_limit: Time until which this entry can answer requests.
         quarantine: Requests that crash servers.
         parts: Parts of prompts that crash servers.
@@ -188,6 +200,7 @@
     make_budget: collections.abc.Callable[[], budgets.WindowBudget]
     statements: statements_module.Statements
     reservations: reservations_module.Reservations
+    shares: demands_module.CapacityShares
     answer_limit: lifecycle.AnswerLimit = dataclasses.field(
         default_factory=lifecycle.AnswerLimit
     )
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/relays.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/relays.py
@@ -79,6 +79,7 @@
     async def run(self) -> None:
         """Relays the stream, and resumes it on other paths after failures."""
         self._context.streams.add(self)
+        self._context.shares.record_arrival(self._request.demand_key)
         try:
             with self._request.answer_limit.move_on_at(
                 self._request.deadline
@@ -90,6 +91,9 @@
             if self._began_at is not None:
                 duration_s = trio.current_time() - self._began_at
                 self._queue.end_stream(duration_s)
+                self._context.shares.end_stream(
+                    self._request.demand_key, duration_s
+                )
                 self._context.offer_room()
         if not scope.cancelled_caught:
             # Outside of the time limit, which could cut off the answer.
@@ -244,6 +248,9 @@
                     if self._began_at is None:
                         self._began_at = trio.current_time()
                         self._queue.in_progress += 1
+                        self._context.shares.begin_stream(
+                            self._request.demand_key
+                        )
                     outcome = await run.execute(path)
         except (OSError, trio.BrokenResourceError) as error:
             # The caller has disconnected.
@@ -328,6 +335,7 @@
             self._failed | self._refused | failed,
             denied | firsts,
             self._needs_room,
+            self._get_withheld(),
         )
 
     def _list_first_instances(self) -> frozenset[str]:
@@ -524,7 +532,12 @@
         """
         view, service = self._context.view, self._request.service
         avoid = self._failed | self._refused
-        path = view.choose_path(service, avoid, not_first, self._needs_room)
+        if self._is_paced():
+            return None
+        withheld = self._get_withheld()
+        path = view.choose_path(
+            service, avoid, not_first, self._needs_room, withheld
+        )
         if path is not None or last is None:
             return path
         # Without other servers, those that lost an earlier attempt may be used
@@ -532,12 +545,26 @@
         # waits returns to them; the view leaves them out for a time.
         if isinstance(last, runs.Broken):
             path = view.choose_path(
-                service, last.avoid, not_first, self._needs_room
+                service, last.avoid, not_first, self._needs_room, withheld
             )
         elif self._responder.started:
             path = view.choose_path(service, frozenset(), not_first)
         return path
 
+    def _get_withheld(self) -> float:
+        """Returns the fraction of the servers' room that it may not use."""
+        if not self._needs_room:
+            return 0.0
+        return self._context.shares.get_withheld(self._request.demand_key)
+
+    def _is_paced(self) -> bool:
+        """Returns whether the pace of its priority allows no new stream now."""
+        return (
+            self._needs_room
+            and self._began_at is None
+            and not self._context.shares.may_begin(self._request.demand_key)
+        )
+
     @property
     def _needs_room(self) -> bool:
         """Whether the stream is new, so that it needs a path with room.
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/wire/peridotyard.thrift
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/wire/peridotyard.thrift
@@ -324,6 +324,28 @@
   1: list<ProcessRevision> processes,
 }
 
+/** Demand for a service by the requests of one priority, in thousandths. */
+struct Demand {
+  1: string service = "",
+  2: i32 priority = 0,
+  /** Workspace of the requests; absent for those of all workspaces. */
+  3: optional string workspace,
+  /** Requests per second, rejected ones included. */
+  4: i32 arrivals = 0,
+  /** Streams that would be in progress if all requests were served. */
+  5: i32 needed = 0,
+  6: i32 in_progress = 0,
+}
+
+/** Demand at some entries; it replaces the previous report of the sender. */
+struct DemandReport {
+  1: list<Demand> demands = [],
+  /** Number of entries that it covers, in thousandths. */
+  2: i32 entries = 0,
+  /** Mean age of the figures when the report was sent. */
+  3: i32 age_ms = 0,
+}
+
 /**
  * Requests in flight by instance of the backend server: those of the sender and
  * of the entries that report to it.
@@ -332,6 +354,8 @@
   1: map<string, i32> requests = {},
   /** Whether these are the requests of all entries, the receiver included. */
   2: bool total = false,
+  /** Demand at the same entries; absent if no report is due. */
+  3: optional DemandReport demand,
 }
 
 /** Backend servers that did not respond. */
--- a/tests/support/gateways.py
+++ b/tests/support/gateways.py
@@ -11,6 +11,7 @@
 from peridotyard_core import budgets
 from peridotyard_core import fleet
 from peridotyard_daemon.connection import upstreams
+from peridotyard_daemon.process import demands
 from peridotyard_daemon.process import metrics
 from peridotyard_daemon.process import probes
 from peridotyard_daemon.process import reservations
@@ -114,7 +115,7 @@
                 the plain service instead of the model.
             **changes: `request_id`, `time_limit_ms`, `last_event_id`, `body`
                 or `prompt` (parts of the prompt) of the request;
-                `event_timeout_s` or `max_attempts` of its route.
+                `event_timeout_s`, `max_attempts` or `priority` of its route.
         """
         plain = retry_policy in (fleet.RetryPolicy.SAFE, fleet.RetryPolicy.ONCE)
         route = dataclasses.replace(
@@ -124,6 +125,7 @@
                 "event_timeout_s", ROUTE.event_timeout_s
             ),
             max_attempts=changes.get("max_attempts", ROUTE.max_attempts),
+            priority=changes.get("priority", ROUTE.priority),
         )
         engine = None if plain else fleets.make_engine(layers=20)
         service = fleet.Service(
@@ -172,6 +174,27 @@
         return [str(item.server.address) for item in self.servers.values()]
 
 
+def make_routing(priorities) -> fleet.Routing:
+    """Returns a configuration with a route to the model of each priority."""
+    routes = tuple(
+        dataclasses.replace(
+            ROUTE,
+            name=f"p{priority}",
+            prefix=f"/p{priority}/",
+            priority=priority,
+        )
+        for priority in priorities
+    )
+    engine = fleets.make_engine(layers=20)
+    return fleet.Routing(
+        1,
+        routes,
+        (fleet.Service(MODEL_SERVICE, 100, engine),),
+        None,
+        fleet.CallerLimits(),
+    )
+
+
 def make_servers(server_layers) -> list[fleet.Server]:
     """Returns model servers.
 
@@ -242,6 +265,7 @@
             make_budget=lambda: budgets.WindowBudget(0.2, 100, 10.0),
             statements=table,
             reservations=reservations.Reservations(table, registry.increment),
+            shares=demands.CapacityShares(view, registry.increment),
         )
         prober = probes.Prober(
             view, pool, context.codec, registry.increment, table
--- a/tests/unit/test_demands.py
+++ b/tests/unit/test_demands.py
@@ -1,11 +1,21 @@
-"""Tests of peridotyard_core.demands."""
+"""Tests of the modules demands of peridotyard_core and of the daemon."""
+
+import random
 
 import hypothesis
 from hypothesis import strategies
+import logbook
 from peridotyard_core import demands
+from peridotyard_core import fleet
+from peridotyard_daemon.process import demands as demands_module
+from peridotyard_daemon.process import views
+from peridotyard_daemon.wire.generated import ttypes
 import pytest
+import trio
 
 from tests.support import cases
+from tests.support import fleets
+from tests.support import gateways
 
 KEY = demands.Key("model", 1, "north")
 TOTAL = demands.Key("model", 1)
@@ -103,3 +113,145 @@
         assert value.needed >= 0
         assert value.in_progress >= 0
     assert rest.entries >= 0
+
+
+def make_shares(counts=None, priorities=(0, 9)):
+    """Returns the shares of an entry with one server."""
+    view = views.View("a", random.Random(0))
+    view.apply_routing(gateways.make_routing(priorities), "test")
+    view.entry_count = 40
+    view.apply_server(
+        fleets.make_server("x", layer_range=fleet.LayerRange(0, 10))
+    )
+    view.apply_server(
+        fleets.make_server(
+            "y",
+            layer_range=fleet.LayerRange(10, 20),
+            address=fleets.make_server("z").address,
+        )
+    )
+    count = (lambda _: None) if counts is None else counts.append
+    return demands_module.CapacityShares(view, count)
+
+
+def make_message(*records, entries=39000, age_ms=0):
+    return ttypes.DemandReport(
+        [ttypes.Demand(*record) for record in records], entries, age_ms
+    )
+
+
+HIGH_NEED = ("model", 0, None, 9000, 13000, 2000)
+LOW_NEED = ("model", 9, None, 30000, 60000, 9000)
+LOW_KEY = demands.Key("model", 9, "north")
+
+
+@cases.run_on_virtual_clock
+async def test_report_of_others_is_used_for_three_seconds():
+    """Guards against capacity withheld for callers of a lost entry."""
+    shares = make_shares()
+    shares.apply_report("hub", make_message(HIGH_NEED, LOW_NEED))
+    assert shares.get_withheld(LOW_KEY) > 0.3
+    await trio.sleep(3.1)
+    assert shares.get_withheld(LOW_KEY) == 0
+    shares.apply_report("hub", make_message(HIGH_NEED, LOW_NEED, age_ms=3000))
+    await trio.sleep(1)
+    assert shares.get_withheld(LOW_KEY) == 0
+
+
+@cases.run_on_virtual_clock
+async def test_own_demand_is_subtracted_from_the_sum_of_all():
+    """Guards against an entry that counts its own requests twice."""
+    shares = make_shares()
+    for _ in range(4):
+        shares.record_arrival(demands.Key("model", 0, "north"))
+        shares.begin_stream(demands.Key("model", 0, "north"))
+    await trio.sleep(0.5)
+    sent = shares.make_due_report("primary", 0.45)
+    assert shares.make_due_report("primary", 0.45) is None
+    record = next(item for item in sent.demands if item.workspace is None)
+    assert record.in_progress == 4000
+    total = ("model", 0, None, record.arrivals, record.needed, 20000)
+    shares.apply_report("hub", make_message(total, entries=40000), True)
+    rows = [row for row in shares.describe() if row["workspace"] is None]
+    assert [row["streams"] for row in rows] == [20.0]
+    assert rows[0]["entries"] == 40
+
+
+INVALID_MESSAGES = [
+    make_message(("other", 0, None, 1, 1, 1)),
+    make_message(("model", 10, None, 1, 1, 1)),
+    make_message(("model", -1, None, 1, 1, 1)),
+    make_message(("model", 0, None, -1, 1, 1)),
+    make_message(("model", 0, None, 1, 2**31 - 1, 1)),
+    make_message(("model", 0, "x" * 1000, 1, 1, 1)),
+    make_message(HIGH_NEED, entries=-5),
+    make_message(HIGH_NEED, age_ms=-5),
+    make_message(*(5000 * [HIGH_NEED])),
+]
+
+
+@pytest.mark.parametrize("message", INVALID_MESSAGES)
+@cases.run_on_virtual_clock
+async def test_invalid_demand_is_counted_and_ignored(message):
+    """Guards against an entry that withholds capacity on wrong values."""
+    counts = []
+    shares = make_shares(counts)
+    shares.apply_report("hub", message)
+    assert counts == ["invalid_demands"]
+    if len(message.demands) == 1:
+        assert shares.describe() == []
+
+
+@cases.run_on_virtual_clock
+async def test_shares_are_computed_a_few_times_a_second(monkeypatch):
+    """Guards against work for each request that grows with the servers."""
+    shares = make_shares()
+    shares.apply_report("hub", make_message(HIGH_NEED, LOW_NEED))
+    calls = []
+    compute = demands_module.shares.compute_shares
+    monkeypatch.setattr(
+        demands_module.shares,
+        "compute_shares",
+        lambda *arguments: calls.append(1) or compute(*arguments),
+    )
+    for _ in range(200):
+        shares.get_withheld(LOW_KEY)
+        shares.may_begin(LOW_KEY)
+        await trio.sleep(0.005)
+    assert len(calls) <= 5
+
+
+@cases.run_on_virtual_clock
+async def test_released_capacity_is_divided_among_the_entries():
+    """Guards against entries that all take the same free capacity."""
+    shares = make_shares()
+    began = 0
+    for _ in range(400):
+        shares.record_arrival(LOW_KEY)
+        # One of 40 entries, with a hundredth of the low requests.
+        others = ("model", 9, None, 990000, 990000, 13000)
+        shares.apply_report("hub", make_message(HIGH_NEED, others))
+        if shares.may_begin(LOW_KEY):
+            began += 1
+            shares.begin_stream(LOW_KEY)
+            shares.end_stream(LOW_KEY, 1.0)
+        await trio.sleep(0.1)
+    assert 1 <= began <= 40
+
+
+@cases.run_on_virtual_clock
+async def test_begin_and_end_of_withholding_are_logged_once():
+    """Guards against a line for each computation."""
+    shares = make_shares()
+    with logbook.TestHandler().applicationbound() as handler:
+        for _ in range(8):
+            shares.apply_report("hub", make_message(HIGH_NEED, LOW_NEED))
+            shares.get_withheld(LOW_KEY)
+            await trio.sleep(0.5)
+        for _ in range(20):
+            shares.get_withheld(LOW_KEY)
+            await trio.sleep(0.5)
+    texts = [text for text in handler.formatted_records if "withheld" in text]
+    assert len(texts) == 2
+    assert "capacity withheld from lower priorities" in texts[0]
+    assert "capacity no longer withheld" in texts[1]
--- a/tests/unit/test_mesh.py
+++ b/tests/unit/test_mesh.py
@@ -215,6 +215,98 @@
         )
 
 
+TENANTS = [
+    {"name": "north", "apiKeys": ["key-1"], "priority": 0},
+    {"name": "south", "apiKeys": ["key-2"], "priority": 5},
+]
+
+
+def read_demand(entry, priority=0) -> tuple[float, float]:
+    """Returns arrivals per second and streams, as an entry knows them."""
+    for row in entry.context.shares.describe():
+        if row["priority"] == priority and row["workspace"] is None:
+            return row["arrivals_per_s"], row["streams"]
+    return 0.0, 0.0
+
+
+@pytest.mark.parametrize("entries", [3, ENTRIES])
+@cases.run_on_virtual_clock
+async def test_demand_is_known_at_all_entries(entries):
+    """Guards against entries that only know their own callers."""
+    async with deployments.open_deployment(entries=entries) as deployment:
+        deployment.rows.put(
+            "op", "config", deployments.encode_routing(5, tenants=TENANTS)
+        )
+        await trio.sleep(11)
+        deployment.servers["x"].events = 200
+        for number in (1, entries):
+            deployment.nursery.start_soon(deployment.call, number)
+        await trio.sleep(3)
+        for entry in deployment.entries:
+            arrivals, streams = read_demand(entry)
+            assert streams == pytest.approx(2, abs=0.2)
+            assert 0 < arrivals < 2.5
+            assert read_demand(entry, 5) == (0.0, 0.0)
+        # A partitioned entry takes the others to be like itself.
+        deployment.isolate(entries)
+        deployment.network.reset(f"10.1.0.{entries}:82")
+        deployment.network.reset(f"10.1.0.{entries}")
+        await trio.sleep(1)
+        deployment.nursery.start_soon(deployment.call, entries)
+        await trio.sleep(3)
+        lonely = deployment.entries[-1]
+        assert read_demand(lonely)[1] == pytest.approx(
+            max(1, lonely.view.entry_count), abs=0.2
+        )
+        await trio.sleep(12)
+        for entry in deployment.entries[:-1]:
+            assert read_demand(entry)[1] == 0
+
+
+@cases.run_on_virtual_clock
+async def test_no_demand_is_sent_if_all_requests_have_one_priority():
+    """Guards against messages that nobody needs."""
+    async with deployments.open_deployment(entries=2) as deployment:
+        await trio.sleep(4)
+        deployment.servers["x"].events = 50
+        deployment.nursery.start_soon(deployment.call)
+        await trio.sleep(1)
+        for entry in deployment.entries:
+            assert entry.context.shares.describe() == []
+            assert entry.context.shares._reports == {}
+            assert entry.context.shares._meters is None
+
+
+def encode_and_decode(message):
+    frame = ttypes.Frame(in_flight=message)
+    payload = frames.encode(frame)[frames.HEADER.size :]
+    return frames.decode(payload).in_flight
+
+
+def test_demand_survives_the_wire():
+    """Guards against fields that the encoding written by hand loses."""
+    records = [
+        ttypes.Demand("model", 9, None, 1500, 3000, 2000),
+        ttypes.Demand("model", 0, "", 1, 2, 3),
+        ttypes.Demand("model", 0, "north", 2**31 - 1, 0, 0),
+    ]
+    report = ttypes.DemandReport(records, 39500, 700)
+    message = ttypes.InFlight({"x": 2}, True, report)
+    assert encode_and_decode(message) == message
+
+
+def test_messages_without_demand_are_understood():
+    """Guards against entries of two versions that do not work together.
+
+    The bytes are those that the struct with two fields was encoded to.
+    """
+    earlier = bytes.fromhex("0c2a1b0185017804110000")
+    frame = ttypes.Frame(in_flight=ttypes.InFlight({"x": 2}, True))
+    assert frames.decode(earlier) == frame
+    assert frames.decode(earlier).in_flight.demand is None
+    assert frames.encode(frame)[frames.HEADER.size :] == earlier
+
+
 @cases.run_on_virtual_clock
 async def test_loads_from_a_lost_hub_do_not_stay_in_effect():
     """Guards against a load that no entry has, which keeps servers unused.
@@ -518,6 +610,15 @@
     ttypes.Frame(config_delta=ttypes.ConfigDelta(revision=9)),
     ttypes.Frame(offer=ttypes.Offer("x", first_layer=-5, end_layer=2**31 - 1)),
     ttypes.Frame(in_flight=ttypes.InFlight({"x": -(2**31), "y": 2**31 - 1})),
+    ttypes.Frame(
+        in_flight=ttypes.InFlight(
+            demand=ttypes.DemandReport(
+                [ttypes.Demand("model", -5, "x", -1, 2**31 - 1, -(2**31))],
+                -(2**31),
+                -(2**31),
+            )
+        )
+    ),
     ttypes.Frame(
         server_statements=ttypes.ServerStatements(
             [ttypes.ServerStatement("x", 0, True, math.nan, -(2**63))]
--- a/tests/unit/test_relays.py
+++ b/tests/unit/test_relays.py
@@ -10,9 +10,11 @@
 import logbook
 from peridotyard_core import budgets
 from peridotyard_core import fleet
+from peridotyard_core import shares
 from peridotyard_core import verdicts
 from peridotyard_daemon.request import contexts
 from peridotyard_daemon.request import relays
+from peridotyard_daemon.wire.generated import ttypes
 import pytest
 import trio
 
@@ -1412,3 +1414,81 @@
 
         check_complete(await relay_while(harness, fill))
         assert not harness.servers["b0"].requests
+
+
+def report_competition(harness, priorities=(0, 9)):
+    """Reports that more urgent requests need most of the servers' room.
+
+    Other entries have streams on all servers, which have some room left.
+    """
+    view = harness.context.view
+    view.apply_routing(gateways.make_routing(priorities), "test")
+    view.entry_count = 2
+    fill = {"a0": 8, "a1": 8, "b0": 8, "b1": 1, "spare": 1}
+    view.apply_peer_load("other", fill)
+    records = [
+        ttypes.Demand("model", 0, None, 9000, 18000, 2000),
+        ttypes.Demand("model", 9, None, 20000, 40000, 12000),
+    ]
+    message = ttypes.DemandReport(records, 1000, 0)
+    harness.context.shares.apply_report("other", message)
+
+
+@cases.run_on_virtual_clock
+async def test_last_room_is_kept_for_more_urgent_requests():
+    """Guards against the last capacity that goes to whoever comes first.
+
+    The queue is empty, so the order in it decides nothing.
+    """
+    async with gateways.open_harness(
+        gateways.make_servers(LAYER_RANGES)
+    ) as harness:
+        report_competition(harness)
+        recorder = await relay(harness, priority=9)
+        assert recorder.status == 503
+        assert b"not-run" in recorder.body
+        assert not any(item.requests for item in harness.servers.values())
+        check_complete(await relay(harness, priority=0))
+
+
+@cases.run_on_virtual_clock
+async def test_stream_that_has_begun_is_not_subject_to_shares():
+    """Guards against streams that are cut since their priority is low."""
+    async with gateways.open_harness(
+        gateways.make_servers(LAYER_RANGES)
+    ) as harness:
+        harness.servers["a0"].faults = [servers_module.Fault("crash", 4)]
+
+        async def compete():
+            await trio.sleep(0.1)
+            report_competition(harness)
+
+        check_complete(await relay_while(harness, compete, priority=9))
+
+
+@cases.run_on_virtual_clock
+async def test_nothing_is_withheld_where_all_requests_have_one_priority():
+    """Guards against reports that change the choice without competition."""
+    async with gateways.open_harness(
+        gateways.make_servers(LAYER_RANGES)
+    ) as harness:
+        report_competition(harness, priorities=(9,))
+        check_complete(await relay(harness, priority=9))
+        assert harness.context.shares.describe() == []
+
+
+@cases.run_on_virtual_clock
+async def test_request_is_served_if_the_shares_cannot_be_computed(monkeypatch):
+    """Guards against an error in the decision that rejects requests."""
+    async with gateways.open_harness(
+        gateways.make_servers(LAYER_RANGES)
+    ) as harness:
+        report_competition(harness)
+
+        def fail(*_):
+            raise ZeroDivisionError
+
+        monkeypatch.setattr(shares, "compute_shares", fail)
+        check_complete(await relay(harness, priority=9))
+        count = harness.context.metrics.get_count
+        assert count("internal_errors.demands") == 1
--- a/tests/unit/test_views.py
+++ b/tests/unit/test_views.py
@@ -240,6 +240,49 @@
     assert [stage.server.instance for stage in path] == ["x", "z"]
 
 
+@cases.run_on_virtual_clock
+async def test_withheld_room_is_used_by_others_only():
+    """Guards against a low priority that takes the last room."""
+    view = make_view()
+    capacity = find_capacity(view, "x")
+    view.apply_peer_load("other", dict.fromkeys("xyz", capacity - 2))
+    assert view.choose_path(SERVICE, needs_room=True) is not None
+    assert view.choose_path(SERVICE, needs_room=True, withheld=0.5) is None
+    # Streams that have begun need no known room.
+    assert view.choose_path(SERVICE, withheld=0.5) is not None
+
+
+@hypothesis.settings(**cases.DERANDOMIZED)
+@hypothesis.given(
+    loads=strategies.dictionaries(
+        strategies.sampled_from("xyz"), strategies.integers(0, 12)
+    )
+)
+def test_path_is_the_same_if_nothing_is_withheld(loads):
+    """Guards against another choice where no requests compete."""
+
+    async def run():
+        view = make_view()
+        view.apply_peer_load("other", loads)
+        assert view.choose_path(SERVICE, needs_room=True, withheld=0.0) == (
+            view.choose_path(SERVICE, needs_room=True)
+        )
+        capacity = find_capacity(view, "x")
+        if max(loads.values(), default=0) <= 0.7 * capacity - 1:
+            # A withheld part that is free on each server changes nothing.
+            assert view.choose_path(
+                SERVICE, needs_room=True, withheld=0.3
+            ) == view.choose_path(SERVICE, needs_room=True)
+
+    virtual_clock.run(run)
+
+
+def find_capacity(view, instance):
+    """Returns the whole streams for which a server has room."""
+    planner = view.make_planner(SERVICE)
+    return int(planner.estimate_stream_capacity(view.servers[instance]))
+
+
 @cases.run_on_virtual_clock
 async def test_server_whose_memory_seems_too_small_is_not_taken_to_be_full():
     """Guards against a service that refuses all streams on a wrong estimate."""
