Let requests wait only while their turn is expected in time

Where requests of several priorities compete, a request waited for an eighth of its latency objective whatever it could still gain, and callers were told to return at the rate of the entry's own streams whatever their priority. In such services it now waits while its turn is expected, at the rate at which capacity is released for its priority, within the objective less the mean time to the first event; else it is rejected at once, and Retry-After uses the same rate.

A caller that returns has less time left than the route gives; it goes before others of its workspace and priority, never before other workspaces. A request that may not use the room there is no longer holds up those behind it that may. Services with one priority behave as before.

--- a/packages/peridotyard-core/src/peridotyard_core/admission.py
+++ b/packages/peridotyard-core/src/peridotyard_core/admission.py
@@ -1,5 +1,7 @@
 """Admission queue with strict priorities, fair shares and a bounded wait."""
 
+import bisect
+import collections
 import dataclasses
 import heapq
 import itertools
@@ -11,6 +13,9 @@
 # Weight of the newest interval in the moving average of the time between two
 # requests that leave the queue.
 SMOOTHING = 0.1
+# Turns that are no longer valid and kept beside those that are. Removing them
+# one by one would take a search each.
+REMOVED_LIMIT = 64
 # Number of requests that may wait for one model.
 DEFAULT_LIMIT = 1000
 
@@ -26,6 +31,10 @@
         deadline: Time after which the request need not be started, seconds.
         cost: Work of the request relative to other requests.
         item: Value that the owner of the queue attaches.
+        since: Time from which on its caller has waited. Among the tickets of
+            one workspace the earliest is first, and those with the same time
+            in the order in which they were added. Other workspaces do not
+            depend on it, so a wrong time gains nothing over them.
     """
 
     workspace: str
@@ -34,47 +43,105 @@
     deadline: float
     cost: float = 1.0
     item: typing.Any = None
+    since: float = 0.0
+
+
+class _Turn(typing.NamedTuple):
+    """A turn of a workspace, whichever of its tickets uses it.
+
+    Attributes:
+        finish: Virtual finish time.
+        number: Number in the order of creation.
+        start: Virtual start time.
+        workspace: The workspace.
+    """
+
+    finish: float
+    number: int
+    start: float
+    workspace: str
 
 
 class _FairQueue:
     """Weighted fair queue of one priority, ordered by virtual finish time."""
 
     def __init__(self):
-        self._heap = []
+        self._heap: list[_Turn] = []
+        # Turns of each workspace, and its tickets by waiting time. Both have
+        # the same length.
+        self._turns: dict[str, collections.deque[_Turn]] = {}
+        self._tickets: dict[str, list[tuple[float, int, Ticket]]] = {}
         self._finish_times = {}
         self._virtual_time = 0.0
         self._counter = itertools.count()
-        self._removed = set()
+        # Numbers of turns in the heap that are no longer valid.
+        self._removed: set[int] = set()
         self.size = 0
 
     def add(self, ticket: Ticket) -> None:
-        start = max(
-            self._virtual_time, self._finish_times.get(ticket.workspace, 0.0)
-        )
+        name = ticket.workspace
+        start = max(self._virtual_time, self._finish_times.get(name, 0.0))
         finish = start + ticket.cost / max(ticket.weight, 1e-9)
-        self._finish_times[ticket.workspace] = finish
-        entry = (finish, next(self._counter), start, ticket)
-        heapq.heappush(self._heap, entry)
+        self._finish_times[name] = finish
+        number = next(self._counter)
+        turn = _Turn(finish, number, start, name)
+        heapq.heappush(self._heap, turn)
+        self._turns.setdefault(name, collections.deque()).append(turn)
+        entry = (ticket.since, number, ticket)
+        bisect.insort(self._tickets.setdefault(name, []), entry)
         self.size += 1
 
     def remove(self, ticket: Ticket) -> None:
-        self._removed.add(id(ticket))
-        self.size -= 1
-        self._drop_removed()
+        """Removes a ticket and the last turn of its workspace."""
+        name = ticket.workspace
+        entries = self._tickets[name]
+        # An index instead of a comparison of tickets.
+        index = next(i for i, e in enumerate(entries) if e[2] is ticket)
+        del entries[index]
+        self._remove_turn(self._turns[name].pop())
 
     def peek(self) -> Ticket | None:
-        return self._heap[0][3] if self._heap else None
+        if not self._heap:
+            return None
+        return self._tickets[self._heap[0].workspace][0][2]
+
+    def list_next(self, limit: int) -> list[Ticket]:
+        """Returns the next tickets of the workspaces that are next.
+
+        Args:
+            limit: Largest number of tickets.
+        """
+        names = heapq.nsmallest(
+            limit, self._turns, lambda name: self._turns[name][0]
+        )
+        return [self._tickets[name][0][2] for name in names]
 
     def pop(self) -> Ticket:
-        _, _, start, ticket = heapq.heappop(self._heap)
-        self._virtual_time = max(self._virtual_time, start)
-        self.size -= 1
-        self._drop_removed()
+        return self.take(self._heap[0].workspace)
+
+    def take(self, workspace: str) -> Ticket:
+        """Removes and returns the next ticket of a workspace."""
+        turn = self._turns[workspace].popleft()
+        _, _, ticket = self._tickets[workspace].pop(0)
+        self._virtual_time = max(self._virtual_time, turn.start)
+        self._remove_turn(turn)
         return ticket
 
-    def _drop_removed(self) -> None:
-        while self._heap and id(self._heap[0][3]) in self._removed:
-            self._removed.discard(id(heapq.heappop(self._heap)[3]))
+    def _remove_turn(self, turn: _Turn) -> None:
+        self.size -= 1
+        if not self._turns[turn.workspace]:
+            del self._turns[turn.workspace]
+            del self._tickets[turn.workspace]
+        self._removed.add(turn.number)
+        while self._heap and self._heap[0].number in self._removed:
+            self._removed.discard(heapq.heappop(self._heap).number)
+        if len(self._removed) > self.size + REMOVED_LIMIT:
+            # The first turn may stay for long while others are used.
+            self._heap = [
+                turn for turns in self._turns.values() for turn in turns
+            ]
+            heapq.heapify(self._heap)
+            self._removed.clear()
         if not self._heap:
             # Virtual times matter only among waiting requests. Without a reset
             # the table of workspaces would grow without limit.
@@ -153,6 +220,29 @@
         self._update_interval(now)
         return ticket
 
+    def list_next(self, limit: int) -> list[Ticket]:
+        """Returns the next tickets, one of each priority and workspace.
+
+        Args:
+            limit: Largest number of tickets.
+        """
+        found = []
+        for queue in self._queues:
+            if len(found) < limit and queue.size:
+                found += queue.list_next(limit - len(found))
+        return found
+
+    def take(self, ticket: Ticket, now: float) -> None:
+        """Removes one of the tickets of `list_next`, whose turn it is.
+
+        Args:
+            ticket: The ticket.
+            now: Current time, seconds.
+        """
+        self._queues[ticket.priority].take(ticket.workspace)
+        self._waiting.discard(ticket)
+        self._update_interval(now)
+
     def remove(self, ticket: Ticket) -> None:
         """Removes a ticket whose caller disconnected or deadline passed."""
         if ticket in self._waiting:
--- a/packages/peridotyard-core/src/peridotyard_core/demands.py
+++ b/packages/peridotyard-core/src/peridotyard_core/demands.py
@@ -32,6 +32,9 @@
 # and hubs report, and the age from which on it has none.
 FULL_WEIGHT_AGE_S = 1.0
 NO_WEIGHT_AGE_S = 3.0
+# Decayed number of arrivals below which a measurement is dropped, about a
+# minute after the last request.
+UNUSED_COUNT = 1e-9
 # Figures below this are not reported; rates decay and never reach 0.
 NEGLIGIBLE = 0.001
 
@@ -268,12 +271,23 @@
 
     def make_report(self, now: float) -> Report:
         """Returns the demand at this entry."""
+        self._drop_unused(now)
         figures = {
             key: self._read(key, meter, now)
             for key, meter in self._meters.items()
         }
         return Report(_keep_heaviest(figures), 1.0)
 
+    def _drop_unused(self, now: float) -> None:
+        unused = [
+            key
+            for key, meter in self._meters.items()
+            if not meter.in_progress and meter.get_count(now) < UNUSED_COUNT
+        ]
+        for key in unused:
+            del self._meters[key]
+            self._workspaces.get(key[:2], set()).discard(key)
+
     def _find(self, key: Key, now: float) -> list[_Meter]:
         """Returns the meters of a workspace and of its priority.
 
@@ -314,7 +328,7 @@
         arrivals_per_s = meter.get_count(now) / covered_s
         # Workspaces with the duration of their priority, so that the needs of
         # all of them add up to its need.
-        total = self._meters[key._replace(workspace=None)]
+        total = self._meters.get(key._replace(workspace=None), meter)
         duration_s = total.mean_duration_s
         if duration_s is None:
             # Without a duration, only the present use is certain.
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/demands.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/demands.py
@@ -35,6 +35,12 @@
 MAX_FIGURE = 1 << 20
 # Arrivals, needs and entries are sent as whole thousandths.
 SCALE = 1000
+# Requests that wait at another entry, in a priority that gets less than it
+# needs, for each one that could.
+QUEUED_ELSEWHERE = 0.5
+# Largest number of requests at all entries for one of this entry, relative to
+# the number of entries. Bounds the effect of few measured requests.
+PART_RANGE = 10
 # Longest time between two lines on internal errors of the decision.
 ERROR_LOG_INTERVAL_S = 5.0
 
@@ -135,7 +141,8 @@
     def estimate_wait(self, key: demands.Key, ahead: int) -> float | None:
         """Returns the expected time until a request can be sent, seconds.
 
-        None if nothing is withheld in the service.
+        None if nothing is withheld in the service, or if it is not known when
+        streams end.
 
         Args:
             key: Service, priority and workspace.
@@ -143,10 +150,35 @@
                 entries, as many are assumed to.
         """
         found = self._find_shares(key.service)
-        if found is shares.NOTHING_WITHHELD:
+        everywhere = float(ahead)
+        if key.priority in found.paces_per_s:
+            # Requests of a priority that gets less than it needs wait at
+            # about every second entry.
+            everywhere += QUEUED_ELSEWHERE
+        everywhere *= self._estimate_entries(key)
+        wait_s = found.estimate_wait(key.priority, everywhere)
+        return None if wait_s == float("inf") else wait_s
+
+    def estimate_interval(self, key: demands.Key) -> float | None:
+        """Returns the time between two streams that this entry can begin.
+
+        In seconds, for one priority; None as in `estimate_wait`.
+
+        Args:
+            key: Service, priority and workspace.
+        """
+        found = self._find_shares(key.service)
+        rate_per_s = found.rates_per_s.get(key.priority, 0.0)
+        if not rate_per_s:
             return None
+        return self._estimate_entries(key) / rate_per_s
+
+    def _estimate_entries(self, key: demands.Key) -> float:
+        """Returns the requests of all entries for each one of this entry."""
         entries = max(1, self._view.entry_count)
-        return found.estimate_wait(key.priority, ahead * entries)
+        total_key = key._replace(workspace=None)
+        part = demands.compute_part(self._own, self._total, total_key)
+        return min(1 / max(part, 1e-6), PART_RANGE * entries)
 
     def apply_report(
         self, name: str, message: ttypes.DemandReport, is_total: bool = False
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/contexts.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/contexts.py
@@ -53,6 +53,9 @@
 # The same for room on the servers. Callers that are refused soon can still be
 # served elsewhere in time.
 ROOM_OBJECTIVE_SHARE = 0.125
+# Part of the latency objective that is left for the servers where requests of
+# several priorities compete, before the time to the first event is known.
+FIRST_EVENT_SHARE = 0.5
 
 # Weight of the newest duration in the mean duration of a route's requests.
 DURATION_SMOOTHING = 0.2
@@ -249,8 +252,33 @@
 
     def offer_room(self) -> None:
         """Lets requests that wait go on, if the servers have room again."""
-        for queue in self._queues.values():
-            queue.offer()
+        for service, queue in self._queues.items():
+            queue.offer(self.count_candidates(service))
+
+    def count_candidates(self, service: str) -> int:
+        """Returns the requests that are considered for the same room."""
+        return rooms.CANDIDATES if self.shares.is_contested(service) else 1
+
+    def find_room_deadline(self, request: Request) -> float | None:
+        """Returns until when a request waits for room.
+
+        None if its turn is not expected while it could still be on time.
+        """
+        queue = self.find_queue(request.service.name)
+        objective_s = request.route.latency_objective_s
+        expected_s = self.shares.estimate_wait(
+            request.demand_key, queue.count_ahead(request.priority)
+        )
+        if expected_s is None:
+            limit_s = ROOM_OBJECTIVE_SHARE * objective_s
+            return min(request.arrived_at + limit_s, request.deadline)
+        first_event_s = queue.mean_first_event_s
+        if first_event_s is None:
+            first_event_s = FIRST_EVENT_SHARE * objective_s
+        until = request.arrived_at + max(0.0, objective_s - first_event_s)
+        if trio.current_time() + expected_s > until:
+            return None
+        return min(until, request.deadline)
 
     def adjust_budgets(
         self, fraction: float, reserve: float, window_s: float
@@ -549,14 +577,20 @@
         """Returns the failure of a request for which no server has room.
 
         Its caller is told to return when places that become free at the present
-        rate are not taken by those that were refused before.
+        rate are not taken by those that were refused before. Where capacity is
+        withheld, it is the rate of its priority.
         """
         queue = self.find_queue(request.service.name)
-        duration_s = queue.mean_duration_s or request.route.latency_objective_s
-        wait_s = queue.returns.reserve(
-            trio.current_time(),
-            duration_s / max(1, queue.in_progress),
-            RETRY_AFTER_MAX_S,
+        returns = queue.find_returns(request.priority)
+        interval_s = self.shares.estimate_interval(request.demand_key)
+        if interval_s is None:
+            returns = queue.returns
+            duration_s = (
+                queue.mean_duration_s or request.route.latency_objective_s
+            )
+            interval_s = duration_s / max(1, queue.in_progress)
+        wait_s = returns.reserve(
+            trio.current_time(), interval_s, RETRY_AFTER_MAX_S
         )
         wait_s = max(RETRY_AFTER_BUSY_S, wait_s)
         wait_s *= 1 + RETRY_AFTER_SPREAD * self.random.random()
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/relays.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/relays.py
@@ -71,6 +71,8 @@
         self._queue = context.find_queue(request.service.name)
         # Time at which it was sent first.
         self._began_at: float | None = None
+        # Whether an event was received, so that the time to it was recorded.
+        self._has_event = False
         # Whether it was not sent since servers had no room for it.
         self._is_without_room = False
         # Number of paths that may still run a part of the request.
@@ -309,6 +311,9 @@
     def _take_lead(self, run: runs.Run) -> None:
         """Ends the other runs, since this one sends to the caller."""
         self._sends_without_event = 0
+        if not self._has_event and self._began_at is not None:
+            self._has_event = True
+            self._queue.record_first_event(trio.current_time() - self._began_at)
         self._refused = frozenset()
         self._silent = frozenset()
         for other in self._runs:
@@ -449,18 +454,11 @@
             path = await self._reserve_path(last)
             if path is not None or not self._lacks_room(last):
                 return path
-        wait_s = (
-            contexts.ROOM_OBJECTIVE_SHARE * request.route.latency_objective_s
-        )
-        ticket = admission.Ticket(
-            request.workspace_name,
-            request.priority,
-            1.0,
-            min(request.arrived_at + wait_s, request.deadline),
-            request.relative_size,
-        )
-        if await queue.wait(
-            ticket, lambda: self._choose_path(last) is not None
+        deadline = self._context.find_room_deadline(request)
+        if deadline is not None and await queue.wait(
+            self._make_ticket(deadline),
+            lambda: self._choose_path(last) is not None,
+            self._context.count_candidates(request.service.name),
         ):
             self._responder.check_connected()
             path = await self._reserve_path(last)
@@ -469,6 +467,28 @@
         self._is_without_room = self._lacks_room(last)
         return None
 
+    def _make_ticket(self, deadline: float) -> admission.Ticket:
+        """Returns the ticket with which the request waits for room.
+
+        A caller that returns after a refusal has less time left than the route
+        gives it, and goes before others of its workspace.
+
+        Args:
+            deadline: Time until which it waits.
+        """
+        request = self._request
+        ticket = admission.Ticket(
+            request.workspace_name,
+            request.priority,
+            1.0,
+            deadline,
+            request.relative_size,
+        )
+        if not self._context.shares.is_contested(request.service.name):
+            return ticket
+        since = request.deadline - request.route.timeout_s
+        return dataclasses.replace(ticket, since=since)
+
     def _lacks_room(self, last: runs.Outcome | None) -> bool:
         """Returns whether there are paths, but none with room.
 
--- a/tests/unit/test_relays.py
+++ b/tests/unit/test_relays.py
@@ -1416,15 +1416,23 @@
         assert not harness.servers["b0"].requests
 
 
-def report_competition(harness, priorities=(0, 9)):
+def report_competition(harness, priorities=(0, 9), streams=8):
     """Reports that more urgent requests need most of the servers' room.
 
-    Other entries have streams on all servers, which have some room left.
+    Args:
+        harness: The harness.
+        priorities: Priorities of the routes.
+        streams: Streams of other entries on the large servers, which have room
+            for 15.
     """
     view = harness.context.view
     view.apply_routing(gateways.make_routing(priorities), "test")
     view.entry_count = 2
-    fill = {"a0": 8, "a1": 8, "b0": 8, "b1": 1, "spare": 1}
+    fill = dict.fromkeys(["a0", "a1"], streams) | {
+        "b0": 31,
+        "b1": 3,
+        "spare": 3,
+    }
     view.apply_peer_load("other", fill)
     records = [
         ttypes.Demand("model", 0, None, 9000, 18000, 2000),
@@ -1451,6 +1459,58 @@
         check_complete(await relay(harness, priority=0))
 
 
+@cases.run_on_virtual_clock
+async def test_request_whose_turn_is_not_expected_in_time_does_not_wait():
+    """Guards against callers that learn late that they are not served."""
+    async with gateways.open_harness(
+        gateways.make_servers(LAYER_RANGES)
+    ) as harness:
+        report_competition(harness, streams=13)
+        began = trio.current_time()
+        recorder = await relay(harness, priority=9)
+        assert recorder.status == 503
+        assert trio.current_time() == began
+        headers = dict(recorder.headers)
+        assert float(headers[b"retry-after"]) >= contexts.RETRY_AFTER_BUSY_S
+
+
+@cases.run_on_virtual_clock
+async def test_urgent_request_waits_while_its_turn_is_expected_in_time():
+    """Guards against a rejection after an eighth of the objective.
+
+    Room appears after more than that.
+    """
+    async with gateways.open_harness(
+        gateways.make_servers(LAYER_RANGES)
+    ) as harness:
+        harness.context.view.notify_load = harness.context.offer_room
+        report_competition(harness, streams=15)
+
+        async def free():
+            objective_s = gateways.ROUTE.latency_objective_s
+            await trio.sleep(2 * contexts.ROOM_OBJECTIVE_SHARE * objective_s)
+            report_competition(harness, streams=8)
+
+        check_complete(await relay_while(harness, free, priority=0))
+
+
+@cases.run_on_virtual_clock
+async def test_callers_of_a_low_priority_are_told_to_return_later():
+    """Guards against callers that return before capacity is released."""
+    async with gateways.open_harness(
+        gateways.make_servers(LAYER_RANGES)
+    ) as harness:
+        report_competition(harness, streams=15)
+        waits = {}
+        for priority in (0, 9):
+            request = harness.make_request(priority=priority)
+            for _ in range(4):
+                failure = harness.context.refuse_without_room(request)
+            waits[priority] = failure.retry_after_s
+        assert waits[0] < waits[9]
+        assert waits[9] <= contexts.RETRY_AFTER_MAX_S * 1.3
+
+
 @cases.run_on_virtual_clock
 async def test_stream_that_has_begun_is_not_subject_to_shares():
     """Guards against streams that are cut since their priority is low."""
--- a/tests/unit/test_rooms.py
+++ b/tests/unit/test_rooms.py
@@ -66,6 +66,25 @@
     assert not queue.has_precedence(9)
 
 
+@cases.run_on_virtual_clock
+async def test_request_without_room_does_not_hold_up_others():
+    """Guards against a workspace over its share that blocks its entry."""
+    queue = rooms.RoomQueue()
+    turns = []
+
+    async def wait(name, has_room):
+        if await queue.wait(make_ticket(name), lambda: has_room, 3):
+            turns.append(name)
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(wait, "hot", False)
+        await trio.sleep(0.1)
+        nursery.start_soon(wait, "small", True)
+        await trio.sleep(0.1)
+        assert turns == ["small"]
+        assert len(queue) == 1
+
+
 @cases.run_on_virtual_clock
 async def test_queue_is_bounded():
     """Guards against requests that pile up in an overloaded entry."""
