Show shares of capacity in counters, log lines and the fleet state

Operators could not tell whether a rejected request of a low priority found the servers full or their room kept for others. The counter refused_without_room has a priority now; its name without one is gone.

--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/gateway.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/gateway.py
@@ -462,6 +462,7 @@
         for item in described["servers"]:
             server = self.view.servers[item["instance"]]
             item["states"] = self.context.statements.describe(server)
+        described["shares"] = self.context.shares.describe()
         return described
 
     async def _handle(self, method, target, headers, body, responder) -> None:
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/contexts.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/contexts.py
@@ -594,12 +594,15 @@
         )
         wait_s = max(RETRY_AFTER_BUSY_S, wait_s)
         wait_s *= 1 + RETRY_AFTER_SPREAD * self.random.random()
-        self.metrics.increment("refused_without_room")
+        level = request.demand_key.priority
+        self.metrics.increment(f"refused_without_room.{level}")
         request.log(
             _log,
             "no server has room for the request",
             in_progress=queue.in_progress,
             waiting=len(queue),
+            priority=level,
+            withheld=round(self.shares.get_withheld(request.demand_key), 3),
             waited_ms=round(1000 * (trio.current_time() - request.arrived_at)),
             retry_after_ms=round(1000 * wait_s),
         )
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/relays.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/relays.py
@@ -465,8 +465,24 @@
             if path is not None:
                 return path
         self._is_without_room = self._lacks_room(last)
+        if self._is_without_room:
+            self._count_withheld()
         return None
 
+    def _count_withheld(self) -> None:
+        """Counts a request for which there is room that others keep."""
+        context, request = self._context, self._request
+        if (self._is_paced() or self._get_withheld()) and (
+            context.view.choose_path(
+                request.service,
+                self._failed | self._refused,
+                needs_room=True,
+            )
+            is not None
+        ):
+            level = request.demand_key.priority
+            context.metrics.increment(f"withheld.{level}")
+
     def _make_ticket(self, deadline: float) -> admission.Ticket:
         """Returns the ticket with which the request waits for room.
 
--- a/tests/unit/test_gateway.py
+++ b/tests/unit/test_gateway.py
@@ -148,6 +148,7 @@
         assert fleet_state["routing"]["age_s"] < 5
         assert fleet_state["list_age_s"] < 2
         assert fleet_state["ready"]
+        assert fleet_state["shares"] == []
         layers = {s["instance"]: s["layers"] for s in fleet_state["servers"]}
         assert layers == {"x": "0-10", "y": "10-20"}
 
--- a/tests/unit/test_relays.py
+++ b/tests/unit/test_relays.py
@@ -1457,6 +1457,14 @@
         assert b"not-run" in recorder.body
         assert not any(item.requests for item in harness.servers.values())
         check_complete(await relay(harness, priority=0))
+        count = harness.context.metrics.get_count
+        assert count("refused_without_room.9") == count("withheld.9") == 1
+        rows = harness.context.shares.describe()
+        assert [row["priority"] for row in rows if not row["workspace"]] == [
+            0,
+            9,
+        ]
+        assert rows[-1]["withheld"] > 0.3
 
 
 @cases.run_on_virtual_clock
