Compute the capacity of a service from kinds of servers

A workspace with a need close to 0 raised OverflowError in the decision, found by hypothesis; the number of other workspaces is limited before it is rounded.

--- a/packages/peridotyard-core/src/peridotyard_core/shares.py
+++ b/packages/peridotyard-core/src/peridotyard_core/shares.py
@@ -117,7 +117,7 @@
 
 
 def compute_capacity(
-    servers: collections.abc.Iterable[tuple[int, int, float]], layers: int
+    servers: collections.abc.Iterable[tuple[int, int, int, float]], layers: int
 ) -> float:
     """Returns the streams that servers can take together.
 
@@ -125,17 +125,18 @@
     if the capacity of a server is unknown.
 
     Args:
-        servers: First layer, end of the layers and streams of each server.
+        servers: First layer and end of the layers of servers that are alike,
+            their number and the streams of each.
         layers: Number of layers of the model.
     """
     changes = [0.0] * (layers + 1)
-    for first, end, streams in servers:
+    for first, end, number, streams in servers:
         if streams == float("inf"):
             return streams
         if 0 <= first < end <= layers:
             # Only whole streams fit on a server.
-            changes[first] += math.floor(streams)
-            changes[end] -= math.floor(streams)
+            changes[first] += number * math.floor(streams)
+            changes[end] -= number * math.floor(streams)
     least, total = float("inf"), 0.0
     for change in changes[:layers]:
         total += change
@@ -365,7 +366,7 @@
         lightest = min(value.needed for value in workspaces.values())
         others = 0
         if rest_needed > 0 and lightest > 0:
-            others = min(MAX_WORKSPACES, math.ceil(rest_needed / lightest))
+            others = math.ceil(min(MAX_WORKSPACES, rest_needed / lightest))
         share = compute_fair_share(
             [value.needed for value in workspaces.values()]
             + others * [lightest],
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/demands.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/demands.py
@@ -339,33 +339,43 @@
 
     def _compute_capacities(self) -> dict[str, float]:
         """Returns the streams that contested services can take, by service."""
-        found: dict[str, list] = {name: [] for name in self._contested}
+        # Many servers are alike, so their capacity is computed once.
+        kinds: dict[str, dict] = {name: {} for name in self._contested}
+        is_suspected = self._view.is_suspected
         for server in self._view.servers.values():
-            if (
-                server.service in found
-                and server.ready
-                and server.layer_range is not None
-                and not self._view.is_suspected(server)
-            ):
-                found[server.service].append(server)
+            found = kinds.get(server.service)
+            held = server.layer_range
+            if found is None or held is None or not server.ready:
+                continue
+            if not is_suspected(server):
+                kind = server.accelerator_type, held.first, held.end
+                found.setdefault(kind, []).append(server)
         return {
-            name: self._compute_capacity(self._routing.services[name], servers)
-            for name, servers in found.items()
+            name: self._compute_capacity(self._routing.services[name], found)
+            for name, found in kinds.items()
         }
 
     def _compute_capacity(
-        self, service: fleet.Service, servers: list[fleet.Server]
+        self,
+        service: fleet.Service,
+        kinds: dict[tuple[str, int, int], list[fleet.Server]],
     ) -> float:
+        """Returns the streams that a service can take.
+
+        Args:
+            service: The service.
+            kinds: Its servers by type and layers.
+        """
         planner = paths.Planner(service.engine, self._view.zone)
-        # Many servers are alike.
-        streams = {
-            kind: planner.estimate_stream_capacity(server)
-            for kind, server in {_classify(s): s for s in servers}.items()
-        }
         return shares.compute_capacity(
             (
-                (s.layer_range.first, s.layer_range.end, streams[_classify(s)])
-                for s in servers
+                (
+                    first,
+                    end,
+                    len(servers),
+                    planner.estimate_stream_capacity(servers[0]),
+                )
+                for (_, first, end), servers in kinds.items()
             ),
             service.engine.layers,
         )
@@ -467,11 +477,6 @@
     return round(SCALE * min(value, MAX_FIGURE))
 
 
-def _classify(server: fleet.Server) -> tuple:
-    """Returns what servers of the same capacity have in common."""
-    return server.accelerator_type, server.layer_range
-
-
 def _format(withheld: collections.abc.Mapping[int, float]) -> str:
     return ",".join(
         f"{priority}={part:.3f}" for priority, part in sorted(withheld.items())
--- a/tests/support/share_models.py
+++ b/tests/support/share_models.py
@@ -252,7 +252,7 @@
         total = demands.sum_reports([own, *known])
         total = demands.extrapolate(total, ENTRIES)
         capacity = shares.compute_capacity(
-            [(0, 1, SERVER_CAPACITY)] * len(self.servers), 1
+            [(0, 1, len(self.servers), SERVER_CAPACITY)], 1
         )
         entry.shares = shares.compute_shares(total.figures, SERVICE, capacity)
         entry.parts = {
--- a/tests/unit/test_shares.py
+++ b/tests/unit/test_shares.py
@@ -221,10 +221,12 @@
 
 def test_capacity_is_the_least_over_the_layers():
     """Guards against streams for which some layer has no memory left."""
-    servers = [(0, 10, 8.6), (10, 20, 3.2), (8, 20, 2.0)]
+    servers = [(0, 10, 1, 8.6), (10, 20, 1, 3.2), (8, 20, 1, 2.0)]
     assert shares.compute_capacity(servers, 20) == 5.0
     assert shares.compute_capacity(servers[:1], 20) == 0.0
-    unknown = [*servers, (0, 20, float("inf"))]
+    pairs = [(0, 10, 2, 8.6), (10, 20, 2, 3.2), (8, 20, 1, 2.0)]
+    assert shares.compute_capacity(pairs, 20) == 8.0
+    unknown = [*servers, (0, 20, 1, float("inf"))]
     assert shares.compute_capacity(unknown, 20) == float("inf")
 
 
