--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/demands.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/demands.py
@@ -124,6 +124,11 @@
             key.priority, key.workspace
         )
 
+    def is_paced(self, key: demands.Key) -> bool:
+        """Returns whether requests like this get less than they need."""
+        found = self._find_shares(key.service)
+        return found.get_pace(key.priority, key.workspace) != float("inf")
+
     def may_begin(self, key: demands.Key) -> bool:
         """Returns whether the pace of its priority allows a stream now."""
         found = self._find_shares(key.service)
--- a/tests/unit/test_relays.py
+++ b/tests/unit/test_relays.py
@@ -1502,6 +1502,36 @@
         check_complete(await relay_while(harness, free, priority=0))
 
 
+@pytest.mark.parametrize("priority", [0, 9])
+@cases.run_on_virtual_clock
+async def test_surge_does_not_use_up_the_retries_of_other_priorities(priority):
+    """Guards against refusals of a surge that exhaust the retry budget.
+
+    A stream is refused by its first server; another one has room.
+    """
+    async with gateways.open_harness(
+        gateways.make_servers((*LAYER_RANGES, ("c0", "a", (0, 10))))
+    ) as harness:
+        report_competition(harness, streams=1)
+        records = [
+            ttypes.Demand("model", 0, None, 2000, 4000, 4000),
+            ttypes.Demand("model", 9, None, 90000, 180000, 14000),
+        ]
+        message = ttypes.DemandReport(records, 1000, 0)
+        harness.context.shares.apply_report("other", message)
+        harness.servers["c0"].faults = [servers_module.Fault("refuse")]
+        recorder = await relay(harness, priority=priority)
+        assert harness.servers["c0"].requests
+        retries = harness.context.metrics.get_count("retries")
+        if priority == 0:
+            check_complete(recorder)
+            assert retries == 1
+        else:
+            assert recorder.status == 503
+            assert b"not-run" in recorder.body
+            assert retries == 0
+
+
 @cases.run_on_virtual_clock
 async def test_callers_of_a_low_priority_are_told_to_return_later():
     """Guards against callers that return before capacity is released."""
