Count only streams with an event in the mean duration

Streams that full servers refuse end at once, so that the need for capacity appeared lower the more of them were refused. They no longer count as durations in the measured demand.

--- a/packages/peridotyard-core/src/peridotyard_core/demands.py
+++ b/packages/peridotyard-core/src/peridotyard_core/demands.py
@@ -257,17 +257,21 @@
         for meter in self._find(key, now):
             meter.in_progress += 1
 
-    def end_stream(self, key: Key, duration_s: float, now: float) -> None:
+    def end_stream(
+        self, key: Key, duration_s: float | None, now: float
+    ) -> None:
         """Records that a stream has ended.
 
         Args:
             key: Service, priority and workspace.
-            duration_s: Time since it was sent, seconds.
+            duration_s: Time since it was sent, seconds; None if that is not
+                the duration of a stream that was served.
             now: Current time, seconds.
         """
         for meter in self._find(key, now):
             meter.in_progress = max(0, meter.in_progress - 1)
-            meter.record_duration(duration_s)
+            if duration_s is not None:
+                meter.record_duration(duration_s)
 
     def make_report(self, now: float) -> Report:
         """Returns the demand at this entry."""
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/demands.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/demands.py
@@ -113,8 +113,14 @@
             if key[:2] in self._pacers:
                 self._pacers[key[:2]].record_begin()
 
-    def end_stream(self, key: demands.Key, duration_s: float) -> None:
-        """Records that a stream has ended, see `record_arrival`."""
+    def end_stream(self, key: demands.Key, duration_s: float | None) -> None:
+        """Records that a stream has ended, see `record_arrival`.
+
+        Args:
+            key: Service, priority and workspace.
+            duration_s: Time since it was sent, seconds; None if it had no
+                event, so that it says nothing about the durations.
+        """
         if self._meters is not None:
             self._meters.end_stream(key, duration_s, trio.current_time())
 
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/relays.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/relays.py
@@ -94,7 +94,8 @@
                 duration_s = trio.current_time() - self._began_at
                 self._queue.end_stream(duration_s)
                 self._context.shares.end_stream(
-                    self._request.demand_key, duration_s
+                    self._request.demand_key,
+                    duration_s if self._has_event else None,
                 )
                 self._context.offer_room()
         if not scope.cancelled_caught:
--- a/tests/unit/test_demands.py
+++ b/tests/unit/test_demands.py
@@ -35,6 +35,8 @@
     assert figures[TOTAL].arrivals_per_s == pytest.approx(4.0, rel=0.15)
     assert figures[KEY] == figures[TOTAL]
     assert meters.make_report(60.0).figures == {}
+    assert meters.make_report(120.0).figures == {}
+    assert not meters._meters
 
 
 def test_first_requests_of_a_process_are_no_surge():
@@ -58,6 +60,18 @@
     assert figures.in_progress == 0
 
 
+def test_streams_that_full_servers_refuse_do_not_shorten_the_mean():
+    """Guards against a need that is too low the more streams are refused."""
+    meters = demands.Meters(0.0)
+    for number in range(80):
+        now = number * 0.25
+        meters.record_arrival(KEY, now)
+        meters.begin_stream(KEY, now)
+        meters.end_stream(KEY, None if number % 4 else 3.0, now)
+    figures = meters.make_report(20.0).figures[TOTAL]
+    assert figures.needed == pytest.approx(12.0, rel=0.15)
+
+
 def test_workspaces_are_bounded_and_the_heaviest_are_reported():
     """Guards against memory that grows with the number of workspaces."""
     meters = demands.Meters(0.0)
