--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/demands.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/demands.py
@@ -284,6 +284,8 @@
                 and routing.services[name].engine is not None
             )
             self._shares.clear()
+            self._pacers.clear()
+            self._withheld_at.clear()
             self._capacities_at = float("-inf")
         return self._contested
 
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/relays.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/relays.py
@@ -473,7 +473,7 @@
     def _count_withheld(self) -> None:
         """Counts a request for which there is room that others keep."""
         context, request = self._context, self._request
-        if (self._is_paced() or self._get_withheld()) and (
+        if (self._exceeds_pace() or self._get_withheld()) and (
             context.view.choose_path(
                 request.service,
                 self._failed | self._refused,
@@ -580,7 +580,7 @@
         """
         view, service = self._context.view, self._request.service
         avoid = self._failed | self._refused
-        if self._is_paced():
+        if self._exceeds_pace():
             return None
         withheld = self._get_withheld()
         path = view.choose_path(
@@ -605,7 +605,7 @@
             return 0.0
         return self._context.shares.get_withheld(self._request.demand_key)
 
-    def _is_paced(self) -> bool:
+    def _exceeds_pace(self) -> bool:
         """Returns whether the pace of its priority allows no new stream now."""
         return (
             self._needs_room
