Do not measure services with one priority at the end of streams

The end of a stream of such a service was recorded once another service was measured, so that its durations were kept and reported without need.

--- a/packages/peridotyard-core/src/peridotyard_core/demands.py
+++ b/packages/peridotyard-core/src/peridotyard_core/demands.py
@@ -257,18 +257,19 @@
         for meter in self._find(key, now):
             meter.in_progress += 1
 
-    def end_stream(
-        self, key: Key, duration_s: float | None, now: float
-    ) -> None:
+    def end_stream(self, key: Key, duration_s: float | None) -> None:
         """Records that a stream has ended.
 
         Args:
             key: Service, priority and workspace.
             duration_s: Time since it was sent, seconds; None if that is not
                 the duration of a stream that was served.
-            now: Current time, seconds.
         """
-        for meter in self._find(key, now):
+        # Only where its beginning was recorded, too.
+        for known in (key, key._replace(workspace=None)):
+            meter = self._meters.get(known)
+            if meter is None:
+                continue
             meter.in_progress = max(0, meter.in_progress - 1)
             if duration_s is not None:
                 meter.record_duration(duration_s)
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/demands.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/demands.py
@@ -122,7 +122,7 @@
                 event, so that it says nothing about the durations.
         """
         if self._meters is not None:
-            self._meters.end_stream(key, duration_s, trio.current_time())
+            self._meters.end_stream(key, duration_s)
 
     def get_withheld(self, key: demands.Key) -> float:
         """Returns the fraction of the capacity that a request may not use."""
--- a/tests/support/share_models.py
+++ b/tests/support/share_models.py
@@ -232,11 +232,11 @@
             usable.remove(server)
         return None
 
-    def _end(self, now, entry, server, key, duration_s):
+    def _end(self, _, entry, server, key, duration_s):
         if server in self.servers:
             self.used[server] -= 1
         entry.loads[server] -= 1
-        entry.meters.end_stream(key, duration_s, now)
+        entry.meters.end_stream(key, duration_s)
 
     def _refresh(self, entry, now):
         if not self.shares_capacity:
--- a/tests/unit/test_demands.py
+++ b/tests/unit/test_demands.py
@@ -54,7 +54,7 @@
         meters.record_arrival(KEY, now)
         if number % 2:
             meters.begin_stream(KEY, now)
-            meters.end_stream(KEY, 3.0, now)
+            meters.end_stream(KEY, 3.0)
     figures = meters.make_report(20.0).figures[TOTAL]
     assert figures.needed == pytest.approx(12.0, rel=0.15)
     assert figures.in_progress == 0
@@ -67,7 +67,7 @@
         now = number * 0.25
         meters.record_arrival(KEY, now)
         meters.begin_stream(KEY, now)
-        meters.end_stream(KEY, None if number % 4 else 3.0, now)
+        meters.end_stream(KEY, None if number % 4 else 3.0)
     figures = meters.make_report(20.0).figures[TOTAL]
     assert figures.needed == pytest.approx(12.0, rel=0.15)
 
@@ -80,7 +80,7 @@
         now = number * 0.01
         meters.record_arrival(demands.Key("model", 1, f"w{number}"), now)
         meters.record_arrival(hot, now)
-    meters.end_stream(hot, 2.0, 20.0)
+    meters.end_stream(hot, 2.0)
     figures = meters.make_report(20.0).figures
     names = {key.workspace for key in figures if key.workspace is not None}
     assert len(names) <= demands.REPORTED_WORKSPACES
@@ -191,6 +191,19 @@
     assert rows[0]["entries"] == 40
 
 
+@cases.run_on_virtual_clock
+async def test_service_with_one_priority_is_not_measured():
+    """Guards against reports on services for which nobody competes."""
+    shares = make_shares()
+    plain = demands.Key("plain", 1, "north")
+    for key in (plain, LOW_KEY):
+        shares.record_arrival(key)
+        shares.begin_stream(key)
+        shares.end_stream(key, 1.0)
+    sent = shares.make_due_report("primary", 0.45)
+    assert {record.service for record in sent.demands} == {"model"}
+
+
 INVALID_MESSAGES = [
     make_message(("other", 0, None, 1, 1, 1)),
     make_message(("model", 10, None, 1, 1, 1)),
