Send new streams of a paced priority again after a lost server

They spent no retry after a crash or a broken connection either, so that a stream without an event was lost with its server. Only refusals are meant: a refused stream has run nowhere.

--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/relays.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/relays.py
@@ -522,13 +522,15 @@
     def _spend_retry(self) -> bool:
         """Spends a retry; returns False if the budget has none left.
 
-        A new stream of a priority that gets less than it needs spends none:
-        in a surge, its refusals by full servers would use up the budget of the
-        others.
+        A new stream of a priority that gets less than it needs spends none
+        after a refusal: in a surge, refusals by full servers would use up the
+        budget of the others.
         """
         context, request = self._context, self._request
-        if not self._responder.started and context.shares.is_paced(
-            request.demand_key
+        if (
+            self._needs_room
+            and isinstance(self._outcome, runs.Refused)
+            and context.shares.is_paced(request.demand_key)
         ):
             context.metrics.increment("retries_denied")
             return False
--- a/tests/unit/test_relays.py
+++ b/tests/unit/test_relays.py
@@ -1532,6 +1532,29 @@
             assert retries == 0
 
 
+@cases.run_on_virtual_clock
+async def test_stream_of_a_surge_is_sent_again_after_a_crash():
+    """Guards against streams that are lost with a server in a surge."""
+    async with gateways.open_harness(
+        gateways.make_servers(LAYER_RANGES)
+    ) as harness:
+        report_competition(harness, streams=1)
+        records = [
+            ttypes.Demand("model", 0, None, 2000, 4000, 4000),
+            ttypes.Demand("model", 9, None, 90000, 180000, 14000),
+        ]
+        message = ttypes.DemandReport(records, 1000, 0)
+        harness.context.shares.apply_report("other", message)
+        harness.context.view.apply_peer_load("other", {})
+        harness.servers["a0"].faults = [servers_module.Fault("crash", 0)]
+        recorder = await relay(harness, priority=9)
+        assert harness.context.shares.is_paced(
+            harness.make_request(priority=9).demand_key
+        )
+        check_complete(recorder)
+        assert harness.context.metrics.get_count("retries") == 1
+
+
 @cases.run_on_virtual_clock
 async def test_callers_of_a_low_priority_are_told_to_return_later():
     """Guards against callers that return before capacity is released."""
