--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/gateway.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/gateway.py
@@ -25,6 +25,7 @@
 from peridotyard_daemon.connection import http
 from peridotyard_daemon.connection import upstreams
 from peridotyard_daemon.process import delays
+from peridotyard_daemon.process import demands
 from peridotyard_daemon.process import duties
 from peridotyard_daemon.process import intake as intake_module
 from peridotyard_daemon.process import lifecycle
@@ -191,6 +192,7 @@
             make_budget=self._make_budget,
             statements=statements,
             reservations=reservations_module.Reservations(statements, count),
+            shares=demands.CapacityShares(self.view, count),
         )
         statements.notify_leaving = self.view.apply_stated_leaving
         self.view.is_stated_leaving = statements.is_leaving
@@ -214,6 +216,7 @@
             self.context.parts,
             statements,
             self.context.reservations,
+            self.context.shares,
             self._network,
             name,
             own,
@@ -506,6 +509,7 @@
         for item in described["servers"]:
             server = self.view.servers[item["instance"]]
             item["states"] = self.context.statements.describe(server)
+        described["shares"] = self.context.shares.describe()
         return described
 
     async def _handle(self, method, target, headers, body, responder) -> None:
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/contexts.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/contexts.py
@@ -8,6 +8,7 @@
 
 from peridotyard_core import budgets
 from peridotyard_core import crashes
+from peridotyard_core import demands
 from peridotyard_core import exchanges
 from peridotyard_core import fleet
 from peridotyard_core import paths
@@ -20,6 +21,7 @@
 from peridotyard_daemon.connection import callers
 from peridotyard_daemon.connection import http
 from peridotyard_daemon.connection import upstreams
+from peridotyard_daemon.process import demands as demands_module
 from peridotyard_daemon.process import lifecycle
 from peridotyard_daemon.process import logs
 from peridotyard_daemon.process import metrics as metrics_module
@@ -52,6 +54,9 @@
 # The same for room on the servers. Callers that are refused soon can still be
 # served elsewhere in time.
 ROOM_OBJECTIVE_SHARE = 0.125
+# Part of the latency objective that is left for the servers where requests of
+# several priorities compete, before the time to the first event is known.
+FIRST_EVENT_SHARE = 0.5
 
 # Weight of the newest duration in the mean duration of a route's requests.
 DURATION_SMOOTHING = 0.2
@@ -145,6 +150,15 @@
             return self.workspace.priority
         return self.route.priority
 
+    @functools.cached_property
+    def demand_key(self) -> demands.Key:
+        """What its demand for capacity is counted under."""
+        return demands.Key(
+            self.service.name,
+            demands_module.clamp_priority(self.priority),
+            self.workspace_name,
+        )
+
     @property
     def relative_size(self) -> float:
         """Tokens of prompt and answer, relative to the mean of the model."""
@@ -172,6 +186,7 @@
         make_budget: Returns a new retry budget for a service.
         statements: What the servers state about themselves.
         reservations: Reservations of requests to limited servers.
+        shares: Shares of the capacity by priority and workspace.
         answer_limit: Time until which this entry can answer requests.
         quarantine: Requests that crash servers.
         parts: Parts of prompts that crash servers.
@@ -193,6 +208,7 @@
     make_budget: collections.abc.Callable[[], budgets.WindowBudget]
     statements: statements_module.Statements
     reservations: reservations_module.Reservations
+    shares: demands_module.CapacityShares
     answer_limit: lifecycle.AnswerLimit = dataclasses.field(
         default_factory=lifecycle.AnswerLimit
     )
@@ -244,8 +260,33 @@
 
     def offer_room(self) -> None:
         """Lets requests that wait go on, if the servers have room again."""
-        for queue in self._queues.values():
-            queue.offer()
+        for service, queue in self._queues.items():
+            queue.offer(self.count_candidates(service))
+
+    def count_candidates(self, service: str) -> int:
+        """Returns the requests that are considered for the same room."""
+        return rooms.CANDIDATES if self.shares.is_contested(service) else 1
+
+    def find_room_deadline(self, request: Request) -> float | None:
+        """Returns until when a request waits for room.
+
+        None if its turn is not expected while it could still be on time.
+        """
+        queue = self.find_queue(request.service.name)
+        objective_s = request.route.latency_objective_s
+        expected_s = self.shares.estimate_wait(
+            request.demand_key, queue.count_ahead(request.priority)
+        )
+        if expected_s is None:
+            limit_s = ROOM_OBJECTIVE_SHARE * objective_s
+            return min(request.arrived_at + limit_s, request.deadline)
+        first_event_s = queue.mean_first_event_s
+        if first_event_s is None:
+            first_event_s = FIRST_EVENT_SHARE * objective_s
+        until = request.arrived_at + max(0.0, objective_s - first_event_s)
+        if trio.current_time() + expected_s > until:
+            return None
+        return min(until, request.deadline)
 
     def adjust_budgets(
         self, fraction: float, reserve: float, window_s: float
@@ -544,23 +585,32 @@
         """Returns the failure of a request for which no server has room.
 
         Its caller is told to return when places that become free at the present
-        rate are not taken by those that were refused before.
+        rate are not taken by those that were refused before. Where capacity is
+        withheld, it is the rate of its priority.
         """
         queue = self.find_queue(request.service.name)
-        duration_s = queue.mean_duration_s or request.route.latency_objective_s
-        wait_s = queue.returns.reserve(
-            trio.current_time(),
-            duration_s / max(1, queue.in_progress),
-            RETRY_AFTER_MAX_S,
+        returns = queue.find_returns(request.priority)
+        interval_s = self.shares.estimate_interval(request.demand_key)
+        if interval_s is None:
+            returns = queue.returns
+            duration_s = (
+                queue.mean_duration_s or request.route.latency_objective_s
+            )
+            interval_s = duration_s / max(1, queue.in_progress)
+        wait_s = returns.reserve(
+            trio.current_time(), interval_s, RETRY_AFTER_MAX_S
         )
         wait_s = max(RETRY_AFTER_BUSY_S, wait_s)
         wait_s *= 1 + RETRY_AFTER_SPREAD * self.random.random()
-        self.metrics.increment("refused_without_room")
+        level = request.demand_key.priority
+        self.metrics.increment(f"refused_without_room.{level}")
         request.log(
             _log,
             "no server has room for the request",
             in_progress=queue.in_progress,
             waiting=len(queue),
+            priority=level,
+            withheld=round(self.shares.get_withheld(request.demand_key), 3),
             waited_ms=round(1000 * (trio.current_time() - request.arrived_at)),
             retry_after_ms=round(1000 * wait_s),
         )
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/relays.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/relays.py
@@ -72,6 +72,8 @@
         self._queue = context.find_queue(request.service.name)
         # Time at which it was sent first.
         self._began_at: float | None = None
+        # Whether an event was received, so that the time to it was recorded.
+        self._has_event = False
         # Whether it was not sent since servers had no room for it.
         self._is_without_room = False
         # Number of paths that may still run a part of the request.
@@ -80,6 +82,7 @@
     async def run(self) -> None:
         """Relays the stream, and resumes it on other paths after failures."""
         self._context.streams.add(self)
+        self._context.shares.record_arrival(self._request.demand_key)
         try:
             with self._request.answer_limit.move_on_at(
                 self._request.deadline
@@ -91,6 +94,10 @@
             if self._began_at is not None:
                 duration_s = trio.current_time() - self._began_at
                 self._queue.end_stream(duration_s)
+                self._context.shares.end_stream(
+                    self._request.demand_key,
+                    duration_s if self._has_event else None,
+                )
                 self._context.offer_room()
         if not scope.cancelled_caught:
             # Outside of the time limit, which could cut off the answer.
@@ -247,6 +254,9 @@
                     if self._began_at is None:
                         self._began_at = trio.current_time()
                         self._queue.in_progress += 1
+                        self._context.shares.begin_stream(
+                            self._request.demand_key
+                        )
                     outcome = await run.execute(path)
         except (OSError, trio.BrokenResourceError) as error:
             # The caller has disconnected.
@@ -306,6 +316,9 @@
     def _take_lead(self, run: runs.Run) -> None:
         """Ends the other runs, since this one sends to the caller."""
         self._sends_without_event = 0
+        if not self._has_event and self._began_at is not None:
+            self._has_event = True
+            self._queue.record_first_event(trio.current_time() - self._began_at)
         self._refused = frozenset()
         self._silent = frozenset()
         for other in self._runs:
@@ -332,6 +345,7 @@
             self._failed | self._refused | failed,
             denied | firsts,
             self._needs_room,
+            self._get_withheld(),
         )
 
     def _list_first_instances(self) -> frozenset[str]:
@@ -446,26 +460,57 @@
             path = await self._reserve_path(last)
             if path is not None or not self._lacks_room(last):
                 return path
-        wait_s = (
-            contexts.ROOM_OBJECTIVE_SHARE * request.route.latency_objective_s
-        )
-        ticket = admission.Ticket(
-            request.workspace_name,
-            request.priority,
-            1.0,
-            min(request.arrived_at + wait_s, request.deadline),
-            request.relative_size,
-        )
-        if await queue.wait(
-            ticket, lambda: self._choose_path(last) is not None
+        deadline = self._context.find_room_deadline(request)
+        if deadline is not None and await queue.wait(
+            self._make_ticket(deadline),
+            lambda: self._choose_path(last) is not None,
+            self._context.count_candidates(request.service.name),
         ):
             self._responder.check_connected()
             path = await self._reserve_path(last)
             if path is not None:
                 return path
         self._is_without_room = self._lacks_room(last)
+        if self._is_without_room:
+            self._count_withheld()
         return None
 
+    def _count_withheld(self) -> None:
+        """Counts a request for which there is room that others keep."""
+        context, request = self._context, self._request
+        if (self._is_paced() or self._get_withheld()) and (
+            context.view.choose_path(
+                request.service,
+                self._failed | self._refused,
+                needs_room=True,
+            )
+            is not None
+        ):
+            level = request.demand_key.priority
+            context.metrics.increment(f"withheld.{level}")
+
+    def _make_ticket(self, deadline: float) -> admission.Ticket:
+        """Returns the ticket with which the request waits for room.
+
+        A caller that returns after a refusal has less time left than the route
+        gives it, and goes before others of its workspace.
+
+        Args:
+            deadline: Time until which it waits.
+        """
+        request = self._request
+        ticket = admission.Ticket(
+            request.workspace_name,
+            request.priority,
+            1.0,
+            deadline,
+            request.relative_size,
+        )
+        if not self._context.shares.is_contested(request.service.name):
+            return ticket
+        since = request.deadline - request.route.timeout_s
+        return dataclasses.replace(ticket, since=since)
+
     def _lacks_room(self, last: runs.Outcome | None) -> bool:
         """Returns whether there are paths, but none with room.
 
@@ -480,7 +525,18 @@
         )
 
     def _spend_retry(self) -> bool:
-        """Spends a retry; returns False if the budget has none left."""
+        """Spends a retry; returns False if the budget has none left.
+
+        A new stream of a priority that gets less than it needs spends none:
+        in a surge, its refusals by full servers would use up the budget of the
+        others.
+        """
+        context, request = self._context, self._request
+        if not self._responder.started and context.shares.is_paced(
+            request.demand_key
+        ):
+            context.metrics.increment("retries_denied")
+            return False
         return self._context.spend_retry(
             self._request, not self._responder.started
         )
@@ -529,7 +585,12 @@
         """
         view, service = self._context.view, self._request.service
         avoid = self._failed | self._refused
-        path = view.choose_path(service, avoid, not_first, self._needs_room)
+        if self._is_paced():
+            return None
+        withheld = self._get_withheld()
+        path = view.choose_path(
+            service, avoid, not_first, self._needs_room, withheld
+        )
         if path is not None or last is None:
             return path
         # Without other servers, those that lost an earlier attempt may be used
@@ -537,12 +598,26 @@
         # waits returns to them; the view leaves them out for a time.
         if isinstance(last, runs.Broken):
             path = view.choose_path(
-                service, last.avoid, not_first, self._needs_room
+                service, last.avoid, not_first, self._needs_room, withheld
             )
         elif self._responder.started:
             path = view.choose_path(service, frozenset(), not_first)
         return path
 
+    def _get_withheld(self) -> float:
+        """Returns the fraction of the servers' room that it may not use."""
+        if not self._needs_room:
+            return 0.0
+        return self._context.shares.get_withheld(self._request.demand_key)
+
+    def _is_paced(self) -> bool:
+        """Returns whether the pace of its priority allows no new stream now."""
+        return (
+            self._needs_room
+            and self._began_at is None
+            and not self._context.shares.may_begin(self._request.demand_key)
+        )
+
     @property
     def _needs_room(self) -> bool:
         """Whether the stream is new, so that it needs a path with room.
--- a/tests/unit/test_relays.py
+++ b/tests/unit/test_relays.py
@@ -10,9 +10,11 @@
 import logbook
 from peridotyard_core import budgets
 from peridotyard_core import fleet
+from peridotyard_core import shares
 from peridotyard_core import verdicts
 from peridotyard_daemon.request import contexts
 from peridotyard_daemon.request import relays
+from peridotyard_daemon.wire.generated import ttypes
 import pytest
 import trio
 
@@ -1412,3 +1414,179 @@
 
         check_complete(await relay_while(harness, fill))
         assert not harness.servers["b0"].requests
+
+
+def report_competition(harness, priorities=(0, 9), streams=8):
+    """Reports that more urgent requests need most of the servers' room.
+
+    Args:
+        harness: The harness.
+        priorities: Priorities of the routes.
+        streams: Streams of other entries on the large servers, which have room
+            for 15.
+    """
+    view = harness.context.view
+    view.apply_routing(gateways.make_routing(priorities), "test")
+    view.entry_count = 2
+    fill = dict.fromkeys(["a0", "a1"], streams) | {
+        "b0": 31,
+        "b1": 3,
+        "spare": 3,
+    }
+    view.apply_peer_load("other", fill)
+    records = [
+        ttypes.Demand("model", 0, None, 9000, 18000, 2000),
+        ttypes.Demand("model", 9, None, 20000, 40000, 12000),
+    ]
+    message = ttypes.DemandReport(records, 1000, 0)
+    harness.context.shares.apply_report("other", message)
+
+
+@cases.run_on_virtual_clock
+async def test_last_room_is_kept_for_more_urgent_requests():
+    """Guards against the last capacity that goes to whoever comes first.
+
+    The queue is empty, so the order in it decides nothing.
+    """
+    async with gateways.open_harness(
+        gateways.make_servers(LAYER_RANGES)
+    ) as harness:
+        report_competition(harness)
+        recorder = await relay(harness, priority=9)
+        assert recorder.status == 503
+        assert b"not-run" in recorder.body
+        assert not any(item.requests for item in harness.servers.values())
+        check_complete(await relay(harness, priority=0))
+        count = harness.context.metrics.get_count
+        assert count("refused_without_room.9") == count("withheld.9") == 1
+        rows = harness.context.shares.describe()
+        assert [row["priority"] for row in rows if not row["workspace"]] == [
+            0,
+            9,
+        ]
+        assert rows[-1]["withheld"] > 0.3
+
+
+@cases.run_on_virtual_clock
+async def test_request_whose_turn_is_not_expected_in_time_does_not_wait():
+    """Guards against callers that learn late that they are not served."""
+    async with gateways.open_harness(
+        gateways.make_servers(LAYER_RANGES)
+    ) as harness:
+        report_competition(harness, streams=13)
+        began = trio.current_time()
+        recorder = await relay(harness, priority=9)
+        assert recorder.status == 503
+        assert trio.current_time() == began
+        headers = dict(recorder.headers)
+        assert float(headers[b"retry-after"]) >= contexts.RETRY_AFTER_BUSY_S
+
+
+@cases.run_on_virtual_clock
+async def test_urgent_request_waits_while_its_turn_is_expected_in_time():
+    """Guards against a rejection after an eighth of the objective.
+
+    Room appears after more than that.
+    """
+    async with gateways.open_harness(
+        gateways.make_servers(LAYER_RANGES)
+    ) as harness:
+        harness.context.view.notify_load = harness.context.offer_room
+        report_competition(harness, streams=15)
+
+        async def free():
+            objective_s = gateways.ROUTE.latency_objective_s
+            await trio.sleep(2 * contexts.ROOM_OBJECTIVE_SHARE * objective_s)
+            report_competition(harness, streams=8)
+
+        check_complete(await relay_while(harness, free, priority=0))
+
+
+@pytest.mark.parametrize("priority", [0, 9])
+@cases.run_on_virtual_clock
+async def test_surge_does_not_use_up_the_retries_of_other_priorities(priority):
+    """Guards against refusals of a surge that exhaust the retry budget.
+
+    A stream is refused by its first server; another one has room.
+    """
+    async with gateways.open_harness(
+        gateways.make_servers((*LAYER_RANGES, ("c0", "a", (0, 10))))
+    ) as harness:
+        report_competition(harness, streams=1)
+        records = [
+            ttypes.Demand("model", 0, None, 2000, 4000, 4000),
+            ttypes.Demand("model", 9, None, 90000, 180000, 14000),
+        ]
+        message = ttypes.DemandReport(records, 1000, 0)
+        harness.context.shares.apply_report("other", message)
+        harness.servers["c0"].faults = [servers_module.Fault("refuse")]
+        recorder = await relay(harness, priority=priority)
+        assert harness.servers["c0"].requests
+        retries = harness.context.metrics.get_count("retries")
+        if priority == 0:
+            check_complete(recorder)
+            assert retries == 1
+        else:
+            assert recorder.status == 503
+            assert b"not-run" in recorder.body
+            assert retries == 0
+
+
+@cases.run_on_virtual_clock
+async def test_callers_of_a_low_priority_are_told_to_return_later():
+    """Guards against callers that return before capacity is released."""
+    async with gateways.open_harness(
+        gateways.make_servers(LAYER_RANGES)
+    ) as harness:
+        report_competition(harness, streams=15)
+        waits = {}
+        for priority in (0, 9):
+            request = harness.make_request(priority=priority)
+            for _ in range(4):
+                failure = harness.context.refuse_without_room(request)
+            waits[priority] = failure.retry_after_s
+        assert waits[0] < waits[9]
+        assert waits[9] <= contexts.RETRY_AFTER_MAX_S * 1.3
+
+
+@cases.run_on_virtual_clock
+async def test_stream_that_has_begun_is_not_subject_to_shares():
+    """Guards against streams that are cut since their priority is low."""
+    async with gateways.open_harness(
+        gateways.make_servers(LAYER_RANGES)
+    ) as harness:
+        harness.servers["a0"].faults = [servers_module.Fault("crash", 4)]
+
+        async def compete():
+            await trio.sleep(0.1)
+            report_competition(harness)
+
+        check_complete(await relay_while(harness, compete, priority=9))
+
+
+@cases.run_on_virtual_clock
+async def test_nothing_is_withheld_where_all_requests_have_one_priority():
+    """Guards against reports that change the choice without competition."""
+    async with gateways.open_harness(
+        gateways.make_servers(LAYER_RANGES)
+    ) as harness:
+        report_competition(harness, priorities=(9,))
+        check_complete(await relay(harness, priority=9))
+        assert harness.context.shares.describe() == []
+
+
+@cases.run_on_virtual_clock
+async def test_request_is_served_if_the_shares_cannot_be_computed(monkeypatch):
+    """Guards against an error in the decision that rejects requests."""
+    async with gateways.open_harness(
+        gateways.make_servers(LAYER_RANGES)
+    ) as harness:
+        report_competition(harness)
+
+        def fail(*_):
+            raise ZeroDivisionError
+
+        monkeypatch.setattr(shares, "compute_shares", fail)
+        check_complete(await relay(harness, priority=9))
+        count = harness.context.metrics.get_count
+        assert count("internal_errors.demands") == 1
