--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/demands.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/demands.py
@@ -122,7 +122,7 @@
                 event, so that it says nothing about the durations.
         """
         if self._meters is not None:
-            self._meters.end_stream(key, duration_s, trio.current_time())
+            self._meters.end_stream(key, duration_s)
 
     def get_withheld(self, key: demands.Key) -> float:
         """Returns the fraction of the capacity that a request may not use."""
@@ -284,6 +284,8 @@
                 and routing.services[name].engine is not None
             )
             self._shares.clear()
+            self._pacers.clear()
+            self._withheld_at.clear()
             self._capacities_at = float("-inf")
         return self._contested
 
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/relays.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/relays.py
@@ -478,7 +478,7 @@
     def _count_withheld(self) -> None:
         """Counts a request for which there is room that others keep."""
         context, request = self._context, self._request
-        if (self._is_paced() or self._get_withheld()) and (
+        if (self._exceeds_pace() or self._get_withheld()) and (
             context.view.choose_path(
                 request.service,
                 self._failed | self._refused,
@@ -527,13 +527,15 @@
     def _spend_retry(self) -> bool:
         """Spends a retry; returns False if the budget has none left.
 
-        A new stream of a priority that gets less than it needs spends none:
-        in a surge, its refusals by full servers would use up the budget of the
-        others.
+        A new stream of a priority that gets less than it needs spends none
+        after a refusal: in a surge, refusals by full servers would use up the
+        budget of the others.
         """
         context, request = self._context, self._request
-        if not self._responder.started and context.shares.is_paced(
-            request.demand_key
+        if (
+            self._needs_room
+            and isinstance(self._outcome, runs.Refused)
+            and context.shares.is_paced(request.demand_key)
         ):
             context.metrics.increment("retries_denied")
             return False
@@ -585,7 +587,7 @@
         """
         view, service = self._context.view, self._request.service
         avoid = self._failed | self._refused
-        if self._is_paced():
+        if self._exceeds_pace():
             return None
         withheld = self._get_withheld()
         path = view.choose_path(
@@ -610,7 +612,7 @@
             return 0.0
         return self._context.shares.get_withheld(self._request.demand_key)
 
-    def _is_paced(self) -> bool:
+    def _exceeds_pace(self) -> bool:
         """Returns whether the pace of its priority allows no new stream now."""
         return (
             self._needs_room
