--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -16,6 +16,7 @@
     "pauses": "bench.pauses",
     "entry": "bench.entry",
     "crowds": "bench.crowds",
+    "prefixes": "bench.prefixes",
 }
 
 
