--- a/packages/peridotyard-daemon/src/peridotyard_daemon/connection/callers.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/connection/callers.py
@@ -8,22 +8,16 @@
 
 import collections.abc
 import contextlib
-import json
-import re
-import typing
 
 import h11
 from peridotyard_core import fleet
 from peridotyard_core import holdings
 import trio
 
-from peridotyard_daemon.connection import chunks
+from peridotyard_daemon.connection import requests
 from peridotyard_daemon.connection import upstreams
 from peridotyard_daemon.process import intake as intake_module
 
-# Most heads are shorter than this. Bodies are received in larger pieces.
-HEAD_RECEIVE_BYTES = 1 << 14
-BODY_RECEIVE_BYTES = 1 << 16
 # Large responses are sent in pieces of this size, so that h11 copies no more
 # and that progress is seen.
 SEND_BYTES = 1 << 16
@@ -33,12 +27,6 @@
 # Longest time from the head to the end of a body, beside the time limit of one
 # pause. Callers wait for some 25 s for a response.
 BODY_TIMEOUT_S = 60.0
-# Chunks that are decoded at once, in less than a millisecond.
-CHUNK_STEP = 512
-# Chunks of a body from which on it waits for its turn before each step.
-FREE_CHUNKS = 1024
-# Retry-After of a request whose body was given up for want of memory.
-RETRY_AFTER_S = 1.0
 # Time between two checks for a disconnect while that buffer is full.
 DISCONNECT_POLL_S = 0.2
 # Time limit of one write; the connection of a caller that does not read its
@@ -49,36 +37,6 @@
 LINGER_S = 0.2
 
 
-# End of a request head, as h11 finds it.
-_HEAD_END = re.compile(rb"\n\r?\n")
-
-_JSON_HEADER = (b"Content-Type", b"application/json")
-
-
-class RejectedError(Exception):
-    """The request is not served.
-
-    Attributes:
-        status: HTTP status of the error response, such as 400, 408 or 431.
-        headers: Headers of the response.
-        body: Body of the response.
-    """
-
-    def __init__(
-        self,
-        status: int,
-        message: str,
-        headers: tuple[tuple[bytes, bytes], ...] = (_JSON_HEADER,),
-        body: bytes | None = None,
-    ):
-        self.status = status
-        self.headers = headers
-        if body is None:
-            body = json.dumps({"error": message}).encode()
-        self.body = body
-        super().__init__(message)
-
-
 class Responder:
     """Writes the response to one request, owned by that request.
 
@@ -167,31 +125,17 @@
 Handler = collections.abc.Callable[
     [str, str, tuple, bytes, Responder], collections.abc.Awaitable[None]
 ]
-# Checks a request by its method, target and headers. Returns None, or the
-# status, headers and body of the response with which it is refused.
-HeadCheck = collections.abc.Callable[
-    [str, str, tuple],
-    collections.abc.Awaitable[
-        tuple[int, collections.abc.Sequence[tuple[bytes, bytes]], bytes] | None
-    ],
-]
-
-
-async def _accept_all(_method: str, _target: str, _headers: tuple) -> None:
-    """Refuses no request by its head."""
 
 
 class CallerConnection:
     """One connection of a caller; serves its requests one at a time, in order.
 
     Attributes:
-        http: The h11 connection; None until `run`.
         method: Method of the request in progress.
         busy: Whether a request is being read or served.
         is_serving: Whether a request was read and is being served.
         is_evicted: Whether it closes as soon as no request is in progress.
         served: Number of requests that have been served.
-        progressed_at: Time at which it last received bytes.
     """
 
     def __init__(
@@ -201,7 +145,7 @@
         read_limits: collections.abc.Callable[[], fleet.CallerLimits],
         is_draining: collections.abc.Callable[[], bool],
         intake: intake_module.Intake | None = None,
-        check_head: HeadCheck = _accept_all,
+        check_head: requests.HeadCheck = requests.accept_all,
     ):
         """Wraps a new connection.
 
@@ -223,12 +167,16 @@
         self._read_limits = read_limits
         self._is_draining = is_draining
         self._intake = intake or intake_module.Intake()
-        self._check_head = check_head
         self._client = _describe_client(stream)
         self._holding: holdings.Holding | None = None
-        self._pending = bytearray()
-        self._at_end = False
-        self.http: typing.Any = None
+        self._reader = requests.RequestReader(
+            stream,
+            read_limits(),
+            self._intake.decoding,
+            self.hold,
+            check_head,
+            self.write,
+        )
         self.method = ""
         self.busy = False
         self._closing = False
@@ -239,12 +187,21 @@
         self.is_serving = False
         self.is_evicted = False
         self.served = 0
-        self.progressed_at = trio.current_time()
+
+    @property
+    def http(self) -> h11.Connection:
+        """The h11 connection."""
+        return self._reader.http
+
+    @property
+    def progressed_at(self) -> float:
+        """Time at which it last received bytes."""
+        return self._reader.progressed_at
 
     @property
     def is_disconnected(self) -> bool:
         """Whether the caller has closed the connection, or half of it."""
-        return self._at_end or upstreams.is_closed_by_peer(self._stream)
+        return self._reader.is_disconnected
 
     def make_closing_headers(self) -> list[tuple[bytes, bytes]]:
         """Returns a "Connection: close" header if the connection will close.
@@ -256,16 +213,11 @@
         if (
             self._is_rejecting
             or self.is_evicted
-            or (closing and not self._has_input)
+            or (closing and not self._reader.has_input)
         ):
             return [(b"Connection", b"close")]
         return []
 
-    @property
-    def _has_input(self) -> bool:
-        """Whether bytes of the next request have been received."""
-        return bool(self._pending or self.http.trailing_data[0])
-
     def close_when_idle(self) -> None:
         """Closes the connection after the request in progress, if any."""
         self._closing = True
@@ -303,13 +255,9 @@
 
     async def run(self) -> None:
         """Serves requests until either side closes the connection."""
-        limits = self._read_limits()
-        self.http = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=limits.header_bytes
-        )
         try:
             while await self._serve_one() and (
-                self._has_input or not self._closing
+                self._reader.has_input or not self._closing
             ):
                 self.http.start_next_cycle()
         except (OSError, trio.BrokenResourceError, trio.ClosedResourceError):
@@ -350,7 +298,7 @@
         self._release()
         try:
             request, body = await self._read_request()
-        except RejectedError as error:
+        except requests.RejectedError as error:
             self._release()
             self._intake.record_refusal(f"status_{error.status}")
             await self._reject(error)
@@ -396,7 +344,8 @@
         The result is (None, b"") if the connection ended or was idle too long.
 
         Raises:
-            RejectedError: The request violates a limit or the protocol.
+            requests.RejectedError: The request violates a limit or the
+                protocol.
         """
         if self.is_evicted:
             return None, b""
@@ -407,180 +356,40 @@
         request = None
         with trio.move_on_after(limits.idle_timeout_s) as self._idle_scope:
             # The connection counts as idle until the first byte of a request.
-            if not self._has_input and not await self._receive_pending():
+            if not self._reader.has_input and not await self._reader.receive():
                 return None, b""
             self.busy = True
         if self._idle_scope.cancelled_caught:
             return None, b""
         with trio.move_on_after(limits.header_timeout_s) as self._scope:
-            request = await self._read_head()
+            request = await self._reader.read_head()
         self._scope = None
         if self.is_evicted:
             return None, b""
         if request is None:
-            raise RejectedError(408, "request head not received in time")
+            raise requests.RejectedError(
+                408, "request head not received in time"
+            )
         if not isinstance(request, h11.Request):
             return None, b""
         # The size limit of h11 applies only to heads that arrive in several
         # reads.
-        if _measure_head(request) > limits.header_bytes:
-            raise RejectedError(
+        if requests.measure_head(request) > limits.header_bytes:
+            raise requests.RejectedError(
                 431, f"request head exceeds {limits.header_bytes} bytes"
             )
         self.method = request.method.decode("ascii").upper()
         body = b""
         with trio.move_on_after(BODY_TIMEOUT_S) as self._scope:
-            body = await self._read_body(request, limits)
+            body = await self._reader.read_body(request, limits)
         scope, self._scope = self._scope, None
         if self.is_evicted or (self._holding and self._holding.is_dropped):
-            raise _make_memory_error()
+            raise requests.make_memory_error()
         if scope.cancelled_caught:
-            raise RejectedError(408, "request body not received in time")
-        return request, body
-
-    async def _read_body(
-        self, request: h11.Request, limits: fleet.CallerLimits
-    ) -> bytes:
-        """Receives the body of a request that may be served."""
-        length = _find_length(request)
-        if length == 0:
-            self._expect_end(self.http.next_event())
-            return b""
-        if length is not None and length > limits.body_bytes:
-            raise _make_size_error(limits)
-        if not self._has_complete_body(length):
-            # The handler checks the others as well.
-            refusal = await self._check_head(
-                self.method,
-                request.target.decode("latin-1"),
-                tuple(request.headers.raw_items()),
-            )
-            if refusal is not None:
-                status, headers, body = refusal
-                raise RejectedError(status, "refused", tuple(headers), body)
-            if self.http.they_are_waiting_for_100_continue:
-                interim = h11.InformationalResponse(status_code=100, headers=[])
-                await self.write(self.http.send(interim))
-        if length is None:
-            return await self._read_chunks(limits)
-        return await self._read_length(length, limits)
-
-    def _has_complete_body(self, length: int | None) -> bool:
-        """Returns whether the body has probably arrived with its head."""
-        if length is None:
-            return self._pending.endswith(b"0\r\n\r\n")
-        return len(self._pending) >= length
-
-    async def _read_length(
-        self, length: int, limits: fleet.CallerLimits
-    ) -> bytes:
-        """Receives a body of a known length."""
-        body = bytearray()
-        while len(body) < length:
-            if not self._pending:
-                await self._receive_body_part(limits)
-            piece = bytes(self._pending[: length - len(body)])
-            del self._pending[: len(piece)]
-            self._hold_body(len(piece), limits)
-            self.http.receive_data(piece)
-            # h11 only has to know how much of the body has arrived.
-            self.http.next_event()
-            body += piece
-        self._expect_end(self.http.next_event())
-        return bytes(body)
-
-    async def _read_chunks(self, limits: fleet.CallerLimits) -> bytes:
-        """Receives a chunked body."""
-        body = bytearray()
-        decoder = chunks.Decoder(limits.body_bytes, limits.header_bytes)
-        while decoder.trailers is None:
-            data = await self._decode_step(decoder)
-            if data is None:
-                await self._receive_body_part(limits)
-                continue
-            self._hold_body(len(data), limits)
-            body += data
-        # h11 gets the end of the body only, and checks the trailers.
-        self.http.receive_data(b"0\r\n" + decoder.trailers)
-        try:
-            self._expect_end(self.http.next_event())
-        except h11.RemoteProtocolError as error:
-            raise RejectedError(error.error_status_hint, str(error)) from error
-        return bytes(body)
-
-    async def _decode_step(self, decoder: chunks.Decoder) -> bytearray | None:
-        """Decodes received chunks; see `chunks.Decoder.decode`."""
-        try:
-            if decoder.chunks <= FREE_CHUNKS:
-                return decoder.decode(self._pending, CHUNK_STEP)
-            async with self._intake.decoding:
-                if self.is_disconnected:
-                    raise trio.BrokenResourceError("caller has disconnected")
-                return decoder.decode(self._pending, CHUNK_STEP)
-        except chunks.ChunkError as error:
-            raise RejectedError(error.status, str(error)) from error
-
-    def _hold_body(self, count: int, limits: fleet.CallerLimits) -> None:
-        """Takes memory for a part of a body, and for its later copy."""
-        copies = intake_module.BODY_COPIES
-        if count and not self.hold(count * copies, limits.body_bytes * copies):
-            raise _make_memory_error()
-
-    def _expect_end(self, event) -> None:
-        if not isinstance(event, h11.EndOfMessage):
-            raise trio.BrokenResourceError(
-                "connection closed within a request body"
-            )
-
-    async def _receive_body_part(self, limits: fleet.CallerLimits) -> None:
-        """Receives some bytes of a request body."""
-        received = None
-        with trio.move_on_after(limits.idle_timeout_s):
-            received = await self._receive_pending(BODY_RECEIVE_BYTES)
-        if received is None:
-            raise RejectedError(408, "request body not received in time")
-        if not received:
-            raise trio.BrokenResourceError(
-                "connection closed within a request body"
+            raise requests.RejectedError(
+                408, "request body not received in time"
             )
-
-    async def _read_head(self):
-        """Returns the head of the next request, or another event of h11.
-
-        h11 gets nothing behind the head, so that the body can be decoded
-        without it.
-        """
-        tail = b""
-        while True:
-            if not self._pending and not self._at_end:
-                await self._receive_pending()
-            found = _HEAD_END.search(tail + self._pending)
-            end = len(self._pending)
-            if found is not None:
-                end = found.end() - len(tail)
-            data = bytes(self._pending[:end])
-            del self._pending[:end]
-            tail = (tail + data)[-2:]
-            try:
-                self.http.receive_data(data)
-                event = self.http.next_event()
-            except h11.RemoteProtocolError as error:
-                status = error.error_status_hint
-                raise RejectedError(status, str(error)) from error
-            if event is not h11.NEED_DATA:
-                return event
-
-    async def _receive_pending(self, limit: int = HEAD_RECEIVE_BYTES) -> bool:
-        """Receives bytes into the buffer; returns False at end of stream.
-
-        Args:
-            limit: Largest number of bytes.
-        """
-        data = await self._stream.receive_some(limit)
-        self._pending += data
-        self._at_end = not data
-        self.progressed_at = trio.current_time()
-        return bool(data)
+        return request, body
 
     async def _watch_disconnect(self, scope: trio.CancelScope) -> None:
         """Cancels the request when the caller disconnects.
@@ -589,18 +398,18 @@
         that nobody waits for must not occupy a server.
         """
         try:
-            while len(self._pending) < PIPELINE_BYTES:
-                if not await self._receive_pending():
+            while len(self._reader.pending) < PIPELINE_BYTES:
+                if not await self._reader.receive():
                     break
             else:
                 while not self.is_disconnected:
                     await trio.sleep(DISCONNECT_POLL_S)
         except (OSError, trio.BrokenResourceError):
             # Same effect as an orderly close: nobody reads the response.
-            self._at_end = True
+            self._reader.at_end = True
         scope.cancel()
 
-    async def _reject(self, error: RejectedError) -> None:
+    async def _reject(self, error: requests.RejectedError) -> None:
         if self.http.our_state is not h11.IDLE and (
             self.http.our_state is not h11.SEND_RESPONSE
         ):
@@ -613,7 +422,7 @@
         # caller has read the response.
         with trio.move_on_after(LINGER_S):
             await self._stream.send_eof()
-            while await self._stream.receive_some(BODY_RECEIVE_BYTES):
+            while await self._stream.receive_some(requests.BODY_RECEIVE_BYTES):
                 pass
 
     def _abort_if_unframed(self) -> None:
@@ -626,31 +435,6 @@
             upstreams.reset_on_close(self._stream)
 
 
-def _find_length(request: h11.Request) -> int | None:
-    """Returns the length of the body of a request; None if it is chunked."""
-    headers = dict(request.headers)
-    if b"transfer-encoding" in headers:
-        return None
-    return int(headers.get(b"content-length", 0))
-
-
-def _make_size_error(limits: fleet.CallerLimits) -> RejectedError:
-    return RejectedError(413, f"request body exceeds {limits.body_bytes} bytes")
-
-
-def _make_memory_error() -> RejectedError:
-    """Returns the refusal of a request whose body cannot be kept.
-
-    It has not run, since it was not read completely.
-    """
-    retry_after = f"{RETRY_AFTER_S:g}".encode()
-    return RejectedError(
-        503,
-        "not run: too many request bodies are being received",
-        (_JSON_HEADER, (b"Retry-After", retry_after)),
-    )
-
-
 def _describe_client(stream: trio.abc.Stream) -> str:
     """Returns the address of the peer, empty for one without a socket."""
     sock = getattr(stream, "socket", None)
@@ -661,15 +445,3 @@
     except OSError:
         # It has disconnected already.
         return ""
-
-
-def _measure_head(request: h11.Request) -> int:
-    """Returns the size of a request head in bytes."""
-    # Delimiters count too: 14 bytes for the spaces, version and line end of the
-    # request line and the empty last line, 4 for ": " and the line end of each
-    # header.
-    size = len(request.method) + len(request.target) + 14
-    return size + sum(
-        len(name) + len(value) + 4
-        for name, value in request.headers.raw_items()
-    )
