Keep responses while servers send them

Without memory for another caller's body, the response of a plain server could be given up while it was still being received, and its caller got 502 although the new body could have been refused instead.

Cause: the data of a response counted as droppable from its first byte, and not from its first write.

Evidence: the new test failed before (the other request was admitted instead of refused).

--- a/packages/peridotyard-daemon/src/peridotyard_daemon/connection/callers.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/connection/callers.py
@@ -240,6 +240,8 @@
         """
         if self._holding is None:
             self._holding = self._intake.open(self._client, self._drop)
+            # A response is kept while a server sends it.
+            self._holding.is_droppable = not self.is_serving
         return self._intake.grow(self._holding, count, single_limit_bytes)
 
     def _drop(self) -> None:
--- a/tests/unit/test_callers.py
+++ b/tests/unit/test_callers.py
@@ -462,3 +462,26 @@
         assert data.endswith(b"\r\n\r\n" + body)
         await stream.send_all(GET)
         assert (await receive(stream, 1)).endswith(body)
+
+
+@cases.run_on_virtual_clock
+async def test_response_that_is_received_from_a_server_is_kept():
+    """Guards against a response given up while a server still sends it."""
+    held = []
+
+    async def respond(responder):
+        held.append(responder.hold(90))
+        await trio.sleep(5)
+        held.append(responder.hold(10))
+        await responder.send_complete(200, [], b"ok")
+
+    entry = Entry(respond)
+    entry.intake = intake.Intake(intake.Limits(10, 150))
+    async with open_connection(entry) as stream:
+        await stream.send_all(GET)
+        await trio.sleep(2)
+        other = await open_further(entry)
+        await other.send_all(POST + b"Content-Length: 50\r\n\r\n" + b"y" * 50)
+        assert b" 503 " in (await receive(other, 1))[:15]
+        assert b" 200 " in (await receive(stream, 5))[:15]
+        assert held == [True, True]
