Look up route and key of a request once when it is admitted

Ruled out: a cache, as the configuration may change between head and admission, which has to check both again. Change: the check returns route and workspace. No change of behaviour; no figure was measured. Tests of gateway, explanations and callers pass.

--- a/packages/peridotyard-daemon/src/peridotyard_daemon/process/gateway.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/process/gateway.py
@@ -570,11 +570,11 @@
         """
         head = self.context.codec.decode_request(method, target, headers)
         await self._wait_initialized()
-        failure = self._find_failure(head)
-        if failure is None:
+        found = self._find_route(head)
+        if not isinstance(found, verdicts.Failure):
             return None
-        self._record_refusal(head, failure)
-        return http.encode_failure(failure, head.request_id)
+        self._record_refusal(head, found)
+        return http.encode_failure(found, head.request_id)
 
     def _record_refusal(
         self, head: exchanges.RequestHead, failure: verdicts.Failure
@@ -605,10 +605,10 @@
         stream = relays.Stream(self.context, self._prober, request, responder)
         await stream.run()
 
-    def _find_failure(
+    def _find_route(
         self, head: exchanges.RequestHead
-    ) -> verdicts.Failure | None:
-        """Returns why a request may not run, None if it may."""
+    ) -> tuple[fleet.Route, fleet.Workspace | None] | verdicts.Failure:
+        """Returns route and workspace of a request, or why it may not run."""
         if self._is_refusing:
             # A request that starts now could be interrupted by the end of the
             # process.
@@ -625,12 +625,14 @@
             return verdicts.make_not_run_failure(
                 "not-found", "No route matches."
             )
-        needs_key = routing.needs_keys and not route.public
-        if needs_key and routing.authenticate(head.key) is None:
-            return verdicts.make_not_run_failure(
-                "unauthorized", "The API key is unknown."
-            )
-        return None
+        workspace = None
+        if routing.needs_keys and not route.public:
+            workspace = routing.authenticate(head.key)
+            if workspace is None:
+                return verdicts.make_not_run_failure(
+                    "unauthorized", "The API key is unknown."
+                )
+        return route, workspace
 
     def _admit(
         self,
@@ -651,14 +653,11 @@
             hold: See `contexts.Request`.
         """
         choose = choose or self.context.random.choices
-        failure = self._find_failure(head)
-        if failure is not None:
-            return failure
+        found = self._find_route(head)
+        if isinstance(found, verdicts.Failure):
+            return found
+        route, workspace = found
         routing = self.view.routing
-        route = routing.match(head.host, head.path)
-        workspace = None
-        if routing.needs_keys and not route.public:
-            workspace = routing.authenticate(head.key)
         names = [name for name, _ in route.targets]
         weights = [weight for _, weight in route.targets]
         chosen = choose(names, weights)[0]
