Treat an error response of a stream that does not fit as lost

Callers saw a closed connection and operators an internal error when the error response of a stream's server did not fit into the memory for callers' data. Cause: let read_body raise NoMemoryError, which only plain requests caught. Ruled out: no memory taken for these bodies, as they may have 16 MiB. Change: it is a LostError, which streams handle; plain requests catch it first, as before. The body of a refusal takes no memory, since it is thrown away, so that a refusal stays one.

Evidence: the new test failed with NoMemoryError before and passes now.

--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/forwards.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/forwards.py
@@ -5,7 +5,6 @@
 
 import h11
 from peridotyard_core import crashes
-from peridotyard_core import errors
 from peridotyard_core import exchanges
 from peridotyard_core import fleet
 from peridotyard_core import verdicts
@@ -76,7 +75,7 @@
 Outcome = Responded | Refused | Lost | TimedOut | Discarded
 
 
-class NoMemoryError(errors.PeridotyardError):
+class NoMemoryError(upstreams.LostError):
     """The entry must not keep the response of a server."""
 
 
@@ -376,10 +375,10 @@
                 )
             except upstreams.UnsentError as error:
                 outcome = Refused(str(error), sent=False)
-            except upstreams.LostError as error:
-                outcome = Lost(str(error))
             except NoMemoryError:
                 outcome = Discarded()
+            except upstreams.LostError as error:
+                outcome = Lost(str(error))
             finally:
                 if connection is not None:
                     if isinstance(outcome, (Responded, Refused)):
--- a/packages/peridotyard-daemon/src/peridotyard_daemon/request/runs.py
+++ b/packages/peridotyard-daemon/src/peridotyard_daemon/request/runs.py
@@ -426,7 +426,7 @@
             return head
         self._record_statement(head)
         if head.not_run:
-            await forwards.read_body(connection, request.hold)
+            await forwards.read_body(connection)
             return await self._classify_refusal(head)
         if not head.signed or head.request_id != request.head.request_id:
             raise upstreams.LostError("response lacks a signature or id")
--- a/tests/unit/test_relays.py
+++ b/tests/unit/test_relays.py
@@ -1412,3 +1412,22 @@
 
         check_complete(await relay_while(harness, fill))
         assert not harness.servers["b0"].requests
+
+
+@cases.run_on_virtual_clock
+async def test_error_response_that_does_not_fit_is_no_internal_error():
+    """Guards against an internal error for want of the memory of callers."""
+    async with gateways.open_harness(
+        gateways.make_servers([("a0", "a", (0, 20))]), EVENTS
+    ) as harness:
+        harness.servers["a0"].faults = [servers_module.Fault("error")]
+        request = dataclasses.replace(
+            harness.make_request(max_attempts=1), hold=lambda _: False
+        )
+        recorder = gateways.ResponseRecorder()
+        stream = relays.Stream(
+            harness.context, harness.prober, request, recorder
+        )
+        await stream.run()
+        assert recorder.status == 502
+        assert "internal_errors" not in harness.context.metrics.render()
