--- a/review/support-2/harness.py
+++ b/review/support-2/harness.py
@@ -285,6 +285,7 @@
 
     Attributes:
         folder: Temporary folder of the run.
+        store_address: Address at which the entries find the store.
         started_at: Time of the last start of each entry.
         log: Lines of `record.txt`.
     """
@@ -295,6 +296,7 @@
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
         self.entries = entries
         self.store = Store(f"{self.prefix}.1")
+        self.store_address = self.store.address
         self._processes: dict[int, subprocess.Popen] = {}
         self.started_at: dict[int, float] = {}
         self._starts: dict[int, list[float]] = {}
@@ -307,10 +309,10 @@
         at = time.monotonic() if at is None else at
         self.log.append(f"{at - self.began:8.3f} {text}")
 
-    def write_record(self) -> None:
-        """Writes `record.txt`."""
+    def write_record(self, name: str = "record.txt") -> None:
+        """Writes the record of the run into the folder of the case."""
         text = "\n".join(sorted(self.log, key=lambda line: float(line[:8])))
-        (self._case / "record.txt").write_text(text + "\n")
+        (self._case / name).write_text(text + "\n")
 
     def get_host(self, number: int) -> str:
         """Returns the address of an entry's machine."""
@@ -353,7 +355,7 @@
                 "budgetExtra": 202,
                 "stall_ms": 2500,
             },
-            "provider": {"address": self.store.address, "historyS": 20},
+            "provider": {"address": self.store_address, "historyS": 20},
         }
         # JSON is YAML as well.
         path = self.folder / f"settings-{number}.yaml"
