--- a/review/support-2/harness.py
+++ b/review/support-2/harness.py
@@ -12,6 +12,7 @@
 import os
 import pathlib
 import random
+import shutil
 import signal
 import subprocess
 import tempfile
@@ -420,12 +421,13 @@
         return False
 
     def end(self) -> None:
-        """Ends all processes of the run."""
+        """Ends all processes of the run and removes its folder."""
         for process in self._processes.values():
             if process.poll() is None:
                 process.send_signal(signal.SIGCONT)
                 process.kill()
             process.wait()
+        shutil.rmtree(self.folder, ignore_errors=True)
 
     async def send(
         self, number: int, name: str, target: str, limit_ms: int = 3000
